Build the whole path thinly, as separate processes

Cause: nothing existed; a request has to be served end to end before any promise can be proved. Ruled out: separate streams for ownership and starts (a claim must be ordered against the old owner's starts, so one stream a hall carries both); connections by the library's TCP client (it spins while it connects); a cattrs hook for str that also catches enumerations. Change: core without I/O, thrift links, log, list and worker clients, the daemon, the command line, stand-ins and a demo.

--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' command line: check, apply and report."""
--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/main.py
@@ -0,0 +1,160 @@
+"""The binary thymefork."""
+
+import getpass
+import time
+from pathlib import Path
+from typing import Annotated
+
+import orjson
+import typer
+
+from thymefork_core.exceptions import ThymeforkError
+from thymefork_core.model import OperatorsFile
+from thymefork_wire import load_document
+from thymefork_wire.strict import to_json
+
+from .checks import check_file
+from .client import EntryClient
+from .exit_codes import CONFLICT, NOT_IN_FORCE, UNREACHABLE, WRONG_FILE
+from .show import show_config, show_status, show_work
+
+__all__ = ["app", "main"]
+
+IN_FORCE_S = 5.0
+READ_EVERY_S = 0.1
+
+app = typer.Typer(add_completion=False, help="Apply whole files and read reports.")
+report = typer.Typer(help="Read what the system reports.")
+app.add_typer(report, name="report")
+
+FileArgument = Annotated[Path, typer.Argument(help="The operators' JSON file.")]
+JsonOption = Annotated[bool, typer.Option("--json", help="Print JSON.")]
+ToOption = Annotated[
+    str, typer.Option("--to", envvar="THYMEFORK_URL", help="An instance's URL.")
+]
+
+
+def _fail(failure, as_json, code):
+    document = {"error": str(failure), "step": failure.step, "peer": failure.peer}
+    if as_json:
+        typer.echo(orjson.dumps(document).decode())
+    else:
+        typer.echo(f"thymefork: {failure}", err=True)
+    raise typer.Exit(code)
+
+
+def _load(path, as_json):
+    try:
+        file = load_document(path, OperatorsFile)
+        check_file(file, str(path))
+        return file
+    except ThymeforkError as failure:
+        _fail(failure, as_json, WRONG_FILE)
+
+
+def _print(document, as_json, show):
+    if as_json:
+        typer.echo(orjson.dumps(document).decode())
+    else:
+        show(document)
+
+
+@app.command()
+def check(file: FileArgument, json: JsonOption = False):
+    """Check a file without applying it."""
+    checked = _load(file, json)
+    counts = {
+        "workers": len(checked.workers),
+        "services": len(checked.services),
+        "teams": len(checked.teams),
+    }
+    _print({"valid": True, **counts}, json, lambda d: typer.echo(f"{file}: valid"))
+
+
+@app.command()
+def apply(
+    file: FileArgument,
+    to: ToOption,
+    base: Annotated[
+        int, typer.Option(help="The version that the file builds on; 0 is none.")
+    ],
+    author: Annotated[str, typer.Option(help="Who applies it.")] = "",
+    json: JsonOption = False,
+):
+    """Apply a whole file and wait until it is in force everywhere."""
+    checked = _load(file, json)
+    try:
+        client = EntryClient(url=to)
+        form = {"base": base, "author": author or getpass.getuser()}
+        body = orjson.dumps({**form, "file": orjson.Fragment(to_json(checked))})
+        answer = client.post("/config", body)
+        if answer.status != 200:
+            document = answer.document
+            text = document.get("error") or (
+                f"{document['reason']}: version {document['version']} of "
+                f"{document['author'] or 'nobody'} is in force; read it, then apply"
+                f" with --base {document['version']}"
+            )
+            code = CONFLICT if answer.status == 409 else WRONG_FILE
+            _fail(ThymeforkError(text, step="apply", peer=to), json, code)
+        version = answer.document["version"]
+        missing = _wait_in_force(client, version)
+    except ThymeforkError as failure:
+        _fail(failure, json, UNREACHABLE)
+    document = {"version": version, "in_force": not missing, "missing": missing}
+    _print(document, json, show_config)
+    if missing:
+        raise typer.Exit(NOT_IN_FORCE)
+
+
+def _wait_in_force(client, version):
+    """Return the instances that do not have a version in time."""
+    until_s = time.monotonic() + IN_FORCE_S
+    while True:
+        members = client.get("/report").document["members"]
+        missing = [m["name"] for m in members if m["config_version"] < version]
+        if not missing or time.monotonic() > until_s:
+            return missing
+        time.sleep(READ_EVERY_S)
+
+
+def _read(to, path, as_json, show):
+    try:
+        answer = EntryClient(url=to).get(path)
+    except ThymeforkError as failure:
+        _fail(failure, as_json, UNREACHABLE)
+    if answer.status != 200:
+        text = answer.document.get("error", f"status {answer.status}")
+        _fail(ThymeforkError(text, step="report", peer=to), as_json, WRONG_FILE)
+    _print(answer.document, as_json, show)
+
+
+@report.command()
+def status(to: ToOption, json: JsonOption = False):
+    """Show an instance, its peers and its workers."""
+    _read(to, "/report", json, show_status)
+
+
+@report.command()
+def work(
+    work_id: Annotated[str, typer.Argument(help="The id that the caller gave.")],
+    to: ToOption,
+    json: JsonOption = False,
+):
+    """Show where a piece of work is and what it waits for."""
+    _read(to, f"/report/{work_id}", json, show_work)
+
+
+@report.command()
+def config(to: ToOption, json: JsonOption = False):
+    """Show the version in force."""
+    _read(to, "/config", json, show_config)
+
+
+def main():
+    """Enter from the command line."""
+    app()
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/thymefork-core/src/thymefork_core/model/__init__.py
@@ -0,0 +1,27 @@
+"""Typed values that callers, operators and instances share."""
+
+from .answer import Answer, Outcome
+from .operators_file import (
+    OperatorsFile,
+    Policy,
+    Service,
+    StandingWork,
+    Team,
+    WorkerDecl,
+)
+from .resources import Resources
+from .work import WorkKind, WorkSpec
+
+__all__ = [
+    "Answer",
+    "OperatorsFile",
+    "Outcome",
+    "Policy",
+    "Resources",
+    "Service",
+    "StandingWork",
+    "Team",
+    "WorkKind",
+    "WorkSpec",
+    "WorkerDecl",
+]
--- /dev/null
+++ b/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
@@ -0,0 +1,84 @@
+"""Heartbeats: a full mesh in the hall, one rotating link to each other hall."""
+
+from thymefork_core.membership import Member
+from thymefork_core.peer import Heartbeat
+
+from .effects import SendPeer
+
+__all__ = ["Heartbeats"]
+
+SENT_KEPT = 64
+FENCED_TOLD = 4
+
+
+class Heartbeats:
+    """Tell peers what this instance has, and take what they tell."""
+
+    def __init__(self, *, context, router):
+        self.ctx = context
+        self.router = router
+        self._due_mono_ms = 0
+        self._seq = 0
+        self._sent_mono_ms = {}
+        self._echo = {}
+
+    def tick(self):
+        """Send what is due."""
+        ctx = self.ctx
+        if ctx.now.mono_ms < self._due_mono_ms:
+            return
+        self._due_mono_ms = ctx.now.mono_ms + ctx.limits.heartbeat_every_ms
+        self._seq += 1
+        self._sent_mono_ms[self._seq] = ctx.now.mono_ms
+        self._sent_mono_ms.pop(self._seq - SENT_KEPT, None)
+        for name in ctx.members.hall_peers() + self._rotating():
+            ctx.emit(SendPeer(peer=name, message=self._heartbeat(name)))
+
+    def on_heard(self, message):
+        """Take a heartbeat of a peer."""
+        ctx = self.ctx
+        mono_ms = ctx.now.mono_ms
+        ctx.members.update_member(
+            Member(
+                name=message.name,
+                hall=message.hall,
+                incarnation=message.incarnation,
+                heard_mono_ms=mono_ms,
+                config_version=message.config_version,
+                leaving=message.leaving,
+                log_down=message.log_down,
+                free=message.free,
+                largest_free=message.largest_free,
+                free_slots=message.free_slots,
+                fenced=message.fenced,
+            )
+        )
+        self._echo[message.name] = message.seq
+        ctx.silence.heard_on_link(message.incarnation, mono_ms)
+        sent_ms = self._sent_mono_ms.get(message.echo)
+        if sent_ms is not None:
+            ctx.silence.echoed(message.name, sent_ms)
+
+    def _rotating(self):
+        names = []
+        for peers in self.ctx.members.other_halls().values():
+            peers = sorted(peers)
+            names.append(peers[self._seq % len(peers)])
+        return names
+
+    def _heartbeat(self, name):
+        ctx = self.ctx
+        return Heartbeat(
+            name=ctx.name,
+            hall=ctx.hall,
+            incarnation=ctx.incarnation,
+            seq=self._seq,
+            echo=self._echo.get(name, 0),
+            config_version=ctx.config.version,
+            leaving=ctx.leaving,
+            log_down=ctx.log_is_down,
+            free=ctx.book.free(),
+            largest_free=ctx.book.largest_free(),
+            free_slots=self.router.free_slots(),
+            fenced=tuple(list(ctx.ledger.state.successors)[-FENCED_TOLD:]),
+        )
--- /dev/null
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -0,0 +1,384 @@
+"""One entry instance as a state machine: a message in, effects out."""
+
+from functools import singledispatchmethod
+
+from thymefork_core.instant import Instant
+from thymefork_core.ledger import (
+    AcceptedIndex,
+    Claim,
+    Close,
+    End,
+    HallLedger,
+    Handover,
+    Held,
+    Resign,
+    Start,
+    Take,
+)
+from thymefork_core.log import AppendQueue, LogHealth, Stream
+from thymefork_core.membership import Members
+from thymefork_core.ownership import OwnerLease, SilenceWatch
+from thymefork_core.reasons import Retry
+
+from . import messages as m
+from .authority import Authority
+from .checkpointer import Checkpointer
+from .configurator import Configurator
+from .context import Context
+from .effects import Append, Exit
+from .executor import Executor
+from .gangs import Gangs
+from .heartbeats import Heartbeats
+from .home import Home
+from .intake import Intake
+from .peer_desk import PeerDesk
+from .reporter import Reporter
+from .router import Router
+
+__all__ = ["Node"]
+
+APPEND_BACKOFF_MS = 200
+
+
+class Node:
+    """Compose the roles of an instance and carry messages between them."""
+
+    def __init__(self, *, name, hall, incarnation, limits, now):
+        self.ctx = Context(
+            name=name,
+            hall=hall,
+            incarnation=incarnation,
+            limits=limits,
+            now=now,
+            ledger=HallLedger(),
+            accepted=AcceptedIndex(window_ms=limits.work_window_ms),
+            members=Members(name=name, hall=hall, lease_ms=limits.lease_ms),
+            silence=SilenceWatch(lease_ms=limits.lease_ms, grace_ms=limits.grace_ms),
+            lease=OwnerLease(lease_ms=limits.lease_ms),
+            health=LogHealth(patience_ms=limits.log_patience_ms),
+            queues={
+                Stream.HALL: AppendQueue(author=incarnation),
+                Stream.ACCEPTED: AppendQueue(author=incarnation),
+                Stream.CONFIG: AppendQueue(
+                    author=incarnation,
+                    most_entries=1,
+                    name_record=lambda entries: entries[0].record_id,
+                ),
+            },
+        )
+        self.authority = Authority(context=self.ctx)
+        self.executor = Executor(context=self.ctx)
+        self.gangs = Gangs(context=self.ctx, executor=self.executor)
+        self.home = Home(context=self.ctx, executor=self.executor, gangs=self.gangs)
+        self.intake = Intake(context=self.ctx, home=self.home)
+        self.router = Router(context=self.ctx)
+        self.configurator = Configurator(context=self.ctx)
+        self.heartbeats = Heartbeats(context=self.ctx, router=self.router)
+        self.checkpointer = Checkpointer(context=self.ctx)
+        self.peer_desk = PeerDesk(node=self)
+        self.reporter = Reporter(node=self)
+        self.authority.streams_held = self.router.streams_held
+        self._was_down = True
+        self._last_tick_mono_ms = now.mono_ms
+
+    def handle(self, message, now: Instant):
+        """Take a message at a moment and return the effects in order."""
+        ctx = self.ctx
+        ctx.now = now
+        self._handle(message)
+        self.executor.flush()
+        self._flush_queues()
+        effects, ctx.effects = ctx.effects, []
+        return effects
+
+    @singledispatchmethod
+    def _handle(self, message):
+        raise TypeError(f"no handler for {type(message).__name__}")
+
+    # Time ------------------------------------------------------------------
+
+    @_handle.register
+    def _tick(self, message: m.Tick):
+        ctx = self.ctx
+        self._notice_pause()
+        is_down = ctx.log_is_down
+        if is_down:
+            self.intake.withdraw()
+            self.executor.withdraw_starts()
+        if is_down != self._was_down:
+            self._was_down = is_down
+            text = "log is down" if is_down else "log is back"
+            ctx.note(text, step="log", warning=is_down)
+            if not is_down:
+                ctx.silence.restart(ctx.now.mono_ms)
+        self.heartbeats.tick()
+        self.authority.tick()
+        self.executor.tick()
+        self.router.tick()
+        self.home.tick()
+        self.home.run_queue()
+        self.intake.tick()
+        self.configurator.tick()
+        self.checkpointer.tick()
+        self._leave_if_empty()
+
+    def _notice_pause(self):
+        """Start waits for silent owners anew after this process stood still."""
+        ctx = self.ctx
+        mono_ms = ctx.now.mono_ms
+        if mono_ms - self._last_tick_mono_ms > ctx.limits.lease_ms:
+            ctx.note("resumed after a pause", step="tick", warning=True)
+            ctx.silence.restart(mono_ms)
+        self._last_tick_mono_ms = mono_ms
+
+    @_handle.register
+    def _stop(self, message: m.StopSignal):
+        if not self.ctx.leaving:
+            self.ctx.leaving = True
+            self.ctx.note("planned stop begins", step="stop")
+
+    def _leave_if_empty(self):
+        ctx = self.ctx
+        if not ctx.leaving:
+            return
+        busy = len(self.router) + len(self.intake.requests) + len(self.configurator)
+        written = any(q.in_flight or q.pending for q in ctx.queues.values())
+        if not busy and not written and not ctx.ledger.owned_by(ctx.incarnation):
+            ctx.emit(Exit())
+
+    # Log -------------------------------------------------------------------
+
+    @_handle.register
+    def _log_read(self, message: m.LogRead):
+        ctx = self.ctx
+        ctx.health.good(ctx.now.mono_ms)
+        for record in message.records:
+            self._fold(message.stream, record)
+        self._after_read(message.stream, message)
+
+    def _after_read(self, stream, message):
+        ctx = self.ctx
+        if not message.at_end:
+            return
+        queue = ctx.queues[stream]
+        batch = queue.not_found(message.began_mono_ms)
+        if batch is not None:
+            ctx.count(Retry.APPEND_RESENT)
+            ctx.emit(Append(stream=stream, batch=batch))
+        if not ctx.caught_up.get(stream) and self.checkpointer.is_restored:
+            ctx.caught_up[stream] = True
+            ctx.silence.restart(ctx.now.mono_ms)
+            if all(ctx.caught_up.get(s) for s in (Stream.HALL, Stream.ACCEPTED)):
+                self.home.adopt_all()
+
+    def _fold(self, stream, record):
+        ctx = self.ctx
+        batch = ctx.queues[stream].acknowledged(record.record_id)
+        if stream is Stream.ACCEPTED:
+            for work in ctx.accepted.apply(record):
+                self.intake.on_accepted(work)
+                if self.home.is_home(work):
+                    self.home.enqueue(work)
+            if batch is not None or record.author == ctx.incarnation:
+                self._rejoin(record)
+            self.home.run_queue()
+            return
+        verdicts = ctx.ledger.apply(record)
+        if record.author == ctx.incarnation and batch is not None:
+            self.authority.on_own_record(batch.began_mono_ms)
+        ctx.silence.heard_in_log(record.author, ctx.now.mono_ms)
+        for verdict in verdicts:
+            self._on_verdict(verdict.entry, verdict)
+        self.home.run_queue()
+
+    def _rejoin(self, record):
+        """Answer own submissions whose id was already accepted and settled."""
+        for entry in record.entries:
+            self.intake.on_changed(entry.spec.work_id)
+
+    @singledispatchmethod
+    def _on_verdict(self, entry, verdict):
+        """Renewals change nothing but the author's silence."""
+
+    @_on_verdict.register
+    def _on_claim(self, entry: Claim, verdict):
+        ctx = self.ctx
+        mine = verdict.author == ctx.incarnation
+        if not verdict.valid:
+            if mine:
+                self.authority.claim_failed(entry)
+            return
+        if entry.victim == ctx.incarnation:
+            self.executor.drop_all()
+            self.home.drop_all()
+            self.authority.on_claimed()
+            return
+        self._on_moved(verdict)
+        if mine:
+            ctx.note("claimed a silent owner", step="claim", peer=entry.victim)
+            self.home.adopt_all()
+
+    @_on_verdict.register(Take)
+    @_on_verdict.register(Handover)
+    def _on_ownership(self, entry, verdict):
+        self._on_moved(verdict)
+
+    @_on_verdict.register
+    def _on_held(self, entry: Held, verdict):
+        self.executor.refresh_held(entry.worker)
+
+    @_on_verdict.register
+    def _on_resign(self, entry: Resign, verdict):
+        ctx = self.ctx
+        if not verdict.valid:
+            return
+        if verdict.author == ctx.incarnation:
+            self.home.drop_all()
+        elif entry.to == ctx.incarnation:
+            self.home.adopt_all()
+
+    @_on_verdict.register
+    def _on_start(self, entry: Start, verdict):
+        self.executor.on_start(verdict)
+        if verdict.valid:
+            self._on_work(entry.work_id)
+
+    @_on_verdict.register
+    def _on_end(self, entry: End, verdict):
+        self.executor.on_end(verdict)
+        if verdict.valid:
+            work = self.ctx.accepted.get(entry.work_id)
+            if work is not None and self.home.is_home(work):
+                self.home.on_end(verdict)
+            self._on_work(entry.work_id)
+
+    @_on_verdict.register
+    def _on_close(self, entry: Close, verdict):
+        if verdict.valid:
+            self.executor.on_closed(entry.work_id)
+            self._on_work(entry.work_id)
+
+    def _on_work(self, work_id):
+        self.home.on_changed(work_id)
+        self.intake.on_changed(work_id)
+
+    def _on_moved(self, verdict):
+        for moved in verdict.moved:
+            self.authority.forget_worker(moved.worker)
+            self.executor.on_moved(moved, verdict.entry)
+
+    @_handle.register
+    def _log_failed(self, message: m.LogFailed):
+        self.ctx.health.failed()
+
+    @_handle.register
+    def _log_reset(self, message: m.LogReset):
+        """Read a restarted stream from its start on; what is known is kept."""
+        ctx = self.ctx
+        if message.stream is Stream.HALL:
+            ctx.ledger.state.next_offset = 0
+            ctx.ledger.state.last_seen.clear()
+        elif message.stream is Stream.ACCEPTED:
+            ctx.accepted.state.next_offset = 0
+
+    @_handle.register
+    def _report_request(self, message: m.ReportRequest):
+        self.reporter.answer(message)
+
+    @_handle.register
+    def _config_read(self, message: m.ConfigRead):
+        ctx = self.ctx
+        ctx.health.good(ctx.now.mono_ms)
+        for version in message.versions:
+            ctx.queues[Stream.CONFIG].acknowledged(version.record_id)
+        self.configurator.on_read(message)
+        self._after_read(Stream.CONFIG, message)
+
+    @_handle.register
+    def _checkpoint_read(self, message: m.CheckpointRead):
+        self.checkpointer.on_read(message)
+
+    @_handle.register
+    def _append_acked(self, message: m.AppendAcked):
+        self.ctx.health.good(self.ctx.now.mono_ms)
+
+    @_handle.register
+    def _append_refused(self, message: m.AppendRefused):
+        self.ctx.health.failed()
+        self.ctx.queues[message.stream].refused(
+            message.record_id, self.ctx.now.mono_ms, APPEND_BACKOFF_MS
+        )
+
+    @_handle.register
+    def _append_lost(self, message: m.AppendLost):
+        self.ctx.health.failed()
+        self.ctx.queues[message.stream].lost_answer(
+            message.record_id, self.ctx.now.mono_ms
+        )
+
+    def _flush_queues(self):
+        ctx = self.ctx
+        for stream, queue in ctx.queues.items():
+            if ctx.log_is_down:
+                continue
+            batch = queue.next_batch(ctx.now.mono_ms)
+            if batch is not None:
+                ctx.emit(Append(stream=stream, batch=batch))
+
+    # Members, workers, peers -------------------------------------------------
+
+    @_handle.register
+    def _list_read(self, message: m.ListRead):
+        ctx = self.ctx
+        ctx.members.update_list(message.instances, message.workers)
+        entry = ctx.members.listed.get(ctx.name)
+        if entry is not None and entry.state == "leaving":
+            self._stop(m.StopSignal())
+
+    @_handle.register
+    def _peer_heard(self, message: m.PeerHeard):
+        self.peer_desk.take(message.message, message.peer)
+
+    @_handle.register
+    def _report(self, message: m.WorkerReport):
+        self.executor.on_report(message)
+        self.router.drain_queue()
+
+    @_handle.register
+    def _poll_failed(self, message: m.PollFailed):
+        self.executor.on_poll_failed(message.worker)
+
+    @_handle.register
+    def _starts_answered(self, message: m.StartsAnswered):
+        self.executor.on_starts_answered(message)
+
+    @_handle.register
+    def _starts_failed(self, message: m.StartsFailed):
+        self.executor.on_starts_failed(message)
+
+    # Callers -----------------------------------------------------------------
+
+    @_handle.register
+    def _submit(self, message: m.SubmitRequest):
+        self.intake.submit(message.request_id, message.specs)
+
+    @_handle.register
+    def _cancel(self, message: m.CancelRequest):
+        self.intake.cancel(message.request_id, message.work_ids)
+
+    @_handle.register
+    def _lookup(self, message: m.LookupRequest):
+        self.router.on_request(message)
+
+    @_handle.register
+    def _lookup_ended(self, message: m.LookupEnded):
+        self.router.on_ended(message)
+
+    @_handle.register
+    def _caller_gone(self, message: m.CallerGone):
+        self.intake.caller_gone(message.request_id)
+        self.router.on_caller_gone(message.request_id)
+
+    @_handle.register
+    def _apply(self, message: m.ApplyRequest):
+        self.configurator.apply(message)
--- /dev/null
+++ b/packages/thymefork-entry/src/thymefork_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon of an entry instance: circuits components around the node."""
--- /dev/null
+++ b/packages/thymefork-entry/src/thymefork_entry/daemon.py
@@ -0,0 +1,82 @@
+"""The daemon: all components of one entry instance."""
+
+import signal
+
+from circuits import BaseComponent, handler
+from loguru import logger
+
+from thymefork_core.node import messages as m
+from thymefork_platform import (
+    BRAIN,
+    Address,
+    ListReader,
+    LogReader,
+    LogWriter,
+    WorkerClient,
+    deliver,
+)
+
+from .brain import Brain
+from .front_door import FrontDoor
+from .links import Links
+from .metrics import Metrics
+
+__all__ = ["Daemon"]
+
+EXIT_STOPPED = 0
+EXIT_CUT_SHORT = 3
+
+
+class Daemon(BaseComponent):
+    """Register the components and end the process when the node says so."""
+
+    channel = "daemon"
+
+    def init(self, settings):
+        """Build all components from the settings."""
+        self._stops = 0
+        self.exit_code = EXIT_STOPPED
+        self.metrics = Metrics(settings.statsd, f"thymefork.{settings.name}")
+        self.metrics.register(self)
+        self.brain = Brain(settings).register(self)
+        self.front = FrontDoor(settings, self.metrics, self.brain.node).register(self)
+        self.links = Links(
+            settings.peers, settings.name, settings.peer_message_bytes, self.metrics
+        ).register(self)
+        self.workers = WorkerClient(self.front).register(self)
+        self.front.workers = self.workers
+        log = _address(settings.log_service)
+        self.writer = LogWriter(log, settings.hall).register(self)
+        self.reader = LogReader(log, settings.hall).register(self)
+        self.lists = ListReader(
+            _address(settings.instance_list),
+            settings.name,
+            settings.hall,
+            self._on_list,
+        ).register(self)
+
+    def _on_list(self, found):
+        self.workers.on_list(found)
+        self.links.on_list(found)
+
+    @handler("signal", channel="*", priority=100)
+    def _on_signal(self, event, number, *args):
+        event.stop()
+        if number not in (signal.SIGTERM, signal.SIGINT):
+            return
+        self._stops += 1
+        if self._stops > 1:
+            logger.warning("second stop signal: leaving what is open")
+            self.exit_code = EXIT_CUT_SHORT
+            self.stop()
+            return
+        self.fire(deliver(m.StopSignal()), BRAIN)
+
+    @handler("perform")
+    def _on_perform(self, effect):
+        logger.info("planned stop is complete")
+        self.stop()
+
+
+def _address(place):
+    return Address(host=place.host, port=place.port)
--- /dev/null
+++ b/packages/thymefork-standin/src/thymefork_standin/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins of the platform and its callers, for tests only."""
