--- a/packages/thymefork-core/src/thymefork_core/node/context.py
+++ b/packages/thymefork-core/src/thymefork_core/node/context.py
@@ -51,10 +51,17 @@
 
     @property
     def is_ready(self):
-        """Tell whether this instance has caught up and has a configuration."""
+        """Tell whether callers should be sent here.
+
+        It has caught up, has a configuration, and has a worker of its own or hears
+        an instance that may have one.
+        """
         streams = (Stream.HALL, Stream.ACCEPTED)
         caught_up = all(self.caught_up.get(stream) for stream in streams)
-        return caught_up and self.file is not None and not self.leaving
+        if not caught_up or self.file is None or self.leaving:
+            return False
+        has_worker = any(view.open_for_work for view in self.book.views.values())
+        return has_worker or bool(self.members.live(self.now.mono_ms))
 
     @property
     def come_back_at_ms(self):
--- a/packages/thymefork-core/src/thymefork_core/node/peer_desk.py
+++ b/packages/thymefork-core/src/thymefork_core/node/peer_desk.py
@@ -27,7 +27,6 @@
     def _heartbeat(self, message: p.Heartbeat, peer):
         node = self.node
         node.heartbeats.on_heard(message)
-        node.router.on_heartbeat(message.name)
         node.configurator.on_heartbeat(message.name, message.config_version)
         if node.ctx.incarnation in message.fenced:
             node.ctx.lease.deadline_mono_ms = 0
--- a/packages/thymefork-core/src/thymefork_core/node/router.py
+++ b/packages/thymefork-core/src/thymefork_core/node/router.py
@@ -36,6 +36,14 @@
     caller_here: bool = True
 
 
+@define(kw_only=True)
+class _Hop:
+    """A lookup that was passed on to a peer."""
+
+    request: object
+    peer: str
+
+
 class Router:
     """Send each lookup to a free slot: own, a peer's, or after a short wait."""
 
@@ -47,7 +55,8 @@
         self.budget = RetryBudget()
         self._late = []
         self._mean_ms = 5.0
-        self._hints = {}
+        self._hops_to = {}
+        self._told_full = {}
 
     def __len__(self):
         return len(self.running) + len(self.hops) + len(self.queue)
@@ -76,20 +85,26 @@
                 deadline_ms = min(request.deadline_ms, latest_ms)
                 request = evolve(request, deadline_ms=deadline_ms)
             self.budget.earn()
-            self._route(request, service)
+            self._route(request)
 
-    def _route(self, request, service):
+    def _route(self, request):
         if self._send_here(request):
             return
         if request.stream:
             if request.hopped or not self._hop_stream(request):
                 self._refuse(request, Reason.NO_SLOT)
             return
-        if not request.request_id.startswith(HOP_PREFIX) and self._hop(request):
-            return
-        if request.request_id.startswith(HOP_PREFIX):
+        if request.hopped:
             self._refuse(request, Reason.NO_SLOT)
-        elif len(self.queue) >= service.queue_limit:
+        elif self._hop(request):
+            return
+        else:
+            self._wait_or_refuse(request)
+
+    def _wait_or_refuse(self, request):
+        """Let a lookup wait if its turn will come before its deadline."""
+        service = self.ctx.file.service(request.service)
+        if service is None or len(self.queue) >= service.queue_limit:
             self._refuse(request, Reason.OVERLOADED)
         elif self._wait_ends_ms() > request.deadline_ms:
             self._refuse(request, Reason.NO_SLOT)
@@ -127,7 +142,8 @@
 
     def _wait_ends_ms(self):
         """Estimate when a lookup that queues now would get a slot."""
-        slots = sum(view.slots for view in self.ctx.book.views.values())
+        views = self.ctx.book.views.values()
+        slots = sum(view.slots for view in views if view.open_for_work)
         if not slots:
             return float("inf")
         return self.ctx.now.wall_ms + (len(self.queue) + 1) * self._mean_ms / slots
@@ -208,17 +224,20 @@
 
     def drain_queue(self):
         """Send waiting lookups while there are free slots."""
-        while len(self.queue) and choose_endpoint(self.ctx.book) is not None:
-            if not self.ctx.may_send():
+        while len(self.queue):
+            request = self.queue.pop_next()
+            if self._send_here(request):
+                continue
+            if request.hopped or not self._hop(request):
+                self.queue.add(request)
                 return
-            self._send_here(self.queue.pop_next())
 
     def on_caller_gone(self, request_id):
         """Forget a caller; its slot stays taken until the endpoint has answered."""
         running = self.running.get(request_id)
         if running is not None:
             running.caller_here = False
-        self.hops.pop(request_id, None)
+        self._end_hop(request_id)
         self.queue.drop(request_id)
 
     # Peers -------------------------------------------------------------------
@@ -245,8 +264,8 @@
         peer = None if request.stream else self._roomiest_peer(request.service)
         if peer is None:
             return False
-        self._hints[peer.name] = self._hints.get(peer.name, 0) + 1
-        self.hops[request.request_id] = request
+        self._hops_to[peer.name] = self._hops_to.get(peer.name, 0) + 1
+        self.hops[request.request_id] = _Hop(request=request, peer=peer.name)
         message = HopLookup(
             hop_id=request.request_id,
             service_name=request.service,
@@ -261,17 +280,14 @@
         ctx = self.ctx
         best, best_key = None, None
         for member in ctx.members.live(ctx.now.mono_ms):
-            used = self._hints.get(member.name, 0)
-            free = member.free_slots.get(service, 0) - used
+            used = self._hops_to.get(member.name, 0)
+            told = member.heard_mono_ms > self._told_full.get(member.name, -1)
+            free = member.free_slots.get(service, 0) - used if told else 0
             key = (member.hall == ctx.hall, free, member.name)
             if free > 0 and (best_key is None or key > best_key):
                 best, best_key = member, key
         return best
 
-    def on_heartbeat(self, name):
-        """Trust a fresh hint of free slots again."""
-        self._hints.pop(name, None)
-
     def on_hop(self, peer, message):
         """Serve a peer's lookup, if a slot is free now."""
         self.on_request(
@@ -281,26 +297,32 @@
                 target=message.target,
                 body=message.body,
                 deadline_ms=message.deadline_ms,
+                hopped=True,
             )
         )
 
     def on_hop_reply(self, message):
         """Answer the caller, or queue the lookup if the peer had no slot."""
-        request = self.hops.pop(message.hop_id, None)
-        if request is None:
+        hop = self._end_hop(message.hop_id)
+        if hop is None:
             return
+        request = hop.request
         if message.status != NO_SLOT_AT_PEER:
             self._reply(request.request_id, message.status, message.body)
+            self.drain_queue()
             return
+        self._told_full[hop.peer] = self.ctx.now.mono_ms
         self.ctx.count(Retry.LOOKUP_HOP)
         if request.deadline_ms <= self.ctx.now.wall_ms:
             self._refuse(request, Reason.DEADLINE)
-        elif self._send_here(request):
-            return
-        elif self._wait_ends_ms() > request.deadline_ms:
-            self._refuse(request, Reason.NO_SLOT)
-        else:
-            self.queue.add(request)
+        elif not self._send_here(request):
+            self._wait_or_refuse(evolve(request, hopped=True))
+
+    def _end_hop(self, hop_id):
+        hop = self.hops.pop(hop_id, None)
+        if hop is not None:
+            self._hops_to[hop.peer] -= 1
+        return hop
 
     # Time --------------------------------------------------------------------
 
--- a/packages/thymefork-core/src/thymefork_core/node/tests/test_random_faults.py
+++ b/packages/thymefork-core/src/thymefork_core/node/tests/test_random_faults.py
@@ -2,7 +2,7 @@
 
 from hypothesis import HealthCheck, Phase, given, settings, strategies as st
 
-from thymefork_core.model import Outcome, WorkKind
+from thymefork_core.model import Outcome, Resources, WorkKind
 from thymefork_core.node import messages as m
 from thymefork_standin.virtual import World
 
@@ -23,19 +23,23 @@
     st.tuples(at_ms, st.just("lose_append"), name, st.integers(1, 4)),
     st.tuples(at_ms, st.just("lose_start"), name, st.integers(1, 3)),
     st.tuples(at_ms, st.just("deaf"), name, span_ms),
+    st.tuples(at_ms, st.just("late_start"), name, span_ms),
+    st.tuples(at_ms, st.just("late_append"), name, span_ms),
 )
 work = st.tuples(
     at_ms,
     name,
-    st.sampled_from(["task", "many", "job", "once"]),
-    st.integers(20, 4000),
+    st.sampled_from(["task", "many", "job", "once", "big"]),
+    st.integers(20, 6000),
     st.booleans(),
 )
+BIG = Resources(cpu_milli=2500, memory_mb=100)
 FIELDS = {
     "task": {},
-    "many": {"tasks": 4},
-    "job": {"tasks": 5, "kind": WorkKind.JOB},
-    "once": {"at_most_once": True},
+    "many": {"tasks": 6},
+    "job": {"tasks": 3, "kind": WorkKind.JOB, "resources": BIG},
+    "once": {"at_most_once": True, "resources": BIG},
+    "big": {"resources": BIG},
 }
 
 
@@ -58,6 +62,10 @@
         world.log.lose_answers += amount
     elif kind == "lose_start":
         world.lose_starts += amount
+    elif kind == "late_start":
+        world.late_starts.append(amount)
+    elif kind == "late_append":
+        world.late_appends.append(amount)
     elif kind == "deaf":
         worker = f"w{amount % 3}"
         world.deaf_workers.add(worker)
@@ -114,7 +122,7 @@
     suppress_health_check=list(HealthCheck),
 )
 @given(
-    st.lists(fault, max_size=6), st.lists(work, min_size=1, max_size=8), st.integers(0)
+    st.lists(fault, max_size=6), st.lists(work, min_size=1, max_size=16), st.integers(0)
 )
 def test_promises_hold_under_random_faults(faults, works, seed):
     world, specs = run_world(faults, works, seed)
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -38,6 +38,8 @@
         }
         self.deaf_workers = set()
         self.lose_starts = 0
+        self.late_starts = []
+        self.late_appends = []
         self.nodes = {}
         self.paused = {}
         self.cut = set()
@@ -217,7 +219,11 @@
             if name in self.nodes:
                 self._later(name, kind(**ids))
 
-        self.after(self._delay(), land)
+        if self.late_appends:
+            self.after(self.late_appends.pop(), land)
+            self._later(name, m.AppendLost(**ids))
+        else:
+            self.after(self._delay(), land)
 
     @_perform.register
     def _send_peer(self, effect: fx.SendPeer, name):
@@ -253,7 +259,12 @@
             if name in self.nodes:
                 self._later(name, message)
 
-        self.after(self._delay(), arrive)
+        if self.late_starts:
+            self.after(self.late_starts.pop(), arrive)
+            failed = m.StartsFailed(worker=effect.worker, attempt_ids=ids, sent=True)
+            self._later(name, failed)
+        else:
+            self.after(self._delay(), arrive)
 
     @_perform.register
     def _stops(self, effect: fx.SendStops, name):
@@ -297,7 +308,9 @@
         while True:
             yield self.env.timeout(20)
             for name, worker in self.workers.items():
-                due = any(until <= self.env.now for _, until in self._polls.get(name, ()))
+                due = any(
+                    until <= self.env.now for _, until in self._polls.get(name, ())
+                )
                 if worker.pass_time(self.now_ms) or due:
                     self._answer_polls(name)
 
