Split the owner's and the home's roles; preempt, reserve and learn

Found by tests: a cancel that came before the accepting record answered the submitter too; a team ran 4 tasks on a quota for 2, since what was on its way was forgotten between two passes; preempted attempts counted as failed ones. Ruled out for quotas: a check in the fold (the configuration's order differs between streams, so readers would disagree). Change: small roles with one job each; indexes of open attempts by worker and team; urgent work preempts by throttle, checkpoint or stop; large jobs announce a reservation; memory is learned upward from usage reports. Touches: capacity, never two copies, not run is true.

--- a/packages/thymefork-core/src/thymefork_core/batch/fair_queue.py
+++ b/packages/thymefork-core/src/thymefork_core/batch/fair_queue.py
@@ -1,9 +1,12 @@
 """The order in which queued work is tried."""
 
 from collections import deque
+from itertools import islice
 
 __all__ = ["FairQueue"]
 
+PER_LINE = 16
+
 
 class FairQueue:
     """Order work: urgent first, then the team with the least of its quota in use.
@@ -34,18 +37,23 @@
         self._live.pop(work_id, None)
 
     def in_order(self, share_of_quota, limit):
-        """Return up to a number of works in the order in which to try them."""
+        """Return up to a number of works in the order in which to try them.
+
+        A team whose quota is in use is passed over, and no line gives more than a
+        few, so that one team's long line does not hide the others.
+        """
+        shares = {key: share_of_quota(key[1]) for key in self._lines}
         chosen = []
-        for key in sorted(self._lines, key=lambda k: (k[0], share_of_quota(k[1]))):
-            self._trim(key)
-            for work_id in self._lines.get(key, ()):
-                if len(chosen) >= limit:
-                    return chosen
-                spec = self._live.get(work_id)
-                if spec is not None:
-                    chosen.append(spec)
+        for key in sorted(shares, key=lambda k: (k[0], shares[k], k[1])):
+            if shares[key] < 1.0 and len(chosen) < limit:
+                chosen += self._first_of(key, min(PER_LINE, limit - len(chosen)))
         return chosen
 
+    def _first_of(self, key, limit):
+        self._trim(key)
+        alive = (self._live.get(work_id) for work_id in self._lines.get(key, ()))
+        return list(islice((spec for spec in alive if spec is not None), limit))
+
     def specs(self):
         """Return all queued works."""
         return list(self._live.values())
--- a/packages/thymefork-core/src/thymefork_core/ledger/accepted_index.py
+++ b/packages/thymefork-core/src/thymefork_core/ledger/accepted_index.py
@@ -31,8 +31,19 @@
     """Remember work ids for the window of the settings."""
 
     def __init__(self, *, window_ms, state=None):
-        self.state = state or AcceptedState()
         self.window_ms = window_ms
+        self.restore(state or AcceptedState())
+
+    def restore(self, state):
+        """Take a state as it was checkpointed, and index its homes."""
+        self.state = state
+        self._homes = {}
+        for work in state.works.values():
+            self._homes.setdefault(work.hall, set()).add(work.home)
+
+    def homes(self, hall):
+        """Return the instances that accepted work in a hall."""
+        return self._homes.get(hall, set())
 
     def apply(self, record):
         """Fold a record; return the works that it accepted first."""
@@ -69,4 +80,5 @@
             offset=record.offset,
         )
         self.state.works[entry.spec.work_id] = work
+        self._homes.setdefault(work.hall, set()).add(work.home)
         return work
--- a/packages/thymefork-core/src/thymefork_core/ledger/hall_ledger.py
+++ b/packages/thymefork-core/src/thymefork_core/ledger/hall_ledger.py
@@ -2,6 +2,8 @@
 
 from functools import singledispatchmethod
 
+from thymefork_core.model import Resources
+
 from .entries import (
     Claim,
     Close,
@@ -19,6 +21,7 @@
 
 __all__ = ["HallLedger"]
 
+_FAILING = {Ending.LOST, Ending.FAILED}
 _REOPENING = {Ending.LOST, Ending.FAILED, Ending.NOT_SENT, Ending.PREEMPTED}
 
 
@@ -26,7 +29,17 @@
     """Fold records in the order of their offsets into one state."""
 
     def __init__(self, *, state=None):
-        self.state = state or HallState()
+        self.restore(state or HallState())
+
+    def restore(self, state):
+        """Take a state as it was checkpointed, and index its open attempts."""
+        self.state = state
+        self._open = {}
+        self._held = {}
+        for tasks in state.tasks.values():
+            for task in tasks.values():
+                if task.open:
+                    self._index(task.open)
 
     def apply(self, record):
         """Fold a record and return a verdict on each of its entries."""
@@ -54,14 +67,24 @@
         """Return the state of a task; a new one if the log names none."""
         return self.state.tasks.get(work_id, {}).get(task) or TaskState()
 
-    def open_attempts(self, worker=None):
-        """Return the attempts that may be running, on one worker or on all."""
-        return [
-            task.open
-            for tasks in self.state.tasks.values()
-            for task in tasks.values()
-            if task.open and worker in (None, task.open.worker)
-        ]
+    def open_attempts(self, worker):
+        """Return the attempts that may be running on a worker."""
+        return list(self._open.get(worker, {}).values())
+
+    def held_by_team(self, team):
+        """Return what the open attempts of a team hold."""
+        return self._held.get(team, Resources())
+
+    def _index(self, attempt):
+        on_worker = self._open.setdefault(attempt.worker, {})
+        on_worker[attempt.attempt_id] = attempt
+        held = self.held_by_team(attempt.team)
+        self._held[attempt.team] = held + attempt.resources
+
+    def _unindex(self, attempt):
+        del self._open[attempt.worker][attempt.attempt_id]
+        held = self.held_by_team(attempt.team)
+        self._held[attempt.team] = held - attempt.resources
 
     def held_elsewhere(self, worker, owner):
         """Return the connections at a worker that others than its owner hold."""
@@ -151,6 +174,7 @@
         )
         task.attempts = entry.attempt
         task.open = attempt
+        self._index(attempt)
         task.ran_before = task.ran
         task.ran = True
         task.worker = entry.worker
@@ -166,10 +190,12 @@
         if self.state.owners.get(attempt.worker) != record.author:
             return False
         task.open = None
+        self._unindex(attempt)
         task.ending = entry.ending
         task.exit_code = entry.exit_code
         if entry.ending is Ending.NOT_SENT:
             task.ran = task.ran_before
+        task.failures += entry.ending in _FAILING
         reopened = entry.ending in _REOPENING
         once = attempt.at_most_once and entry.ending is not Ending.NOT_SENT
         if not reopened or once or entry.work_id in self.state.closed:
--- a/packages/thymefork-core/src/thymefork_core/ledger/state.py
+++ b/packages/thymefork-core/src/thymefork_core/ledger/state.py
@@ -36,6 +36,7 @@
     """
 
     attempts: int = 0
+    failures: int = 0
     open: OpenAttempt | None = None
     settled: bool = False
     ending: Ending | None = None
--- a/packages/thymefork-core/src/thymefork_core/model/resources.py
+++ b/packages/thymefork-core/src/thymefork_core/model/resources.py
@@ -4,6 +4,8 @@
 
 __all__ = ["Resources"]
 
+MOST_COPIES = 512
+
 
 @frozen(kw_only=True, order=False)
 class Resources:
@@ -32,6 +34,27 @@
             accelerators=self.accelerators - other.accelerators,
         )
 
+    def __mul__(self, count):
+        """Multiply each amount by a whole number."""
+        return Resources(
+            cpu_milli=self.cpu_milli * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+        )
+
+    def copies_in(self, room):
+        """Return how many times this amount fits into the room."""
+        counts = [
+            max(0, have) // want
+            for want, have in (
+                (self.cpu_milli, room.cpu_milli),
+                (self.memory_mb, room.memory_mb),
+                (self.accelerators, room.accelerators),
+            )
+            if want
+        ]
+        return min(counts, default=MOST_COPIES)
+
     def fits(self, room):
         """Tell whether this amount fits into the room."""
         return (
--- a/packages/thymefork-core/src/thymefork_core/node/checkpointer.py
+++ b/packages/thymefork-core/src/thymefork_core/node/checkpointer.py
@@ -29,12 +29,12 @@
             message.hall.next_offset > ctx.ledger.state.next_offset
         )
         if newer:
-            ctx.ledger.state = message.hall
+            ctx.ledger.restore(message.hall)
         newer = message.accepted is not None and (
             message.accepted.next_offset > ctx.accepted.state.next_offset
         )
         if newer:
-            ctx.accepted.state = message.accepted
+            ctx.accepted.restore(message.accepted)
         self._restored = True
 
     def tick(self):
--- a/packages/thymefork-core/src/thymefork_core/node/effects.py
+++ b/packages/thymefork-core/src/thymefork_core/node/effects.py
@@ -24,6 +24,7 @@
     "SendPeer",
     "SendStarts",
     "SendStops",
+    "SendThrottle",
     "StartOrder",
     "Timing",
 ]
@@ -90,6 +91,16 @@
     checkpoint: bool = False
 
 
+@frozen(kw_only=True)
+class SendThrottle:
+    """Tell a worker to slow an attempt down to fewer processors."""
+
+    worker: str
+    epoch: int
+    attempt_id: str
+    cpu_milli: int
+
+
 @frozen(kw_only=True)
 class PollWorker:
     """Renew the leases of a worker's attempts and ask for its report."""
@@ -199,6 +210,7 @@
     | SendPeer
     | SendStarts
     | SendStops
+    | SendThrottle
     | PollWorker
     | Proxy
     | CloseIdle
--- a/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
+++ b/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
@@ -14,8 +14,9 @@
 class Heartbeats:
     """Tell peers what this instance has, and take what they tell."""
 
-    def __init__(self, *, context, router):
+    def __init__(self, *, context, router, reservations):
         self.ctx = context
+        self.reservations = reservations
         self.router = router
         self._due_mono_ms = 0
         self._seq = 0
@@ -53,6 +54,10 @@
                 fenced=message.fenced,
             )
         )
+        if message.hall == ctx.hall:
+            self.reservations.hear(
+                message.name, message.reserve_for, message.reserve_until_ms
+            )
         self._echo[message.name] = message.seq
         ctx.silence.heard_on_link(message.incarnation, mono_ms)
         sent_ms = self._sent_mono_ms.get(message.echo)
@@ -68,6 +73,7 @@
 
     def _heartbeat(self, name):
         ctx = self.ctx
+        reserved = self.reservations.own
         return Heartbeat(
             name=ctx.name,
             hall=ctx.hall,
@@ -81,4 +87,6 @@
             largest_free=ctx.book.largest_free(),
             free_slots=self.router.free_slots(),
             fenced=tuple(list(ctx.ledger.state.successors)[-FENCED_TOLD:]),
+            reserve_for=reserved.work_id if reserved else "",
+            reserve_until_ms=reserved.until_ms if reserved else 0,
         )
--- a/packages/thymefork-core/src/thymefork_core/node/messages.py
+++ b/packages/thymefork-core/src/thymefork_core/node/messages.py
@@ -32,6 +32,7 @@
     "StartsFailed",
     "StopSignal",
     "SubmitRequest",
+    "Throttled",
     "Tick",
     "WorkerReport",
 ]
@@ -252,3 +253,13 @@
     worker: str
     attempt_ids: tuple[str, ...]
     sent: bool
+
+
+@frozen(kw_only=True)
+class Throttled:
+    """Tell whether a worker slowed an attempt down."""
+
+    worker: str
+    attempt_id: str
+    cpu_milli: int
+    done: bool
--- a/packages/thymefork-core/src/thymefork_core/node/node.py
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -3,37 +3,23 @@
 from functools import singledispatchmethod
 
 from thymefork_core.instant import Instant
-from thymefork_core.ledger import (
-    AcceptedIndex,
-    Claim,
-    Close,
-    End,
-    HallLedger,
-    Handover,
-    Held,
-    Resign,
-    Start,
-    Take,
-)
+from thymefork_core.ledger import AcceptedIndex, HallLedger
 from thymefork_core.log import AppendQueue, LogHealth, Stream
 from thymefork_core.membership import Members
 from thymefork_core.ownership import OwnerLease, SilenceWatch
-from thymefork_core.reasons import Retry
 
 from . import messages as m
-from .authority import Authority
 from .checkpointer import Checkpointer
 from .configurator import Configurator
 from .context import Context
 from .effects import Append, Exit
-from .executor import Executor
-from .gangs import Gangs
 from .heartbeats import Heartbeats
-from .home import Home
-from .intake import Intake
+from .log_desk import LogDesk
+from .owner import Authority, Executor
 from .peer_desk import PeerDesk
-from .reporter import Reporter
+from .report import Reporter
 from .router import Router
+from .work import Home, Intake
 
 __all__ = ["Node"]
 
@@ -68,13 +54,17 @@
         )
         self.authority = Authority(context=self.ctx)
         self.executor = Executor(context=self.ctx)
-        self.gangs = Gangs(context=self.ctx, executor=self.executor)
-        self.home = Home(context=self.ctx, executor=self.executor, gangs=self.gangs)
+        self.home = Home(context=self.ctx, executor=self.executor)
         self.intake = Intake(context=self.ctx, home=self.home)
         self.router = Router(context=self.ctx)
         self.configurator = Configurator(context=self.ctx)
-        self.heartbeats = Heartbeats(context=self.ctx, router=self.router)
+        self.heartbeats = Heartbeats(
+            context=self.ctx,
+            router=self.router,
+            reservations=self.executor.reservations,
+        )
         self.checkpointer = Checkpointer(context=self.ctx)
+        self.log_desk = LogDesk(node=self)
         self.peer_desk = PeerDesk(node=self)
         self.reporter = Reporter(node=self)
         self.authority.streams_held = self.router.streams_held
@@ -86,7 +76,7 @@
         ctx = self.ctx
         ctx.now = now
         self._handle(message)
-        self.executor.flush()
+        self.executor.attempts.flush()
         self._flush_queues()
         effects, ctx.effects = ctx.effects, []
         return effects
@@ -95,7 +85,7 @@
     def _handle(self, message):
         raise TypeError(f"no handler for {type(message).__name__}")
 
-    # Time ------------------------------------------------------------------
+    # Time --------------------------------------------------------------------
 
     @_handle.register
     def _tick(self, message: m.Tick):
@@ -104,7 +94,7 @@
         is_down = ctx.log_is_down
         if is_down:
             self.intake.withdraw()
-            self.executor.withdraw_starts()
+            self.executor.placements.withdraw_starts()
         if is_down != self._was_down:
             self._was_down = is_down
             text = "log is down" if is_down else "log is back"
@@ -146,126 +136,11 @@
         if not busy and not written and not ctx.ledger.owned_by(ctx.incarnation):
             ctx.emit(Exit())
 
-    # Log -------------------------------------------------------------------
+    # Log ---------------------------------------------------------------------
 
     @_handle.register
     def _log_read(self, message: m.LogRead):
-        ctx = self.ctx
-        ctx.health.good(ctx.now.mono_ms)
-        for record in message.records:
-            self._fold(message.stream, record)
-        self._after_read(message.stream, message)
-
-    def _after_read(self, stream, message):
-        ctx = self.ctx
-        if not message.at_end:
-            return
-        queue = ctx.queues[stream]
-        batch = queue.not_found(message.began_mono_ms)
-        if batch is not None:
-            ctx.count(Retry.APPEND_RESENT)
-            ctx.emit(Append(stream=stream, batch=batch))
-        if not ctx.caught_up.get(stream) and self.checkpointer.is_restored:
-            ctx.caught_up[stream] = True
-            ctx.silence.restart(ctx.now.mono_ms)
-            if all(ctx.caught_up.get(s) for s in (Stream.HALL, Stream.ACCEPTED)):
-                self.home.adopt_all()
-
-    def _fold(self, stream, record):
-        ctx = self.ctx
-        batch = ctx.queues[stream].acknowledged(record.record_id)
-        if stream is Stream.ACCEPTED:
-            for work in ctx.accepted.apply(record):
-                self.intake.on_accepted(work)
-                if self.home.is_home(work):
-                    self.home.enqueue(work)
-            if batch is not None or record.author == ctx.incarnation:
-                self._rejoin(record)
-            self.home.run_queue()
-            return
-        verdicts = ctx.ledger.apply(record)
-        if record.author == ctx.incarnation and batch is not None:
-            self.authority.on_own_record(batch.began_mono_ms)
-        ctx.silence.heard_in_log(record.author, ctx.now.mono_ms)
-        for verdict in verdicts:
-            self._on_verdict(verdict.entry, verdict)
-        self.home.run_queue()
-
-    def _rejoin(self, record):
-        """Answer own submissions whose id was already accepted and settled."""
-        for entry in record.entries:
-            self.intake.on_changed(entry.spec.work_id)
-
-    @singledispatchmethod
-    def _on_verdict(self, entry, verdict):
-        """Renewals change nothing but the author's silence."""
-
-    @_on_verdict.register
-    def _on_claim(self, entry: Claim, verdict):
-        ctx = self.ctx
-        mine = verdict.author == ctx.incarnation
-        if not verdict.valid:
-            if mine:
-                self.authority.claim_failed(entry)
-            return
-        if entry.victim == ctx.incarnation:
-            self.executor.drop_all()
-            self.home.drop_all()
-            self.authority.on_claimed()
-            return
-        self._on_moved(verdict)
-        if mine:
-            ctx.note("claimed a silent owner", step="claim", peer=entry.victim)
-            self.home.adopt_all()
-
-    @_on_verdict.register(Take)
-    @_on_verdict.register(Handover)
-    def _on_ownership(self, entry, verdict):
-        self._on_moved(verdict)
-
-    @_on_verdict.register
-    def _on_held(self, entry: Held, verdict):
-        self.executor.refresh_held(entry.worker)
-
-    @_on_verdict.register
-    def _on_resign(self, entry: Resign, verdict):
-        ctx = self.ctx
-        if not verdict.valid:
-            return
-        if verdict.author == ctx.incarnation:
-            self.home.drop_all()
-        elif entry.to == ctx.incarnation:
-            self.home.adopt_all()
-
-    @_on_verdict.register
-    def _on_start(self, entry: Start, verdict):
-        self.executor.on_start(verdict)
-        if verdict.valid:
-            self._on_work(entry.work_id)
-
-    @_on_verdict.register
-    def _on_end(self, entry: End, verdict):
-        self.executor.on_end(verdict)
-        if verdict.valid:
-            work = self.ctx.accepted.get(entry.work_id)
-            if work is not None and self.home.is_home(work):
-                self.home.on_end(verdict)
-            self._on_work(entry.work_id)
-
-    @_on_verdict.register
-    def _on_close(self, entry: Close, verdict):
-        if verdict.valid:
-            self.executor.on_closed(entry.work_id)
-            self._on_work(entry.work_id)
-
-    def _on_work(self, work_id):
-        self.home.on_changed(work_id)
-        self.intake.on_changed(work_id)
-
-    def _on_moved(self, verdict):
-        for moved in verdict.moved:
-            self.authority.forget_worker(moved.worker)
-            self.executor.on_moved(moved, verdict.entry)
+        self.log_desk.read(message)
 
     @_handle.register
     def _log_failed(self, message: m.LogFailed):
@@ -292,7 +167,7 @@
         for version in message.versions:
             ctx.queues[Stream.CONFIG].acknowledged(version.record_id)
         self.configurator.on_read(message)
-        self._after_read(Stream.CONFIG, message)
+        self.log_desk.after_read(Stream.CONFIG, message)
 
     @_handle.register
     def _checkpoint_read(self, message: m.CheckpointRead):
@@ -346,15 +221,19 @@
 
     @_handle.register
     def _poll_failed(self, message: m.PollFailed):
-        self.executor.on_poll_failed(message.worker)
+        self.executor.polls.failed(message.worker)
 
     @_handle.register
     def _starts_answered(self, message: m.StartsAnswered):
-        self.executor.on_starts_answered(message)
+        self.executor.attempts.on_starts_answered(message)
 
     @_handle.register
     def _starts_failed(self, message: m.StartsFailed):
-        self.executor.on_starts_failed(message)
+        self.executor.attempts.on_starts_failed(message)
+
+    @_handle.register
+    def _throttled(self, message: m.Throttled):
+        self.executor.preemptor.on_throttled(message)
 
     # Callers -----------------------------------------------------------------
 
--- a/packages/thymefork-core/src/thymefork_core/node/authority.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/authority.py
@@ -119,11 +119,7 @@
 
     def _homes(self):
         ctx = self.ctx
-        return {
-            ctx.ledger.home_of(work.home)
-            for work in ctx.accepted.state.works.values()
-            if work.hall == ctx.hall
-        }
+        return {ctx.ledger.home_of(home) for home in ctx.accepted.homes(ctx.hall)}
 
     def _balance(self):
         """Drain workers that another live instance should own."""
--- a/packages/thymefork-core/src/thymefork_core/node/peer_desk.py
+++ b/packages/thymefork-core/src/thymefork_core/node/peer_desk.py
@@ -34,7 +34,7 @@
     @_take.register
     def _place(self, message: p.Place, peer):
         node = self.node
-        granted = node.executor.place(
+        granted = node.executor.placements.place(
             message.place_id,
             message.spec,
             message.items,
@@ -46,16 +46,17 @@
 
     @_take.register
     def _place_reply(self, message: p.PlaceReply, peer):
-        if not self.node.gangs.on_reply(peer, message):
-            self.node.home.on_place_reply(message)
+        placing = self.node.home.placing
+        if not placing.gangs.on_reply(peer, message):
+            placing.on_place_reply(message)
 
     @_take.register
     def _commit(self, message: p.Commit, peer):
-        self.node.executor.commit(message.place_id)
+        self.node.executor.placements.commit(message.place_id)
 
     @_take.register
     def _release(self, message: p.Release, peer):
-        self.node.executor.release(message.place_id)
+        self.node.executor.placements.release(message.place_id)
 
     @_take.register
     def _join(self, message: p.Join, peer):
--- /dev/null
+++ b/packages/thymefork-core/src/thymefork_core/node/report/__init__.py
@@ -0,0 +1,6 @@
+"""What operators read of one instance."""
+
+from .reporter import Reporter
+from .reports import StatusReport, WorkReport
+
+__all__ = ["Reporter", "StatusReport", "WorkReport"]
--- a/packages/thymefork-core/src/thymefork_core/node/reporter.py
+++ b/packages/thymefork-core/src/thymefork_core/node/report/reporter.py
@@ -2,7 +2,7 @@
 
 from thymefork_core.ledger import final_answer
 
-from .effects import ReplyReport
+from ..effects import ReplyReport
 from .reports import (
     AttemptLine,
     MemberLine,
@@ -99,11 +99,11 @@
         ctx, spec = self.ctx, work.spec
         if ctx.log_is_down:
             return "the platform's log to come back"
-        held = self.node.home.usage_of(spec.team)
-        team = ctx.file.team(spec.team) if ctx.file else None
-        if team is None:
+        quotas = self.node.home.placing.quotas
+        quotas.refresh()
+        if quotas.left(spec.team) is None:
             return f"a team named {spec.team} in the applied file"
-        if not (held + spec.resources).fits(team.quota):
+        if not quotas.allow(spec):
             return f"other work of team {spec.team} to end: its quota is in use"
         if not spec.resources.fits(ctx.book.largest_free()):
             return "room for one task on a worker of this instance or a peer"
--- a/packages/thymefork-core/src/thymefork_core/node/router.py
+++ b/packages/thymefork-core/src/thymefork_core/node/router.py
@@ -67,7 +67,7 @@
             1 for r in self.running.values() if r.worker == worker and r.request.stream
         )
 
-    # Requests --------------------------------------------------------------
+    # Requests ----------------------------------------------------------------
 
     def on_request(self, request):
         """Send a lookup on, let it wait, or refuse it at once."""
--- a/packages/thymefork-core/src/thymefork_core/node/tests/test_random_faults.py
+++ b/packages/thymefork-core/src/thymefork_core/node/tests/test_random_faults.py
@@ -29,9 +29,9 @@
 work = st.tuples(
     at_ms,
     name,
-    st.sampled_from(["task", "many", "job", "once", "big"]),
+    st.sampled_from(["task", "many", "job", "once", "big", "due"]),
     st.integers(20, 6000),
-    st.booleans(),
+    st.sampled_from(["", "again", "cancel"]),
 )
 BIG = Resources(cpu_milli=2500, memory_mb=100)
 FIELDS = {
@@ -40,6 +40,7 @@
     "job": {"tasks": 3, "kind": WorkKind.JOB, "resources": BIG},
     "once": {"at_most_once": True, "resources": BIG},
     "big": {"resources": BIG},
+    "due": {"tasks": 6, "deadline_ms": 800},
 }
 
 
@@ -72,30 +73,48 @@
         world.after(amount, lambda: world.deaf_workers.discard(worker))
 
 
+class Caller:
+    """Submit one work, and send it again or cancel it somewhere else."""
+
+    def __init__(self, world, index, item):
+        self.world = world
+        self.work_id = f"work{index}"
+        self.at_ms, self.name, self.kind, self.run_ms, self.then = item
+        self.other = NAMES[(NAMES.index(self.name) + 1) % len(NAMES)]
+        self.spec = None
+        world.after(self.at_ms, self.submit)
+
+    def submit(self):
+        fields = {"run_ms": self.run_ms, **FIELDS[self.kind]}
+        if "deadline_ms" in fields:
+            fields["deadline_ms"] += self.world.now_ms
+        self.spec = make_spec(self.world, self.work_id, **fields)
+        message = m.SubmitRequest(request_id=self.work_id, specs=(self.spec,))
+        self.world.tell(self.name, message)
+        if self.then:
+            self.world.after(self.run_ms // 2, getattr(self, self.then))
+
+    def again(self):
+        message = m.SubmitRequest(
+            request_id=f"{self.work_id}-again", specs=(self.spec,), retry=True
+        )
+        self.world.tell(self.other, message)
+
+    def cancel(self):
+        message = m.CancelRequest(
+            request_id=f"{self.work_id}-cancel", work_ids=(self.work_id,)
+        )
+        self.world.tell(self.other, message)
+
+
 def run_world(faults, works, seed):
     world = World(file=make_file(), names=NAMES, seed=seed)
     world.run(5000)
     for item in faults:
         world.after(item[0], lambda item=item: apply_fault(world, item))
-    specs = {}
-    for index, (at, at_name, kind, run_ms, again) in enumerate(works):
-
-        def submit(index=index, at_name=at_name, kind=kind, run_ms=run_ms, again=again):
-            work_id = f"work{index}"
-            fields = {"run_ms": run_ms, **FIELDS[kind]}
-            specs[work_id] = spec = make_spec(world, work_id, **fields)
-            message = m.SubmitRequest(request_id=f"a{index}", specs=(spec,))
-            world.tell(at_name, message)
-            if again:
-                other = NAMES[(NAMES.index(at_name) + 1) % len(NAMES)]
-                message = m.SubmitRequest(
-                    request_id=f"b{index}", specs=(spec,), retry=True
-                )
-                world.after(run_ms, lambda: world.tell(other, message))
-
-        world.after(at, submit)
+    callers = [Caller(world, index, item) for index, item in enumerate(works)]
     world.run(SPAN_MS + 45_000)
-    return world, specs
+    return world, {caller.work_id: caller.spec for caller in callers}
 
 
 def judge(world, specs, asked_once):
@@ -126,5 +145,5 @@
 )
 def test_promises_hold_under_random_faults(faults, works, seed):
     world, specs = run_world(faults, works, seed)
-    asked_once = {f"work{i}" for i, item in enumerate(works) if not item[-1]}
+    asked_once = {f"work{i}" for i, item in enumerate(works) if item[-1] != "again"}
     judge(world, specs, asked_once)
--- /dev/null
+++ b/packages/thymefork-core/src/thymefork_core/node/work/__init__.py
@@ -0,0 +1,7 @@
+"""The home's roles: taking work in, keeping it, and answering for it."""
+
+from .gangs import Gangs
+from .home import Home
+from .intake import Intake
+
+__all__ = ["Gangs", "Home", "Intake"]
--- a/packages/thymefork-core/src/thymefork_core/node/gangs.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/gangs.py
@@ -3,11 +3,10 @@
 from attrs import Factory, define
 
 from thymefork_core.hashing import stable_hash
-from thymefork_core.model import Resources
 from thymefork_core.peer import Commit, Place, Release
 from thymefork_core.reasons import Reason
 
-from .effects import SendPeer
+from ..effects import SendPeer
 
 __all__ = ["Gangs"]
 
@@ -30,9 +29,9 @@
 class Gangs:
     """Reserve room for all tasks of a job at its owners, then commit or release."""
 
-    def __init__(self, *, context, executor):
+    def __init__(self, *, context, placements):
         self.ctx = context
-        self.executor = executor
+        self.placements = placements
         self.plans = {}
         self._not_before = {}
 
@@ -46,14 +45,14 @@
         """Reserve here first, the rest at peers; True if a plan is open or done."""
         ctx = self.ctx
         until_ms = ctx.now.wall_ms + ctx.limits.gang_hold_ms
-        if self.executor.place(place_id, spec, items, hold=True, until_ms=until_ms):
-            return self.executor.commit(place_id)
+        if self.placements.place(place_id, spec, items, hold=True, until_ms=until_ms):
+            return self.placements.commit(place_id)
         split = self._split(spec, items)
         if split is None:
             ctx.count(Reason.GANG_NO_ROOM)
             return False
         own = split.pop(ctx.name, ())
-        if own and not self.executor.place(
+        if own and not self.placements.place(
             place_id, spec, own, hold=True, until_ms=until_ms
         ):
             return False
@@ -96,14 +95,14 @@
     def _commit(self, place_id):
         plan = self.plans.pop(place_id)
         self._not_before.pop(plan.spec.work_id, None)
-        self.executor.commit(place_id)
+        self.placements.commit(place_id)
         for peer in plan.asked:
             self.ctx.emit(SendPeer(peer=peer, message=Commit(place_id=place_id)))
 
     def _abort(self, place_id):
         plan = self.plans.pop(place_id)
         self._back_off(plan.spec.work_id)
-        self.executor.release(place_id)
+        self.placements.release(place_id)
         for peer in plan.asked:
             self.ctx.emit(SendPeer(peer=peer, message=Release(place_id=place_id)))
         self.ctx.count(Reason.GANG_NO_ROOM)
@@ -124,17 +123,8 @@
         rooms += [(m.name, m.free) for m in live if m.name != ctx.name]
         split = {}
         for name, room in rooms:
-            count = _count_that_fits(spec.resources, room, len(left))
+            count = min(len(left), spec.resources.copies_in(room))
             if count:
                 split[name] = tuple(left[:count])
                 del left[:count]
         return split if not left else None
-
-
-def _count_that_fits(need, room, most):
-    count = 0
-    used = Resources()
-    while count < most and (used + need).fits(room):
-        used = used + need
-        count += 1
-    return count
--- a/packages/thymefork-core/src/thymefork_core/node/intake.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/intake.py
@@ -8,7 +8,7 @@
 from thymefork_core.peer import Join, JoinReply
 from thymefork_core.reasons import Reason
 
-from .effects import ReplyAnswers, SendPeer, Timing
+from ..effects import ReplyAnswers, SendPeer, Timing
 from .requests import Requests
 
 __all__ = ["Intake"]
@@ -26,12 +26,13 @@
         self.requests = Requests()
         self._specs = {}
         self._retried = set()
+        self._cancel_on_accept = set()
         self._arrived_ms = {}
         self._deadlines = SortedSet()
         self._peer_waiters = {}
         self._join_due_ms = {}
 
-    # Callers -------------------------------------------------------------
+    # Callers -----------------------------------------------------------------
 
     def submit(self, request_id, specs, *, retry=False):
         """Take a submission; refusals are answered in this turn.
@@ -55,17 +56,23 @@
         for work_id in work_ids:
             work = ctx.accepted.get(work_id)
             if work is None:
-                self._answer_unknown_id(work_id)
+                self._cancel_unseen(request_id, work_id)
             elif work.hall != ctx.hall:
-                self._specs[work_id] = work.spec
-                self._ask_hall(work, cancel=True)
                 self._watch(work.spec)
+                self._close_or_ask(work)
             elif self._runs_as_service(work) or not self._answer_if_final(work):
                 self._watch(work.spec)
                 if ctx.log_is_down:
                     self._give(work.spec, Outcome.UNKNOWN, Reason.LOG_UNAVAILABLE)
                 else:
-                    self.home.close(work.spec, Reason.CANCELLED)
+                    self._close_or_ask(work)
+
+    def _close_or_ask(self, work):
+        """Close work of this hall, or ask its own hall to."""
+        if work.hall == self.ctx.hall:
+            self.home.close(work.spec, Reason.CANCELLED)
+        else:
+            self._ask_hall(work, cancel=True)
 
     def _runs_as_service(self, work):
         """Tell whether work is a service that runs until it is cancelled."""
@@ -87,12 +94,12 @@
             outcome = Outcome.UNKNOWN if may_be_retry else Outcome.NOT_RUN
             self._give(spec, outcome, refusal)
             return
-        self._specs[spec.work_id] = spec
+        on_its_way = self._specs.get(spec.work_id) == spec
         self._arrived_ms.setdefault(spec.work_id, ctx.now.wall_ms)
         self._watch(spec)
         if may_be_retry:
             self._retried.add(spec.work_id)
-        if not ctx.queues[Stream.ACCEPTED].holds(lambda e: e.spec == spec):
+        if not on_its_way:
             ctx.record(Accept(hall=ctx.hall, spec=spec), Stream.ACCEPTED)
 
     def _refusal(self, spec):
@@ -122,24 +129,34 @@
         if work.spec != spec:
             self._give(spec, Outcome.NOT_RUN, Reason.DUPLICATE_SPEC)
         elif work.hall != ctx.hall:
-            self._specs[spec.work_id] = spec
             self._watch(spec)
             self._ask_hall(work)
         elif not self._answer_if_final(work):
             self._watch(spec)
 
-    def _answer_unknown_id(self, work_id):
-        for request in self.requests.answer(
-            Answer(work_id=work_id, outcome=Outcome.UNKNOWN, reason=Reason.BAD_REQUEST)
-        ):
+    def _cancel_unseen(self, request_id, work_id):
+        """Close work as soon as it is accepted, if it was submitted here."""
+        if work_id in self._specs:
+            self._cancel_on_accept.add(work_id)
+            return
+        self.ctx.count(Reason.UNKNOWN_WORK)
+        answer = Answer(
+            work_id=work_id,
+            outcome=Outcome.UNKNOWN,
+            reason=Reason.UNKNOWN_WORK,
+            come_back_at_ms=self.ctx.come_back_at_ms,
+        )
+        for request in self.requests.answer_one(request_id, answer):
             self._reply(request)
-        self.ctx.count(Reason.BAD_REQUEST)
 
-    # Log -----------------------------------------------------------------
+    # Log ---------------------------------------------------------------------
 
     def on_accepted(self, work):
         """Follow work that the log accepted first under its id."""
         spec = self._specs.get(work.spec.work_id)
+        if work.spec.work_id in self._cancel_on_accept:
+            self._cancel_on_accept.discard(work.spec.work_id)
+            self._close_or_ask(work)
         if spec is not None and spec != work.spec:
             self._give(spec, Outcome.NOT_RUN, Reason.DUPLICATE_SPEC)
         elif work.hall != self.ctx.hall and self.requests.waits_for(work.spec.work_id):
@@ -160,7 +177,7 @@
             outcome = Outcome.UNKNOWN if retried else Outcome.NOT_RUN
             self._give(entry.spec, outcome, Reason.LOG_UNAVAILABLE)
 
-    # Peers ---------------------------------------------------------------
+    # Peers -------------------------------------------------------------------
 
     def on_join(self, peer, message):
         """Tell a peer of another hall the answer, now or later."""
@@ -186,7 +203,7 @@
             message = Join(work_id=work.spec.work_id, cancel=cancel)
             ctx.emit(SendPeer(peer=name, message=message))
 
-    # Answers -------------------------------------------------------------
+    # Answers -----------------------------------------------------------------
 
     def _answer_if_final(self, work):
         answer = final_answer(work.spec, self.ctx.ledger, self.ctx.come_back_at_ms)
@@ -223,6 +240,7 @@
             ctx.emit(SendPeer(peer=peer, message=JoinReply(answer=answer)))
         self._join_due_ms.pop(answer.work_id, None)
         self._retried.discard(answer.work_id)
+        self._cancel_on_accept.discard(answer.work_id)
         spec = self._specs.pop(answer.work_id, None)
         if spec is not None:
             self._deadlines.discard((spec.deadline_ms, spec.work_id))
@@ -234,7 +252,7 @@
         answers = tuple(request.answers[work_id] for work_id in request.work_ids)
         self.ctx.emit(ReplyAnswers(request_id=request.request_id, answers=answers))
 
-    # Time ----------------------------------------------------------------
+    # Time --------------------------------------------------------------------
 
     def _watch(self, spec):
         self._specs[spec.work_id] = spec
--- a/packages/thymefork-core/src/thymefork_core/node/requests.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/requests.py
@@ -42,21 +42,32 @@
 
     def answer(self, answer):
         """Give a work's final answer; return the requests that are complete."""
-        complete = []
-        for request in self._waiting.pop(answer.work_id, {}).values():
-            request.answers[answer.work_id] = answer
-            if len(request.answers) == len(set(request.work_ids)):
-                del self.open[request.request_id]
-                complete.append(request)
+        waiting = self._waiting.pop(answer.work_id, {}).values()
+        return [request for request in waiting if self._fill(request, answer)]
+
+    def answer_one(self, request_id, answer):
+        """Give an answer to one request only; return it if it is complete."""
+        request = self.open[request_id]
+        self._stop_waiting(request, answer.work_id)
+        return [request] if self._fill(request, answer) else []
+
+    def _fill(self, request, answer):
+        request.answers[answer.work_id] = answer
+        complete = len(request.answers) == len(set(request.work_ids))
+        if complete:
+            del self.open[request.request_id]
         return complete
 
+    def _stop_waiting(self, request, work_id):
+        waiting = self._waiting.get(work_id, {})
+        waiting.pop(request.request_id, None)
+        if not waiting:
+            self._waiting.pop(work_id, None)
+
     def drop(self, request_id):
         """Forget the request of a caller that has gone."""
         request = self.open.pop(request_id, None)
         if request is None:
             return
         for work_id in request.work_ids:
-            waiting = self._waiting.get(work_id, {})
-            waiting.pop(request_id, None)
-            if not waiting:
-                self._waiting.pop(work_id, None)
+            self._stop_waiting(request, work_id)
--- a/packages/thymefork-core/src/thymefork_core/peer/messages.py
+++ b/packages/thymefork-core/src/thymefork_core/peer/messages.py
@@ -26,7 +26,8 @@
 class Heartbeat:
     """Tell that an instance lives, what it has free and what it knows.
 
-    Units: `echo` is the last `seq` heard from the receiver.
+    Units: `echo` is the last `seq` heard from the receiver; `reserve_until_ms` is
+    milliseconds since the epoch, and 0 without a reservation.
     """
 
     name: str
@@ -41,6 +42,8 @@
     largest_free: Resources
     free_slots: dict[str, int]
     fenced: tuple[str, ...]
+    reserve_for: str = ""
+    reserve_until_ms: int = 0
 
 
 @frozen(kw_only=True)
--- a/packages/thymefork-core/src/thymefork_core/reasons.py
+++ b/packages/thymefork-core/src/thymefork_core/reasons.py
@@ -28,6 +28,7 @@
     TOO_OLD = "too_old"
     UNKNOWN_SERVICE = "unknown_service"
     UNKNOWN_TEAM = "unknown_team"
+    UNKNOWN_WORK = "unknown_work"
 
 
 class Retry(StrEnum):
@@ -40,5 +41,7 @@
     LOOKUP_HOP = "lookup_hop"
     PEER_RECONNECT = "peer_reconnect"
     PLACE_REFUSED = "place_refused"
+    PREEMPTED = "preempted"
+    START_NOT_SENT = "start_not_sent"
     START_UNCERTAIN = "start_uncertain"
     START_VOID = "start_void"
--- a/packages/thymefork-entry/src/thymefork_entry/brain.py
+++ b/packages/thymefork-entry/src/thymefork_entry/brain.py
@@ -20,6 +20,7 @@
     fx.SendPeer: _LINKS,
     fx.SendStarts: _WORKERS,
     fx.SendStops: _WORKERS,
+    fx.SendThrottle: _WORKERS,
     fx.PollWorker: _WORKERS,
     fx.Proxy: _WORKERS,
     fx.CloseIdle: _WORKERS,
--- a/packages/thymefork-entry/src/thymefork_entry/front_door.py
+++ b/packages/thymefork-entry/src/thymefork_entry/front_door.py
@@ -162,7 +162,7 @@
             self._send(request_id, 404, ErrorForm(error="no such path"))
         return None
 
-    # Answers -------------------------------------------------------------------
+    # Answers -----------------------------------------------------------------
 
     @handler("perform")
     def _on_perform(self, effect):
@@ -221,7 +221,7 @@
         self.fire(response(answer), "web")
         self.guard.answered(sock)
 
-    # Streams ---------------------------------------------------------------------
+    # Streams -----------------------------------------------------------------
 
     def on_stream_head(self, request_id, status):
         """Begin a chunked answer."""
--- a/packages/thymefork-entry/src/thymefork_entry/links.py
+++ b/packages/thymefork-entry/src/thymefork_entry/links.py
@@ -141,7 +141,7 @@
         if count:
             self._metrics.increment(f"retry.{Retry.PEER_RECONNECT}")
 
-    # Incoming ------------------------------------------------------------------
+    # Incoming ----------------------------------------------------------------
 
     @handler("read", channel="links-in")
     def _on_incoming(self, sock, data):
--- a/packages/thymefork-platform/src/thymefork_platform/log_reader.py
+++ b/packages/thymefork-platform/src/thymefork_platform/log_reader.py
@@ -65,7 +65,7 @@
             )
         )
 
-    # Checkpoints -----------------------------------------------------------
+    # Checkpoints -------------------------------------------------------------
 
     def _read_checkpoints(self):
         self._found = {}
@@ -96,7 +96,7 @@
         self._tell(m.CheckpointRead(hall=hall, accepted=accepted))
         self._read()
 
-    # Records ---------------------------------------------------------------
+    # Records -----------------------------------------------------------------
 
     def _read(self):
         places = "&".join(
--- a/packages/thymefork-platform/src/thymefork_platform/worker_client.py
+++ b/packages/thymefork-platform/src/thymefork_platform/worker_client.py
@@ -112,6 +112,27 @@
             lambda result: None,
         )
 
+    @_perform.register
+    def _throttle(self, effect: fx.SendThrottle):
+        body = {
+            "epoch": effect.epoch,
+            "attempt_id": effect.attempt_id,
+            "cpu_milli": effect.cpu_milli,
+        }
+
+        def on_result(result):
+            self._tell(
+                m.Throttled(
+                    worker=effect.worker,
+                    attempt_id=effect.attempt_id,
+                    cpu_milli=effect.cpu_milli,
+                    done=result.status == OK,
+                )
+            )
+
+        patience_ms = STOP_PATIENCE_MS
+        self._control(effect.worker, "/control/throttle", body, patience_ms, on_result)
+
     @_perform.register
     def _poll(self, effect: fx.PollWorker):
         body = {
--- a/packages/thymefork-standin/src/thymefork_standin/cluster.py
+++ b/packages/thymefork-standin/src/thymefork_standin/cluster.py
@@ -53,7 +53,7 @@
         """End everything."""
         self.end()
 
-    # Starting --------------------------------------------------------------------
+    # Starting ----------------------------------------------------------------
 
     def start(self):
         """Start stand-ins and daemons, fill the list and apply the file."""
@@ -149,7 +149,7 @@
         for process in self._processes:
             process.end()
 
-    # Observing -------------------------------------------------------------------
+    # Observing ---------------------------------------------------------------
 
     def get(self, name, path, **options):
         """Read from an instance or a stand-in."""
@@ -204,7 +204,7 @@
 
         wait_until(ready, timeout_s=30.0, what="a ready cluster")
 
-    # Using -----------------------------------------------------------------------
+    # Using -------------------------------------------------------------------
 
     def apply(self, file, base, name=None, author="tests"):
         """Apply a file at an instance."""
@@ -236,7 +236,7 @@
         service = self.file["services"][0]["name"]
         return self.get(name, f"/lookup/{service}/{target}", **options)
 
-    # Breaking --------------------------------------------------------------------
+    # Breaking ----------------------------------------------------------------
 
     def switch(self, standin, **fields):
         """Set a stand-in's failures."""
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
@@ -1,6 +1,6 @@
 """A worker on virtual time: it refuses nothing and writes everything down."""
 
-from attrs import Factory, define
+from attrs import Factory, define, evolve
 
 from thymefork_core.model import Resources
 from thymefork_core.node import messages as m
@@ -44,6 +44,16 @@
             if self.fails_all:
                 self.end(order.attempt_id, exit_code=1)
 
+    def throttle(self, attempt_id, cpu_milli, now_ms):
+        """Slow an attempt down; False if it does not run."""
+        held = self.running.get(attempt_id)
+        if held is None:
+            return False
+        left_ms = self.ends_at_ms[attempt_id] - now_ms
+        self.ends_at_ms[attempt_id] += left_ms * (held.cpu_milli / cpu_milli - 1)
+        self.running[attempt_id] = evolve(held, cpu_milli=cpu_milli)
+        return True
+
     def end(self, attempt_id, *, exit_code=0, stopped=False):
         """End an attempt and keep its outcome until it is forgotten."""
         if self.running.pop(attempt_id, None) is None:
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -65,7 +65,7 @@
         """Let time pass."""
         self.env.run(until=self.env.now + span_ms)
 
-    # Nodes -----------------------------------------------------------------------
+    # Nodes -------------------------------------------------------------------
 
     def add(self, name):
         """Start an instance, in a new life if it ran before."""
@@ -195,7 +195,7 @@
             self._later(name, message)
             yield self.env.timeout(2 * self.latency_ms)
 
-    # Effects ---------------------------------------------------------------------
+    # Effects -----------------------------------------------------------------
 
     @singledispatchmethod
     def _perform(self, effect, name):
@@ -279,6 +279,24 @@
 
         self.after(self._delay(), arrive)
 
+    @_perform.register
+    def _throttle(self, effect: fx.SendThrottle, name):
+        self.messages += 1
+        worker = self.workers[effect.worker]
+
+        def arrive():
+            done = worker.throttle(effect.attempt_id, effect.cpu_milli, self.now_ms)
+            message = m.Throttled(
+                worker=effect.worker,
+                attempt_id=effect.attempt_id,
+                cpu_milli=effect.cpu_milli,
+                done=done,
+            )
+            if name in self.nodes:
+                self._later(name, message)
+
+        self.after(self._delay(), arrive)
+
     @_perform.register
     def _poll(self, effect: fx.PollWorker, name):
         self.messages += 1
@@ -366,7 +384,7 @@
     def _count(self, effect: fx.Count, name):
         self.counts[effect.reason] = self.counts.get(effect.reason, 0) + 1
 
-    # Judgement -------------------------------------------------------------------
+    # Judgement ---------------------------------------------------------------
 
     def starts_of(self, work_id):
         """Return every start that any worker saw of a work."""
--- a/packages/thymefork-standin/src/thymefork_standin/worker.py
+++ b/packages/thymefork-standin/src/thymefork_standin/worker.py
@@ -12,6 +12,7 @@
 TICK_S = 0.02
 STREAM_PART_S = 0.2
 PAYLOAD_FAIL = "fail"
+PAYLOAD_USES_MB = "uses_mb:"
 
 
 def _now_ms():
@@ -53,7 +54,7 @@
         self.high = HighWater()
         self.later.call(TICK_S, self._beat)
 
-    # Control -------------------------------------------------------------------
+    # Control -----------------------------------------------------------------
 
     def post_control(self, answer, parts, query, body):
         """Start, stop or poll."""
@@ -85,6 +86,9 @@
             payload=order["payload"],
         )
         self.high.write("start", attempt_id)
+        if order["payload"].startswith(PAYLOAD_USES_MB):
+            peak_mb = int(order["payload"].removeprefix(PAYLOAD_USES_MB))
+            self._usage[attempt_id] = (peak_mb, time.monotonic())
         self.high.see_running(self._attempts.values())
         if self._fail_all or order["payload"] == PAYLOAD_FAIL:
             self._end(attempt_id, exit_code=1)
@@ -97,6 +101,17 @@
                 self._end(attempt_id, stopped=True)
         self.reply(answer, {"ok": True})
 
+    def _throttle(self, answer, body):
+        attempt = self._attempts.get(body["attempt_id"])
+        if attempt is None:
+            self.reply(answer, {"error": "not running"}, status=404)
+            return
+        left_ms = attempt.ends_at_ms - _now_ms()
+        attempt.ends_at_ms += left_ms * (attempt.cpu_milli / body["cpu_milli"] - 1)
+        attempt.cpu_milli = body["cpu_milli"]
+        self.high.write("throttle", attempt.attempt_id)
+        self.reply(answer, {"ok": True})
+
     def _take_poll(self, answer, body):
         self._lease_until_ms = max(self._lease_until_ms, body["lease_until_ms"])
         for attempt_id in body["forget"]:
@@ -127,6 +142,7 @@
 
     def _end(self, attempt_id, *, exit_code=0, stopped=False):
         self._attempts.pop(attempt_id, None)
+        self._usage.pop(attempt_id, None)
         kind = "stop" if stopped else "end"
         self.high.write(kind, attempt_id)
         self._finished[attempt_id] = {
@@ -151,7 +167,7 @@
                 self._end(attempt_id)
         self.later.call(TICK_S, self._beat)
 
-    # Endpoint ------------------------------------------------------------------
+    # Endpoint ----------------------------------------------------------------
 
     def post_lookup(self, answer, parts, query, body):
         """Answer a lookup after the service time, with what it asked for."""
@@ -197,7 +213,7 @@
         """Count a closed connection of the endpoint."""
         self._endpoint_socks.discard(sock)
 
-    # Tests ---------------------------------------------------------------------
+    # Tests -------------------------------------------------------------------
 
     def post_switch(self, answer, parts, query, body):
         """Set how the worker behaves."""
@@ -217,4 +233,5 @@
     "start": Worker._take_starts,
     "stop": Worker._take_stops,
     "poll": Worker._take_poll,
+    "throttle": Worker._throttle,
 }
--- a/packages/thymefork-wire/src/thymefork_wire/gen/ttypes.py
+++ b/packages/thymefork-wire/src/thymefork_wire/gen/ttypes.py
@@ -340,6 +340,8 @@
      - largest_free
      - free_slots
      - fenced
+     - reserve_for
+     - reserve_until_ms
 
     """
 
@@ -356,10 +358,12 @@
         'largest_free',
         'free_slots',
         'fenced',
+        'reserve_for',
+        'reserve_until_ms',
     )
 
 
-    def __init__(self, name=None, hall=None, incarnation=None, seq=None, echo=None, config_version=None, leaving=None, log_down=None, free=None, largest_free=None, free_slots=None, fenced=None,):
+    def __init__(self, name=None, hall=None, incarnation=None, seq=None, echo=None, config_version=None, leaving=None, log_down=None, free=None, largest_free=None, free_slots=None, fenced=None, reserve_for=None, reserve_until_ms=None,):
         self.name = name
         self.hall = hall
         self.incarnation = incarnation
@@ -372,6 +376,8 @@
         self.largest_free = largest_free
         self.free_slots = free_slots
         self.fenced = fenced
+        self.reserve_for = reserve_for
+        self.reserve_until_ms = reserve_until_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -455,6 +461,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.STRING:
+                    self.reserve_for = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.reserve_until_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -520,6 +536,14 @@
                 oprot.writeString(iter15.encode('utf-8') if sys.version_info[0] == 2 else iter15)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.reserve_for is not None:
+            oprot.writeFieldBegin('reserve_for', TType.STRING, 13)
+            oprot.writeString(self.reserve_for.encode('utf-8') if sys.version_info[0] == 2 else self.reserve_for)
+            oprot.writeFieldEnd()
+        if self.reserve_until_ms is not None:
+            oprot.writeFieldBegin('reserve_until_ms', TType.I64, 14)
+            oprot.writeI64(self.reserve_until_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -548,6 +572,10 @@
             raise TProtocolException(message='Required field free_slots is unset!')
         if self.fenced is None:
             raise TProtocolException(message='Required field fenced is unset!')
+        if self.reserve_for is None:
+            raise TProtocolException(message='Required field reserve_for is unset!')
+        if self.reserve_until_ms is None:
+            raise TProtocolException(message='Required field reserve_until_ms is unset!')
         return
 
     def __repr__(self):
@@ -2041,6 +2069,8 @@
     (10, TType.STRUCT, 'largest_free', [Resources, None], None, ),  # 10
     (11, TType.MAP, 'free_slots', (TType.STRING, 'UTF8', TType.I32, None, False), None, ),  # 11
     (12, TType.LIST, 'fenced', (TType.STRING, 'UTF8', False), None, ),  # 12
+    (13, TType.STRING, 'reserve_for', 'UTF8', None, ),  # 13
+    (14, TType.I64, 'reserve_until_ms', None, None, ),  # 14
 )
 all_structs.append(PlaceItem)
 PlaceItem.thrift_spec = (
--- a/packages/thymefork-wire/thymefork.thrift
+++ b/packages/thymefork-wire/thymefork.thrift
@@ -34,6 +34,8 @@
   10: required Resources largest_free
   11: required map<string, i32> free_slots
   12: required list<string> fenced
+  13: required string reserve_for
+  14: required i64 reserve_until_ms
 }
 
 struct PlaceItem {
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -118,7 +118,7 @@
     return build(bench, tmp_path, halls, instances, workers)
 
 
-# Work ------------------------------------------------------------------------------
+# Work ------------------------------------------------------------------------
 
 
 @when(
@@ -210,7 +210,7 @@
         assert high["connections"] <= service["connections"], high
 
 
-# Instances -------------------------------------------------------------------------
+# Instances -------------------------------------------------------------------
 
 
 @when(parsers.parse("instance {n:d} is killed"))
@@ -255,7 +255,7 @@
     wait_until(owned, timeout_s=span_ms / 1000, what="the takeover")
 
 
-# Platform ---------------------------------------------------------------------------
+# Platform --------------------------------------------------------------------
 
 
 @when("the log goes out")
@@ -290,7 +290,7 @@
     time.sleep(span_ms / 1000)
 
 
-# Lookups -----------------------------------------------------------------------------
+# Lookups ---------------------------------------------------------------------
 
 
 @when(parsers.parse("{count:d} lookups that take {take_ms:d} ms go to instance {n:d}"))
--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -7,6 +7,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED = ROOT / "KNOWN-RED.txt"
 MOST_KNOWN_RED = 3
+PARALLEL = ("-n", "4", "--dist", "worksteal")
 
 
 def known_red():
@@ -24,7 +25,7 @@
         return 1
     skips = [f"--deselect={line.split()[0]}" for line in lines]
     done = subprocess.run(
-        [sys.executable, "-m", "pytest", *skips, *sys.argv[1:]], cwd=ROOT, check=False
+        [sys.executable, "-m", "pytest", *PARALLEL, *skips, *sys.argv[1:]], cwd=ROOT, check=False
     )
     for line in lines:
         print(f"known red, not run: {line}")
