Serve lookups in an outage beside a dead peer; order, index and measure decisions

Cause: while the log was down an instance stopped as an owner when any hall peer was unheard, so one dead peer darkened the hall; the queue of lookups did not refuse. Ruled out: going on whatever the peers do (a peer with the log could claim); the instance list as a witness (it may be reachable while the log is not). Change: a refused connection tells that no process of the peer runs; a new one would wait longer than the lease before it could claim. Endpoints are indexed by free slots; work leaves the queue while its start records are on their way; lines are ordered by arrival plus a multiple of size.

--- /dev/null
+++ b/bench/baselines.py
@@ -0,0 +1,65 @@
+"""Two baselines of our own, at the same place in the node as the policy."""
+
+from itertools import islice
+
+from thymefork_core.hashing import stable_hash
+
+__all__ = ["POLICIES"]
+
+
+def first_fit(book, need, policy, now_ms):
+    """Take the first worker by name that has room."""
+    for name in sorted(book.views):
+        view = book.views[name]
+        if view.open_for_work and need.fits(view.free):
+            return view
+    return None
+
+
+class TwoChoices:
+    """Take the emptier of two workers that a seeded hash picks."""
+
+    def __init__(self):
+        self._count = 0
+
+    def __call__(self, book, need, policy, now_ms):
+        """Choose among workers with room."""
+        open_views = [
+            view
+            for _, view in sorted(book.views.items())
+            if view.open_for_work and need.fits(view.free)
+        ]
+        if not open_views:
+            return None
+        picks = [open_views[self._pick(len(open_views))] for _ in range(2)]
+        return max(picks, key=lambda view: view.free.cpu_milli)
+
+    def _pick(self, count):
+        self._count += 1
+        return stable_hash(str(self._count)) % count
+
+
+def _keep(node):
+    """Use the node's own policy."""
+
+
+def _use_first_fit(node):
+    node.ctx.choose = first_fit
+    node.home.queue.in_order = _arrival_order(node.home.queue)
+
+
+def _use_two_choices(node):
+    node.ctx.choose = TwoChoices()
+    node.home.queue.in_order = _arrival_order(node.home.queue)
+
+
+def _arrival_order(queue):
+    """Try work in the order of its arrival, whatever its team or urgency."""
+    return lambda share_of_quota, limit: list(islice(queue.specs(), limit))
+
+
+POLICIES = {
+    "thymefork": _keep,
+    "first fit": _use_first_fit,
+    "two choices": _use_two_choices,
+}
--- a/packages/thymefork-core/src/thymefork_core/batch/fair_queue.py
+++ b/packages/thymefork-core/src/thymefork_core/batch/fair_queue.py
@@ -1,23 +1,32 @@
 """The order in which queued work is tried."""
 
-from collections import deque
 from itertools import islice
 
+from sortedcontainers import SortedList
+
+from thymefork_core.model import Resources
+
 __all__ = ["FairQueue"]
 
-PER_LINE = 16
+PER_LINE = 64
+STRETCH = 8.0
+UNIT = Resources(cpu_milli=16_000, memory_mb=32_768, accelerators=4)
 
 
 class FairQueue:
     """Order work: urgent first, then the team with the least of its quota in use.
 
-    Each team has one line for urgent and one for other work; removing a piece of
-    work marks it, so that a wave of cancellations stays linear.
+    Each team has one line for urgent and one for other work. Within a line small
+    work goes first, but each work counts as due at its arrival plus a multiple of
+    its size, so that later small work can pass it only for a bounded time.
     """
 
-    def __init__(self):
+    def __init__(self, *, stretch=STRETCH, unit=UNIT):
+        self.stretch = stretch
+        self.unit = unit
         self._lines = {}
         self._live = {}
+        self._in_line = set()
 
     def __len__(self):
         return len(self._live)
@@ -25,13 +34,18 @@
     def __contains__(self, work_id):
         return work_id in self._live
 
-    def add(self, spec):
-        """Put work at the end of its team's line, once."""
-        if spec.work_id not in self._live:
-            line = self._lines.setdefault((not spec.urgent, spec.team), deque())
-            line.append(spec.work_id)
+    def add(self, spec, arrived_ms=0):
+        """Put work into its team's line, once."""
+        if spec.work_id not in self._in_line:
+            self._in_line.add(spec.work_id)
+            line = self._lines.setdefault((not spec.urgent, spec.team), SortedList())
+            line.add((self._due_ms(spec, arrived_ms), spec.work_id))
         self._live[spec.work_id] = spec
 
+    def _due_ms(self, spec, arrived_ms):
+        size = spec.resources.share_of(self.unit) * spec.tasks
+        return arrived_ms + self.stretch * size * spec.run_ms
+
     def remove(self, work_id):
         """Take work out; its place in the line is skipped later."""
         self._live.pop(work_id, None)
@@ -51,7 +65,7 @@
 
     def _first_of(self, key, limit):
         self._trim(key)
-        alive = (self._live.get(work_id) for work_id in self._lines.get(key, ()))
+        alive = (self._live.get(work_id) for _, work_id in self._lines.get(key, ()))
         return list(islice((spec for spec in alive if spec is not None), limit))
 
     def specs(self):
@@ -60,7 +74,7 @@
 
     def _trim(self, key):
         line = self._lines[key]
-        while line and line[0] not in self._live:
-            line.popleft()
+        while line and line[0][1] not in self._live:
+            self._in_line.discard(line.pop(0)[1])
         if not line:
             del self._lines[key]
--- a/packages/thymefork-core/src/thymefork_core/batch/placer.py
+++ b/packages/thymefork-core/src/thymefork_core/batch/placer.py
@@ -11,12 +11,11 @@
 def choose_worker(book, need, policy, now_ms):
     """Return the best worker with room, or None.
 
-    Packing looks from the tightest fit upward, waiting from the emptiest down; a
-    few candidates are scored, so that the cost does not grow with the workers.
+    The search goes from the tightest fit upward and scores a few candidates, so
+    that its cost does not grow with the number of workers.
     """
-    packs = policy.packing_weight >= policy.waiting_weight
-    order = book.tightest_first(need) if packs else book.emptiest_first(need)
-    usable = (view for view in islice(order, SCAN_LIMIT) if _usable(view, need, now_ms))
+    order = islice(book.tightest_first(need), SCAN_LIMIT)
+    usable = (view for view in order if _usable(view, need, now_ms))
     candidates = list(islice(usable, CANDIDATES))
     return max(candidates, key=lambda v: _score(v, need, policy), default=None)
 
@@ -26,17 +25,8 @@
 
 
 def _score(view, need, policy):
-    """Weigh fullness for packing against idle room for waiting."""
+    """Weigh a tight fit, which serves packing, against a calm endpoint."""
     left = view.free - need
     fullness = 1.0 - left.share_of(view.total)
-    balance = _balance(left, view.total)
     calm = 1.0 - view.lookups / max(1, view.slots)
-    packing = policy.packing_weight * (fullness + balance)
-    return packing + policy.waiting_weight * (calm - fullness)
-
-
-def _balance(left, total):
-    """Return 1 where the leftover processors and memory are in proportion."""
-    cpu = left.cpu_milli / max(1, total.cpu_milli)
-    memory = left.memory_mb / max(1, total.memory_mb)
-    return 1.0 - abs(cpu - memory)
+    return policy.packing_weight * fullness + policy.waiting_weight * calm
--- a/packages/thymefork-core/src/thymefork_core/capacity/worker_book.py
+++ b/packages/thymefork-core/src/thymefork_core/capacity/worker_book.py
@@ -14,18 +14,22 @@
         self.views = {}
         self._by_cpu = SortedList()
         self._place = {}
+        self._by_slots = SortedList()
+        self._slot_place = {}
         self._holders = set()
 
     def add(self, view):
         """Start to look after a worker."""
         self.views[view.name] = view
         self._index(view)
+        self.touch(view)
 
     def remove(self, name):
         """Stop looking after a worker; return its view."""
         view = self.views.pop(name, None)
         if view is not None:
             self._by_cpu.discard(self._place.pop(name))
+            self._by_slots.discard(self._slot_place.pop(name))
             self._holders.difference_update(view.taken)
         return view
 
@@ -49,6 +53,28 @@
         """Tell whether something is given out under a key on any worker."""
         return key in self._holders
 
+    def touch(self, view):
+        """Index a worker's free slots anew, after anything about them changed."""
+        if view.name not in self.views:
+            return
+        place = (view.free_slots, -view.latency_ms, view.name)
+        before = self._slot_place.get(view.name)
+        if place != before:
+            if before is not None:
+                self._by_slots.discard(before)
+            self._by_slots.add(place)
+            self._slot_place[view.name] = place
+
+    def freest_endpoint(self):
+        """Return the worker with most free slots, the faster one of equals."""
+        while self._by_slots:
+            free_slots, _, name = self._by_slots[-1]
+            view = self.views[name]
+            if view.free_slots == free_slots:
+                return view if free_slots > 0 else None
+            self.touch(view)
+        return None
+
     def tightest_first(self, need):
         """Yield workers from the least free processors that suffice upward."""
         start = self._by_cpu.bisect_left((need.cpu_milli, ""))
--- a/packages/thymefork-core/src/thymefork_core/node/context.py
+++ b/packages/thymefork-core/src/thymefork_core/node/context.py
@@ -1,7 +1,10 @@
 """The state that the roles of a node share."""
 
+from collections.abc import Callable
+
 from attrs import Factory, define
 
+from thymefork_core.batch import choose_worker
 from thymefork_core.capacity import WorkerBook
 from thymefork_core.config import ConfigBook
 from thymefork_core.instant import Instant
@@ -32,6 +35,7 @@
     lease: OwnerLease
     health: LogHealth
     queues: dict[Stream, AppendQueue]
+    choose: Callable = choose_worker
     config: ConfigBook = Factory(ConfigBook)
     book: WorkerBook = Factory(WorkerBook)
     effects: list = Factory(list)
@@ -100,8 +104,8 @@
         """Tell whether this instance may still act as an owner.
 
         Either the lease runs, or the log is down from here, every peer of the hall
-        has heard this instance within the lease and none knows of a claim: a peer
-        does not claim from what it hears.
+        has heard this instance within the lease or is not running, and none knows
+        of a claim: a peer does not claim from what it hears.
         """
         if self.lease.is_live(self.now.mono_ms):
             return True
@@ -109,7 +113,7 @@
             return False
         mono_ms = self.now.mono_ms
         peers = self.members.hall_peers()
-        if not all(self.silence.is_heard_by(peer, mono_ms) for peer in peers):
+        if not all(self.silence.cannot_claim(peer, mono_ms) for peer in peers):
             return False
         return not any(
             self.incarnation in member.fenced for member in self.members.heard.values()
--- a/packages/thymefork-core/src/thymefork_core/node/messages.py
+++ b/packages/thymefork-core/src/thymefork_core/node/messages.py
@@ -26,6 +26,7 @@
     "LookupEnded",
     "LookupRequest",
     "PeerHeard",
+    "PeerRefused",
     "PollFailed",
     "ReportRequest",
     "StartsAnswered",
@@ -136,6 +137,13 @@
     message: PeerMessage
 
 
+@frozen(kw_only=True)
+class PeerRefused:
+    """Tell that a peer's machine refused a connection: nothing runs there."""
+
+    peer: str
+
+
 @frozen(kw_only=True)
 class SubmitRequest:
     """Bring a caller's works; `retry` if it has sent them before."""
--- a/packages/thymefork-core/src/thymefork_core/node/node.py
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -227,6 +227,10 @@
     def _peer_heard(self, message: m.PeerHeard):
         self.peer_desk.take(message.message, message.peer)
 
+    @_handle.register
+    def _peer_refused(self, message: m.PeerRefused):
+        self.ctx.silence.refused(message.peer, self.ctx.now.mono_ms)
+
     @_handle.register
     def _report(self, message: m.WorkerReport):
         self.executor.on_report(message)
--- a/packages/thymefork-core/src/thymefork_core/node/owner/executor.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/executor.py
@@ -105,6 +105,7 @@
         if view is None:
             return
         self.workers.verify(view, report)
+        self.ctx.book.touch(view)
         self.attempts.follow(view, report)
         for attempt_id, peak_memory_mb in report.peak_memory_mb.items():
             attempt = self.attempts.find(attempt_id)
@@ -129,4 +130,5 @@
             view.leaving = view.leaving or ctx.members.worker_is_leaving(worker)
             if ctx.members.worker_is_gone(worker):
                 self.attempts.end_all_on_removed(worker)
+            ctx.book.touch(view)
             self.polls.start(worker)
--- a/packages/thymefork-core/src/thymefork_core/node/owner/placements.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/placements.py
@@ -2,7 +2,7 @@
 
 from attrs import define, evolve
 
-from thymefork_core.batch import TaskKey, choose_worker
+from thymefork_core.batch import TaskKey
 from thymefork_core.ledger import Start
 from thymefork_core.log import Stream
 
@@ -65,7 +65,7 @@
         if ctx.book.holds(key) or not self._reservations.allow(spec):
             return None
         policy = ctx.file.policy(spec.kind)
-        view = choose_worker(ctx.book, need, policy, ctx.now.wall_ms)
+        view = ctx.choose(ctx.book, need, policy, ctx.now.wall_ms)
         if view is None:
             if spec.urgent:
                 self._preemptor.make_room(need)
--- a/packages/thymefork-core/src/thymefork_core/node/report/reporter.py
+++ b/packages/thymefork-core/src/thymefork_core/node/report/reporter.py
@@ -100,7 +100,6 @@
         if ctx.log_is_down:
             return "the platform's log to come back"
         quotas = self.node.home.placing.quotas
-        quotas.refresh()
         if quotas.left(spec.team) is None:
             return f"a team named {spec.team} in the applied file"
         if not quotas.allow(spec):
--- a/packages/thymefork-core/src/thymefork_core/node/router.py
+++ b/packages/thymefork-core/src/thymefork_core/node/router.py
@@ -123,6 +123,7 @@
             view.streams += 1
         else:
             view.lookups += 1
+        ctx.book.touch(view)
         self.running[request.request_id] = _Running(
             request=request, worker=view.name, tries=tries
         )
@@ -144,7 +145,7 @@
         """Estimate when a lookup that queues now would get a slot."""
         views = self.ctx.book.views.values()
         slots = sum(view.slots for view in views if view.open_for_work)
-        if not slots:
+        if not slots or not self.ctx.may_send():
             return float("inf")
         return self.ctx.now.wall_ms + (len(self.queue) + 1) * self._mean_ms / slots
 
@@ -194,6 +195,7 @@
             return
         if running.request.stream:
             view.streams = max(0, view.streams - 1)
+            self.ctx.book.touch(view)
             return
         if message.sent and not message.status:
             service = self.ctx.file.service(running.request.service)
@@ -207,6 +209,7 @@
             self._mean_ms += LATENCY_WEIGHT * (message.took_ms - self._mean_ms)
         else:
             view.latency_ms = min(2000.0, 2 * view.latency_ms + 1)
+        self.ctx.book.touch(view)
 
     def _retry(self, running, message):
         """Try a lookup at another endpoint while its deadline and budget allow."""
@@ -345,6 +348,7 @@
         for due in [due for due in self._late if due[0] <= mono_ms]:
             self._late.remove(due)
             due[1].lookups = max(0, due[1].lookups - 1)
+            self.ctx.book.touch(due[1])
 
     def free_slots(self):
         """Return the free slots to tell peers of, by service."""
--- a/packages/thymefork-core/src/thymefork_core/node/work/gangs.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/gangs.py
@@ -35,6 +35,9 @@
         self.plans = {}
         self._not_before = {}
 
+    def on_abort(self, spec):
+        """Hear of a job whose reservation was given up; set by the placing."""
+
     def is_planning(self, work_id):
         """Tell whether a reservation for a job is open, or was just given up."""
         if self.ctx.now.mono_ms < self._not_before.get(work_id, 0):
@@ -102,6 +105,7 @@
     def _abort(self, place_id):
         plan = self.plans.pop(place_id)
         self._back_off(plan.spec.work_id)
+        self.on_abort(plan.spec)
         self.placements.release(place_id)
         for peer in plan.asked:
             self.ctx.emit(SendPeer(peer=peer, message=Release(place_id=place_id)))
--- a/packages/thymefork-core/src/thymefork_core/node/work/home.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/home.py
@@ -56,7 +56,7 @@
         """Queue work with tasks that are neither open nor settled."""
         spec = work.spec
         if self._is_startable(spec):
-            self.queue.add(spec)
+            self.queue.add(spec, work.spec.submitted_at_ms)
             self._queued_at_ms.setdefault(spec.work_id, self.ctx.now.wall_ms)
             self._deadlines.add((spec.deadline_ms, spec.work_id))
 
@@ -163,6 +163,7 @@
     def run_queue(self):
         """Try queued work in order while there is room."""
         ctx = self.ctx
+        self.placing.requeue(self.queue, self._startable)
         if len(self.queue) and ctx.file is not None and not ctx.log_is_down:
             self.placing.run(self.queue, self._startable, self._waited_ms)
 
--- a/packages/thymefork-core/src/thymefork_core/node/work/placing.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/placing.py
@@ -12,7 +12,7 @@
 
 __all__ = ["Placing"]
 
-TRIES_A_TURN = 64
+TRIES_A_TURN = 128
 
 
 @define(kw_only=True)
@@ -49,17 +49,22 @@
         self._placements = placements
         self._placed = {}
         self._asked = {}
+        self._given_up = []
         self._count = 0
+        gangs.on_abort = lambda spec: self._given_up.append(spec)
 
     def drop_all(self):
         """Forget everything; another instance is home now."""
         self._placed.clear()
+        self.quotas.clear()
         self._asked.clear()
         self.gangs.drop_all()
 
     def settled(self, key):
         """Stop waiting for a task's start record."""
-        self._placed.pop(key, None)
+        placed = self._placed.pop(key, None)
+        if placed is not None:
+            self.quotas.subtract(placed.spec.team, placed.spec.resources)
 
     def tick(self):
         """Forget requests for room that were not answered in time."""
@@ -69,28 +74,37 @@
         self.gangs.tick()
 
     def run(self, queue, startable, waited_ms):
-        """Try work in the queue's order while there is room."""
-        self._count_usage()
+        """Try work in the queue's order while there is room.
+
+        Work leaves the queue while all its start records are on their way.
+        """
         for spec in queue.in_order(self.quotas.share, TRIES_A_TURN):
             if not self.quotas.allow(spec):
                 continue
             items = self._unplaced(spec, startable(spec))
-            if not items:
-                continue
             if spec.kind is WorkKind.JOB:
-                self._try_job(spec, items, waited_ms(spec))
+                placed = self._try_job(spec, items, waited_ms(spec))
             else:
-                self._try_tasks(spec, items)
+                placed = self._try_tasks(spec, items)
+            if placed == len(items):
+                queue.remove(spec.work_id)
 
-    def _count_usage(self):
-        """Sum what runs and what is on its way; forget what did not come."""
-        self.quotas.refresh()
+    def requeue(self, queue, startable):
+        """Queue again given-up jobs, and what was placed but has not started."""
         mono_ms = self.ctx.now.mono_ms
-        for key, placed in list(self._placed.items()):
-            if mono_ms > placed.until_mono_ms:
-                del self._placed[key]
-            else:
-                self.quotas.add(placed.spec.team, placed.spec.resources)
+        given_up, self._given_up = self._given_up, []
+        for spec in given_up:
+            for index in range(spec.tasks):
+                self.settled(TaskKey(spec.work_id, index))
+            if next(startable(spec), None) is not None:
+                queue.add(spec, spec.submitted_at_ms)
+        while self._placed:
+            key, placed = next(iter(self._placed.items()))
+            if mono_ms <= placed.until_mono_ms:
+                return
+            self.settled(key)
+            if next(startable(placed.spec), None) is not None:
+                queue.add(placed.spec, placed.spec.submitted_at_ms)
 
     def _unplaced(self, spec, startable):
         """Return the tasks that wait for no start record."""
@@ -103,6 +117,9 @@
     # Tasks -------------------------------------------------------------------
 
     def _try_tasks(self, spec, items):
+        """Place tasks one by one; return how many were placed here."""
+        if not items:
+            return 0
         items = items[: spec.resources.copies_in(self.quotas.left(spec.team))]
         until_ms = self.ctx.now.wall_ms + self.ctx.limits.place_patience_ms
         granted = self._placements.place(
@@ -112,6 +129,7 @@
         rest = tuple(item for item in items if item.task not in granted)
         if rest:
             self._ask_peer(spec, rest)
+        return len(granted)
 
     def _ask_peer(self, spec, items):
         ctx = self.ctx
@@ -156,12 +174,15 @@
     # Jobs --------------------------------------------------------------------
 
     def _try_job(self, spec, items, waited_ms):
-        if self.gangs.is_planning(spec.work_id):
-            return
+        """Place all tasks at once; return how many are on their way."""
+        if not items or self.gangs.is_planning(spec.work_id):
+            return 0
         if self.gangs.plan(self._next_id(), spec, items):
             self._mark_placed(spec, [item.task for item in items])
-        elif waited_ms > self.ctx.limits.starvation_ms:
+            return len(items)
+        if waited_ms > self.ctx.limits.starvation_ms:
             self.reservations.announce(spec.work_id)
+        return 0
 
     # Bookkeeping -------------------------------------------------------------
 
@@ -170,6 +191,7 @@
         until_ms = self.ctx.now.mono_ms + self.ctx.limits.place_patience_ms
         for index in indexes:
             key = TaskKey(spec.work_id, index)
+            self.settled(key)
             self._placed[key] = _Placed(spec=spec, until_mono_ms=until_ms)
             self.quotas.add(spec.team, spec.resources)
 
--- a/packages/thymefork-core/src/thymefork_core/node/work/quotas.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/quotas.py
@@ -21,15 +21,19 @@
         self.ctx = context
         self._on_way = {}
 
-    def refresh(self):
+    def clear(self):
         """Forget what was on its way."""
-        self._on_way = {}
+        self._on_way.clear()
 
     def add(self, team_name, resources):
         """Count what is on its way."""
         on_way = self._on_way.get(team_name, Resources())
         self._on_way[team_name] = on_way + resources
 
+    def subtract(self, team_name, resources):
+        """Stop counting what has arrived or did not come."""
+        self._on_way[team_name] = self._on_way[team_name] - resources
+
     def held(self, team_name):
         """Return what a team has running or on its way."""
         on_way = self._on_way.get(team_name, Resources())
--- a/packages/thymefork-core/src/thymefork_core/ownership/silence.py
+++ b/packages/thymefork-core/src/thymefork_core/ownership/silence.py
@@ -12,6 +12,7 @@
         self._log_heard = {}
         self._link_heard = {}
         self._link_echoed = {}
+        self._refused = {}
 
     def heard_in_log(self, instance, mono_ms):
         """Note a record of an instance, read live."""
@@ -37,6 +38,21 @@
         before_ms = self._link_echoed.get(instance, sent_mono_ms)
         self._link_echoed[instance] = max(before_ms, sent_mono_ms)
 
+    def refused(self, instance, mono_ms):
+        """Note that an instance's machine answered that no process listens."""
+        self._refused[instance] = mono_ms
+
+    def cannot_claim(self, instance, mono_ms):
+        """Tell whether an instance surely does not claim from this one now.
+
+        Either it has heard this instance within the lease, or no process of it ran
+        within the lease: a new one would wait longer than that before it claims.
+        """
+        refused_ms = self._refused.get(instance)
+        if refused_ms is not None and mono_ms - refused_ms <= self.lease_ms:
+            return True
+        return self.is_heard_by(instance, mono_ms)
+
     def is_heard_by(self, instance, mono_ms):
         """Tell whether an instance surely heard this one within the lease.
 
--- a/packages/thymefork-core/src/thymefork_core/routing/endpoint_choice.py
+++ b/packages/thymefork-core/src/thymefork_core/routing/endpoint_choice.py
@@ -5,15 +5,7 @@
 
 def choose_endpoint(book):
     """Return the worker with most free slots, the faster one of equals, or None."""
-    best, best_key = None, None
-    for view in book.views.values():
-        free = view.free_slots
-        if free <= 0:
-            continue
-        key = (free, -view.latency_ms)
-        if best_key is None or key > best_key:
-            best, best_key = view, key
-    return best
+    return book.freest_endpoint()
 
 
 def choose_for_stream(book):
--- a/packages/thymefork-entry/src/thymefork_entry/links.py
+++ b/packages/thymefork-entry/src/thymefork_entry/links.py
@@ -21,7 +21,7 @@
 __all__ = ["Links"]
 
 BACKOFF_MS = 200
-LONGEST_BACKOFF_MS = 3000
+LONGEST_BACKOFF_MS = 1200
 CONNECT_PATIENCE_MS = 1000
 
 
@@ -132,6 +132,8 @@
     def _drop(self, connection, *, count=True):
         name = connection.name
         self._out.pop(name, None)
+        if connection.was_refused:
+            self.fire(deliver(m.PeerRefused(peer=name)), BRAIN)
         self._by_sock.pop(connection.sock, None)
         self._poll.discard(connection.sock)
         connection.close()
--- a/packages/thymefork-entry/src/thymefork_entry/peer_connection.py
+++ b/packages/thymefork-entry/src/thymefork_entry/peer_connection.py
@@ -20,17 +20,27 @@
         self.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connected = False
         self._began_mono_ms = mono_ms
+        self._code = 0
         self._out = bytearray()
 
     def connect(self):
         """Begin to connect; True unless it failed at once."""
-        return self.sock.connect_ex(self.address) in _IN_PROGRESS
+        self._code = self.sock.connect_ex(self.address)
+        return self._code in _IN_PROGRESS
+
+    @property
+    def was_refused(self):
+        """Tell whether the peer's machine answered that nothing listens."""
+        if self.connected:
+            return False
+        code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        return errno.ECONNREFUSED in (code, self._code)
 
     def finish_connect(self):
         """Return whether the connection is there."""
         if not self.connected:
-            code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-            self.connected = code == 0
+            self._code = self.sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+            self.connected = self._code == 0
         return self.connected
 
     def is_stuck(self, mono_ms, patience_ms):
@@ -66,7 +76,8 @@
             return not self.sock.recv(4096)
         except BlockingIOError:
             return False
-        except OSError:
+        except OSError as failure:
+            self._code = failure.errno
             return True
 
     def close(self):
--- a/packages/thymefork-standin/src/thymefork_standin/cluster.py
+++ b/packages/thymefork-standin/src/thymefork_standin/cluster.py
@@ -29,11 +29,13 @@
         instances_per_hall=2,
         extra_instances=0,
         folder=None,
+        cut_hall="",
         **settings,
     ):
         self.file = file
         self.halls = file["halls"]
         self.settings = settings
+        self.cut_hall = cut_hall
         self.folder = Path(folder or tempfile.mkdtemp(prefix="thymefork-"))
         self.names = [
             f"{hall}-{index}"
@@ -48,7 +50,6 @@
         self.daemons = {}
         self.workers = {}
         self.ports = {}
-        self.relay_links = {}
         self._processes = []
         self._ids = 0
 
@@ -97,7 +98,49 @@
             self.ports[f"{name}/peers"] = ports.pop()
         for port in (self.ports[k] for k in ("log", "list", *workers)):
             wait_until(lambda p=port: _listens(p), what=f"port {port}")
-        self._fill_list()
+        routes = self._start_relay() if self.cut_hall else {}
+        self._fill_list(routes)
+
+    def _start_relay(self):
+        """Lead all links between one hall and the rest through a relay."""
+        inside = [n for n in self.names if self.hall_of[n] == self.cut_hall]
+        outside = [n for n in self.names if n not in inside]
+        pairs = [(a, b) for a in inside for b in outside]
+        pairs += [(b, a) for a, b in pairs]
+        links = {f"{a}>{b}": self.ports[f"{b}/peers"] for a, b in pairs}
+        for name in inside:
+            links[f"{name}>log"] = self.ports["log"]
+            links[f"{name}>list"] = self.ports["list"]
+        ports = free_ports(len(links) + 1)
+        self.ports["relay"] = ports.pop()
+        self._standin("relay", self.ports["relay"])
+        wait_until(lambda: _listens(self.ports["relay"]), what="the relay")
+        self.ports.update(zip(links, ports, strict=True))
+        self.tell_relay(
+            links={
+                name: {"port": self.ports[name], "host": HOST, "to_port": to_port}
+                for name, to_port in links.items()
+            }
+        )
+        self._relayed = list(links)
+        routes = {}
+        for a, b in pairs:
+            routes.setdefault(a, {})[b] = {"peer_port": self.ports[f"{a}>{b}"]}
+        return routes
+
+    def tell_relay(self, **order):
+        """Send the relay links to add, and names to cut or to heal."""
+        with socket.create_connection((HOST, self.ports["relay"])) as sock:
+            sock.sendall(orjson.dumps(order) + b"\n")
+            sock.recv(16)
+
+    def cut_off(self):
+        """Cut the hall off from the others and from the platform."""
+        self.tell_relay(cut=self._relayed)
+
+    def join_again(self):
+        """Let the hall reach everything again."""
+        self.tell_relay(heal=self._relayed)
 
     def _standin(self, kind, port, *more):
         process = Process(
@@ -107,7 +150,7 @@
         self._processes.append(process)
         return process
 
-    def _fill_list(self):
+    def _fill_list(self, routes):
         instances = {name: self.list_entry(name) for name in self.names}
         workers = {
             w["name"]: {
@@ -119,7 +162,7 @@
             }
             for w in self.file["workers"]
         }
-        self.set_list(instances=instances, workers=workers)
+        self.set_list(instances=instances, workers=workers, routes=routes)
 
     def list_entry(self, name, state="live"):
         """Return an instance's entry of the platform's list."""
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
@@ -5,7 +5,9 @@
 from thymefork_core.model import Resources
 from thymefork_core.node import messages as m
 
-__all__ = ["VirtualWorker"]
+__all__ = ["PAYLOAD_TAKES_MS", "VirtualWorker"]
+
+PAYLOAD_TAKES_MS = "takes_ms:"
 
 
 @define(kw_only=True)
@@ -36,7 +38,7 @@
                 accelerators=order.accelerators,
             )
             self.running[order.attempt_id] = need
-            run_ms = order.run_ms or float("inf")
+            run_ms = _real_run_ms(order) or float("inf")
             self.ends_at_ms[order.attempt_id] = now_ms + run_ms
             self.starts.append((now_ms, order.attempt_id))
             if not sum(self.running.values(), Resources()).fits(self.total):
@@ -85,3 +87,10 @@
             leaving=False,
             peak_memory_mb={},
         )
+
+
+def _real_run_ms(order):
+    """Return how long an order really runs, where its payload says so."""
+    if order.payload.startswith(PAYLOAD_TAKES_MS):
+        return int(order.payload.removeprefix(PAYLOAD_TAKES_MS))
+    return order.run_ms
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -229,7 +229,11 @@
     def _send_peer(self, effect: fx.SendPeer, name):
         self.messages += 1
         pair = frozenset((name, effect.peer))
-        if effect.peer in self.nodes and pair not in self.cut:
+        if pair in self.cut:
+            return
+        if effect.peer not in self.nodes:
+            self._later(name, m.PeerRefused(peer=effect.peer))
+        else:
             self._later(effect.peer, m.PeerHeard(peer=name, message=effect.message))
 
     @_perform.register
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -118,6 +118,18 @@
     return build(bench, tmp_path, halls, instances, workers)
 
 
+@given(
+    parsers.parse(
+        "{halls:d} halls with {instances:d} instances and {workers:d} workers, the"
+        " first behind links that can be cut"
+    ),
+    target_fixture="b",
+)
+def start_cuttable(bench, tmp_path, halls, instances, workers):
+    hall = small_file(halls, workers)["halls"][0]
+    return build(bench, tmp_path, halls, instances, workers, cut_hall=hall)
+
+
 # Work ------------------------------------------------------------------------
 
 
--- a/scenarios/steps_members.py
+++ b/scenarios/steps_members.py
@@ -119,3 +119,19 @@
     bad = [reply for reply in replies if reply.status != 200]
     assert len(replies) > 50, replies[-3:]
     assert not bad, (len(bad), len(replies), bad[0])
+
+
+@when("the first hall is cut off")
+def cut_off(b):
+    b.cluster.cut_off()
+    name = b.cluster.names[0]
+    wait_until(lambda: b.cluster.report(name).get("log_down"), what="the cut")
+
+
+@when("the first hall is joined again")
+def join_again(b):
+    b.cluster.join_again()
+    name = b.cluster.names[0]
+    wait_until(
+        lambda: not b.cluster.report(name).get("log_down", True), what="the join"
+    )
--- a/scenarios/steps_work.py
+++ b/scenarios/steps_work.py
@@ -68,3 +68,13 @@
     process.pause()
     time.sleep(span_ms / 1000)
     process.resume()
+
+
+@when(parsers.parse("{count:d} refused at-most-once works are sent to instance {n:d}"))
+def send_refused(b, count, n):
+    specs = [b.cluster.spec(at_most_once=True) for _ in range(count)]
+    reply = b.submit(n, specs).result()
+    for answer in reply.document["answers"]:
+        assert answer["outcome"] == "not_run", answer
+        assert answer["reason"] == "log_unavailable", answer
+        assert not b.cluster.starts_of(answer["work_id"])
