--- /dev/null
+++ b/bench/overload.py
@@ -0,0 +1,80 @@
+"""Lookups at three times what the slots hold, and beside a merge night; processes."""
+
+import threading
+import time
+
+import orjson
+
+from thymefork_standin.caller import Caller
+from thymefork_standin.cluster import Cluster
+
+from .processes import ROOT
+
+__all__ = ["main"]
+
+TAKE_MS = 400
+PEAK_RATE = 150
+OVERLOAD = 3
+LOOKUP_RATE = 120
+MERGES_A_SECOND = 40
+SPAN_S = 8
+
+
+def load(cluster, rate, take_ms, seed):
+    """Send lookups to all instances and return the result."""
+    service = cluster.file["services"][0]["name"]
+    caller = Caller(
+        ports=[cluster.ports[name] for name in cluster.names],
+        rate_per_s=rate,
+        span_s=SPAN_S,
+        seed=seed,
+    )
+    path = f"/lookup/{service}/item"
+    return caller.run(lambda i: ("GET", f"{path}-{i}?q={i}&take_ms={take_ms}", b""))
+
+
+def goodput(cluster):
+    """Print lookups done a second at the peak and at three times of it."""
+    peak = load(cluster, PEAK_RATE, TAKE_MS, seed=1).summary()
+    over = load(cluster, PEAK_RATE * OVERLOAD, TAKE_MS, seed=2).summary()
+    print(f"at the peak: {peak}")
+    print(f"at {OVERLOAD} times: {over}")
+    ratio = over["done_per_s"] / peak["done_per_s"]
+    print(f"goodput {ratio:.2f} of the peak's (target 0.9)")
+
+
+def merge(cluster, until_s):
+    """Submit merges until a time."""
+    while time.monotonic() < until_s:
+        specs = [cluster.spec(run_ms=2000) for _ in range(10)]
+        for name in cluster.names:
+            form = {"works": specs}
+            threading.Thread(target=cluster.post, args=(name, "/work", form)).start()
+        time.sleep(10 / MERGES_A_SECOND)
+
+
+def beside_merges(cluster):
+    """Print lookups' latency without and with merges on the same workers."""
+    alone = load(cluster, LOOKUP_RATE, 5, seed=3).summary()
+    until_s = time.monotonic() + SPAN_S
+    merges = threading.Thread(target=merge, args=(cluster, until_s))
+    merges.start()
+    beside = load(cluster, LOOKUP_RATE, 5, seed=3).summary()
+    merges.join()
+    print(f"lookups alone: {alone}")
+    print(f"beside {MERGES_A_SECOND} merges a second: {beside}")
+    print(f"p99 {beside['p99_ms'] / alone['p99_ms']:.2f} times (target 1.2)")
+
+
+def main():
+    """Measure one hall with two instances and eight workers."""
+    file = orjson.loads((ROOT / "examples" / "libraries.json").read_bytes())
+    file["halls"] = file["halls"][:1]
+    file["workers"] = file["workers"][:8]
+    for part in (beside_merges, goodput):
+        with Cluster(file=file) as cluster:
+            part(cluster)
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/thymefork-core/src/thymefork_core/node/checkpointer.py
+++ b/packages/thymefork-core/src/thymefork_core/node/checkpointer.py
@@ -38,7 +38,7 @@
         self._restored = True
 
     def tick(self):
-        """Save both states; the first live name of the hall does it."""
+        """Save the hall's state, and the accepted works, where this name is first."""
         ctx = self.ctx
         if not ctx.is_ready or ctx.log_is_down:
             return
@@ -48,11 +48,17 @@
         first_time = self._due_mono_ms == 0
         self._due_mono_ms = ctx.now.mono_ms + every_ms
         self._forget_old()
-        names = [m.name for m in ctx.members.live(ctx.now.mono_ms, hall=ctx.hall)]
-        if first_time or ctx.name > min(names, default=ctx.name):
+        if first_time:
             return
-        self._save(Stream.HALL_CHECKPOINT, ctx.ledger.state)
-        self._save(Stream.ACCEPTED_CHECKPOINT, ctx.accepted.state)
+        if self._is_first(ctx.hall):
+            self._save(Stream.HALL_CHECKPOINT, ctx.ledger.state)
+        if self._is_first(None):
+            self._save(Stream.ACCEPTED_CHECKPOINT, ctx.accepted.state)
+
+    def _is_first(self, hall):
+        """Tell whether no live instance, of a hall or of all, has an earlier name."""
+        live = self.ctx.members.live(self.ctx.now.mono_ms, hall=hall)
+        return self.ctx.name <= min((m.name for m in live), default=self.ctx.name)
 
     def _save(self, stream, state):
         self.ctx.emit(SaveCheckpoint(stream=stream, state=copy.copy(state)))
--- a/packages/thymefork-core/src/thymefork_core/node/context.py
+++ b/packages/thymefork-core/src/thymefork_core/node/context.py
@@ -13,7 +13,7 @@
 from thymefork_core.membership import Members
 from thymefork_core.ownership import OwnerLease, SilenceWatch
 
-from .effects import Count, Note
+from .effects import Count, Level, Note
 from .limits import Limits
 
 __all__ = ["Context"]
@@ -84,11 +84,9 @@
         """Raise the counter of a reason."""
         self.emit(Count(reason=reason))
 
-    def note(self, text, *, step, peer="", subject="", warning=False):
+    def note(self, text, *, step, peer="", subject="", level=Level.INFO):
         """Write a structured log line."""
-        self.emit(
-            Note(text=text, step=step, peer=peer, subject=subject, warning=warning)
-        )
+        self.emit(Note(text=text, step=step, peer=peer, subject=subject, level=level))
 
     def owns(self, worker):
         """Tell whether this instance owns a worker by the log."""
--- a/packages/thymefork-core/src/thymefork_core/node/effects.py
+++ b/packages/thymefork-core/src/thymefork_core/node/effects.py
@@ -1,5 +1,7 @@
 """What the node asks the daemon to do."""
 
+from enum import StrEnum
+
 from attrs import frozen
 
 from thymefork_core.log import Batch, Stream
@@ -13,6 +15,7 @@
     "Count",
     "Effect",
     "Exit",
+    "Level",
     "Note",
     "PollWorker",
     "Proxy",
@@ -30,6 +33,14 @@
 ]
 
 
+class Level(StrEnum):
+    """Name the levels of log lines."""
+
+    DEBUG = "DEBUG"
+    INFO = "INFO"
+    WARNING = "WARNING"
+
+
 @frozen(kw_only=True)
 class Append:
     """Send a record to the log."""
@@ -196,7 +207,7 @@
     step: str
     peer: str = ""
     subject: str = ""
-    warning: bool = False
+    level: Level = Level.INFO
 
 
 @frozen(kw_only=True)
--- a/packages/thymefork-core/src/thymefork_core/node/limits.py
+++ b/packages/thymefork-core/src/thymefork_core/node/limits.py
@@ -28,7 +28,7 @@
     place_patience_ms: int = field(default=2000, validator=_positive)
     gang_hold_ms: int = field(default=1500, validator=_positive)
     starvation_ms: int = field(default=3000, validator=_positive)
-    reserve_ms: int = field(default=15_000, validator=_positive)
+    reserve_ms: int = field(default=8000, validator=_positive)
     settle_ms: int = field(default=3000, validator=_positive)
     poll_wait_ms: int = field(default=3000, validator=_positive)
     idle_poll_wait_ms: int = field(default=6000, validator=_positive)
--- a/packages/thymefork-core/src/thymefork_core/node/node.py
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -12,7 +12,7 @@
 from .checkpointer import Checkpointer
 from .configurator import Configurator
 from .context import Context
-from .effects import Append, Exit
+from .effects import Append, Exit, Level
 from .heartbeats import Heartbeats
 from .log_desk import LogDesk
 from .owner import Authority, Executor
@@ -108,7 +108,8 @@
         if is_down != self._was_down:
             self._was_down = is_down
             text = "log is down" if is_down else "log is back"
-            ctx.note(text, step="log", warning=is_down)
+            level = Level.WARNING if is_down else Level.INFO
+            ctx.note(text, step="log", level=level)
             if not is_down:
                 ctx.silence.restart(ctx.now.mono_ms)
         self.heartbeats.tick()
@@ -127,7 +128,7 @@
         ctx = self.ctx
         mono_ms = ctx.now.mono_ms
         if mono_ms - self._last_tick_mono_ms > ctx.limits.lease_ms:
-            ctx.note("resumed after a pause", step="tick", warning=True)
+            ctx.note("resumed after a pause", step="tick", level=Level.WARNING)
             ctx.silence.restart(mono_ms)
         self._last_tick_mono_ms = mono_ms
 
--- a/packages/thymefork-core/src/thymefork_core/node/owner/attempts.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/attempts.py
@@ -6,7 +6,7 @@
 from thymefork_core.ledger import End, Ending
 from thymefork_core.reasons import Retry
 
-from ..effects import SendStarts, SendStops, StartOrder
+from ..effects import Level, SendStarts, SendStops, StartOrder
 from .tracked import Tracked
 
 __all__ = ["Attempts"]
@@ -66,6 +66,13 @@
             payload=spec.payload,
         )
         self._outbox.starts.setdefault(attempt.worker, []).append(order)
+        self.ctx.note(
+            "start sent",
+            step="start",
+            peer=attempt.worker,
+            subject=attempt.attempt_id,
+            level=Level.DEBUG,
+        )
 
     def not_sent(self, attempt):
         """Record that a start was never sent."""
@@ -140,7 +147,7 @@
         elif ended.exit_code:
             if view.health.failed(attempt.work_id, ctx.now.wall_ms):
                 text = "worker in quarantine"
-                ctx.note(text, step="report", peer=view.name, warning=True)
+                ctx.note(text, step="report", peer=view.name, level=Level.WARNING)
             self._end(attempt, Ending.FAILED, ended.exit_code)
         else:
             view.health.succeeded()
@@ -161,6 +168,14 @@
                 self._end(attempt, Ending.LOST)
 
     def _end(self, attempt, ending, exit_code=0):
+        usual = ending is Ending.DONE
+        self.ctx.note(
+            f"attempt {ending}",
+            step="end",
+            peer=attempt.worker,
+            subject=attempt.attempt_id,
+            level=Level.DEBUG if usual else Level.INFO,
+        )
         self._tracked.setdefault(attempt.attempt_id, Tracked()).ending = True
         self.ctx.record(
             End(
--- a/packages/thymefork-core/src/thymefork_core/node/owner/authority.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/authority.py
@@ -5,6 +5,8 @@
 from thymefork_core.ownership import balanced_owners, preferred_owner
 from thymefork_core.reasons import Retry
 
+from ..effects import Level
+
 __all__ = ["Authority"]
 
 
@@ -57,7 +59,10 @@
         self._held_told.clear()
         self._handing_over.clear()
         ctx.note(
-            "fenced: workers were claimed", step="claim", subject=old, warning=True
+            "fenced: workers were claimed",
+            step="claim",
+            subject=old,
+            level=Level.WARNING,
         )
 
     def _renew(self):
--- a/packages/thymefork-core/src/thymefork_core/node/owner/reservations.py
+++ b/packages/thymefork-core/src/thymefork_core/node/owner/reservations.py
@@ -1,14 +1,17 @@
 """Reservations for large jobs, with a deadline; smaller work fills in before it.
 
 A home whose job has waited too long announces it in heartbeats. Until the deadline
-owners of the hall start only work that should end by then, so that room gathers. The
-earliest announcement counts, and it lapses by itself.
+owners of the hall start only work that should end by then, so that room gathers; for a
+short while after it they start nothing but the job. The earliest announcement counts,
+and it lapses by itself.
 """
 
 from attrs import frozen
 
 __all__ = ["Reservation", "Reservations"]
 
+KEPT_FREE_MS = 2500
+
 
 @frozen(kw_only=True)
 class Reservation:
@@ -32,7 +35,7 @@
     def announce(self, work_id):
         """Ask owners to gather room for a job; once until it lapses."""
         now_ms = self.ctx.now.wall_ms
-        if self.own is not None and self.own.until_ms > now_ms:
+        if self.own is not None and self.own.until_ms + KEPT_FREE_MS > now_ms:
             return
         until_ms = now_ms + self.ctx.limits.reserve_ms
         self.own = Reservation(work_id=work_id, until_ms=until_ms)
@@ -53,7 +56,7 @@
         """Return the announcement that counts now, or None."""
         now_ms = self.ctx.now.wall_ms
         known = [r for r in (self.own, *self._heard.values()) if r is not None]
-        live = [r for r in known if r.until_ms > now_ms]
+        live = [r for r in known if r.until_ms + KEPT_FREE_MS > now_ms]
         return min(live, key=lambda r: (r.until_ms, r.work_id), default=None)
 
     def allow(self, spec):
--- a/packages/thymefork-core/src/thymefork_core/node/router.py
+++ b/packages/thymefork-core/src/thymefork_core/node/router.py
@@ -6,6 +6,7 @@
 from thymefork_core.reasons import Reason, Retry
 from thymefork_core.routing import (
     DeadlineQueue,
+    LatencyEstimate,
     RetryBudget,
     choose_endpoint,
     choose_for_stream,
@@ -54,7 +55,7 @@
         self.queue = DeadlineQueue()
         self.budget = RetryBudget()
         self._late = []
-        self._mean_ms = 5.0
+        self._latency = LatencyEstimate()
         self._hops_to = {}
         self._told_full = {}
 
@@ -142,12 +143,18 @@
         )
 
     def _wait_ends_ms(self):
-        """Estimate when a lookup that queues now would get a slot."""
+        """Estimate when a lookup that queues now would be answered."""
         views = self.ctx.book.views.values()
         slots = sum(view.slots for view in views if view.open_for_work)
         if not slots or not self.ctx.may_send():
             return float("inf")
-        return self.ctx.now.wall_ms + (len(self.queue) + 1) * self._mean_ms / slots
+        wait_ms = (len(self.queue) + 1) * self._latency.mean_ms / slots
+        return self.ctx.now.wall_ms + wait_ms + self._latency.expected_ms
+
+    def _is_too_late(self, request):
+        """Tell whether an answer is not to be expected before the deadline."""
+        answered_ms = self.ctx.now.wall_ms + self._latency.mean_ms
+        return answered_ms > request.deadline_ms
 
     def _refuse(self, request, reason, status=STATUS_REFUSED):
         self.ctx.count(reason)
@@ -206,7 +213,7 @@
         if message.status:
             drift_ms = LATENCY_WEIGHT * (message.took_ms - view.latency_ms)
             view.latency_ms += drift_ms
-            self._mean_ms += LATENCY_WEIGHT * (message.took_ms - self._mean_ms)
+            self._latency.note(message.took_ms)
         else:
             view.latency_ms = min(2000.0, 2 * view.latency_ms + 1)
         self.ctx.book.touch(view)
@@ -229,6 +236,9 @@
         """Send waiting lookups while there are free slots."""
         while len(self.queue):
             request = self.queue.pop_next()
+            if self._is_too_late(request):
+                self._refuse(request, Reason.DEADLINE)
+                continue
             if self._send_here(request):
                 continue
             if request.hopped or not self._hop(request):
@@ -335,9 +345,13 @@
         self._free_late()
         for request in self.queue.pop_expired(now_ms):
             self._refuse(request, Reason.DEADLINE)
-        expired = [hop_id for hop_id, r in self.hops.items() if r.deadline_ms <= now_ms]
+        expired = [
+            hop_id
+            for hop_id, hop in self.hops.items()
+            if hop.request.deadline_ms <= now_ms
+        ]
         for hop_id in expired:
-            request = self.hops.pop(hop_id)
+            request = self._end_hop(hop_id).request
             self.ctx.count(Reason.LOST)
             self._reply(request.request_id, STATUS_UNKNOWN, b"", Reason.LOST)
         self.drain_queue()
--- a/packages/thymefork-core/src/thymefork_core/node/work/intake.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/intake.py
@@ -8,7 +8,7 @@
 from thymefork_core.peer import Join, JoinReply
 from thymefork_core.reasons import Reason
 
-from ..effects import ReplyAnswers, SendPeer, Timing
+from ..effects import Level, ReplyAnswers, SendPeer, Timing
 from .requests import Requests
 
 __all__ = ["Intake"]
@@ -223,6 +223,8 @@
         )
         back_ms = self.ctx.come_back_at_ms if helps else 0
         self.ctx.count(reason)
+        text = f"{outcome}: {reason}"
+        self.ctx.note(text, step="intake", subject=spec.work_id, level=Level.DEBUG)
         self._finish(
             Answer(
                 work_id=spec.work_id,
--- a/packages/thymefork-core/src/thymefork_core/routing/__init__.py
+++ b/packages/thymefork-core/src/thymefork_core/routing/__init__.py
@@ -2,6 +2,13 @@
 
 from .deadline_queue import DeadlineQueue
 from .endpoint_choice import choose_endpoint, choose_for_stream
+from .latency_estimate import LatencyEstimate
 from .retry_budget import RetryBudget
 
-__all__ = ["DeadlineQueue", "RetryBudget", "choose_endpoint", "choose_for_stream"]
+__all__ = [
+    "DeadlineQueue",
+    "LatencyEstimate",
+    "RetryBudget",
+    "choose_endpoint",
+    "choose_for_stream",
+]
--- a/packages/thymefork-entry/src/thymefork_entry/brain.py
+++ b/packages/thymefork-entry/src/thymefork_entry/brain.py
@@ -80,4 +80,4 @@
 
     def _note(self, note):
         line = logger.bind(step=note.step, peer=note.peer, subject=note.subject)
-        line.log("WARNING" if note.warning else "INFO", note.text)
+        line.log(str(note.level), note.text)
--- a/packages/thymefork-standin/src/thymefork_standin/main.py
+++ b/packages/thymefork-standin/src/thymefork_standin/main.py
@@ -4,6 +4,7 @@
 
 import typer
 
+from .caller import Caller
 from .instance_list import InstanceListService
 from .log_service import LogService
 from .relay import Relay
@@ -38,5 +39,20 @@
     asyncio.run(Relay(host=HOST, port=port).run())
 
 
+@app.command()
+def load(
+    ports: list[int],
+    service: str = "catalogo",
+    rate: float = 100.0,
+    span_s: float = 10.0,
+    seed: int = 0,
+):
+    """Send lookups at a set rate and print the latencies."""
+    caller = Caller(ports=ports, rate_per_s=rate, span_s=span_s, seed=seed)
+    path = f"/lookup/{service}/item"
+    result = caller.run(lambda index: ("GET", f"{path}-{index}?q={index}", b""))
+    print(result.summary())
+
+
 if __name__ == "__main__":
     app()
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/virtual_worker.py
@@ -8,6 +8,7 @@
 __all__ = ["PAYLOAD_TAKES_MS", "VirtualWorker"]
 
 PAYLOAD_TAKES_MS = "takes_ms:"
+PAYLOAD_FAIL = "fail"
 
 
 @define(kw_only=True)
@@ -23,6 +24,7 @@
     starts: list = Factory(list)
     breaches: list = Factory(list)
     fails_all: bool = False
+    peak_memory_mb: dict = Factory(dict)
     lookups: int = 0
     most_lookups: int = 0
 
@@ -43,7 +45,7 @@
             self.starts.append((now_ms, order.attempt_id))
             if not sum(self.running.values(), Resources()).fits(self.total):
                 self.breaches.append((now_ms, order.attempt_id))
-            if self.fails_all:
+            if self.fails_all or order.payload == PAYLOAD_FAIL:
                 self.end(order.attempt_id, exit_code=1)
 
     def throttle(self, attempt_id, cpu_milli, now_ms):
@@ -85,7 +87,7 @@
             finished=tuple(self.finished.values()),
             connections=self.lookups,
             leaving=False,
-            peak_memory_mb={},
+            peak_memory_mb=dict(self.peak_memory_mb),
         )
 
 
--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -48,6 +48,7 @@
         self.doubles = []
         self.untrue = []
         self.lookups = {}
+        self.take_ms = 0
         self.counts = {}
         self.messages = 0
         self._polls = {}
@@ -356,27 +357,32 @@
     def _proxy(self, effect: fx.Proxy, name):
         self.messages += 1
         worker = self.workers[effect.worker]
-        took_ms = 1 + self.rng.random() * 8
+        took_ms = self.take_ms or 1 + self.rng.random() * 8
+        left_ms = effect.deadline_ms - self.now_ms
 
         def finish():
             worker.lookups -= 1
+
+        def answer():
+            in_time = took_ms <= left_ms
+            ended = m.LookupEnded(
+                request_id=effect.request_id,
+                worker=effect.worker,
+                status=200 if in_time else 0,
+                body=effect.body,
+                took_ms=took_ms,
+                sent=True,
+            )
             if name in self.nodes:
-                ended = m.LookupEnded(
-                    request_id=effect.request_id,
-                    worker=effect.worker,
-                    status=200,
-                    body=effect.body,
-                    took_ms=took_ms,
-                    sent=True,
-                )
-                self._later(name, ended)
+                self.tell(name, ended)
 
         def arrive():
             worker.lookups += 1
             worker.most_lookups = max(worker.most_lookups, worker.lookups)
             self.after(took_ms, finish)
 
-        self.after(self._delay(), arrive)
+        self.after(0, arrive)
+        self.after(max(1, min(took_ms, left_ms)) + self._delay(), answer)
 
     @_perform.register
     def _reply(self, effect: fx.ReplyAnswers, name):
