Log every line as JSON, and fail a scenario on any internal error

Cause: the library printed a banner and tracebacks as text, and a scenario could pass beside an error that no handler took (the lost hop's error in every tick was such). Change: a server without a banner, an exception handler that logs and counts, and a check of every daemon's log after each scenario.

--- a/packages/thymefork-entry/src/thymefork_entry/daemon.py
+++ b/packages/thymefork-entry/src/thymefork_entry/daemon.py
@@ -101,6 +101,13 @@
             return
         self.fire(deliver(m.StopSignal()), BRAIN)
 
+    @handler("exception", channel="*")
+    def _on_exception(self, kind, error, trace, handler=None, fevent=None):
+        """Log an error that a handler did not take, and count it."""
+        self.metrics.increment("internal_error")
+        line = logger.bind(step=getattr(fevent, "name", ""), trace="".join(trace))
+        line.error("{}: {}", kind.__name__, error)
+
     @handler("perform")
     def _on_perform(self, effect):
         logger.info("planned stop is complete")
--- a/packages/thymefork-entry/src/thymefork_entry/front_door.py
+++ b/packages/thymefork-entry/src/thymefork_entry/front_door.py
@@ -8,7 +8,6 @@
 from circuits import BaseComponent, handler
 from circuits.net.events import close, write
 from circuits.web.events import response
-from circuits.web.servers import BaseServer
 
 from thymefork_core.exceptions import ThymeforkError
 from thymefork_core.node import effects as fx, messages as m
@@ -26,6 +25,7 @@
     SubmitForm,
 )
 from .guard import Guard
+from .http_server import HttpServer
 from .quiet import quiet
 
 __all__ = ["FrontDoor"]
@@ -49,7 +49,7 @@
         self._node = node
         self.workers = None
         place = settings.http
-        self.server = BaseServer(
+        self.server = HttpServer(
             (place.host, place.port), channel="web", display_banner=False
         ).register(self)
         http = self.server.http
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -85,14 +85,26 @@
         }[kind]
 
 
+def internal_errors(cluster):
+    """Return the log lines of errors that no handler took."""
+    return [
+        line
+        for name in cluster.names
+        for line in (cluster.folder / f"{name}.log").read_text().splitlines()
+        if '"level":"ERROR"' in line or not line.startswith("{")
+    ]
+
+
 @pytest.fixture
 def bench():
     """Hold the scenario's cluster; ended after it."""
     holder = {}
     yield holder
     if "bench" in holder:
+        errors = internal_errors(holder["bench"].cluster)
         holder["bench"].cluster.end()
         holder["bench"].pool.shutdown(wait=False, cancel_futures=True)
+        assert not errors, errors
 
 
 def build(holder, tmp_path, halls, instances, workers, **options):
