Keep declared services running; know peers by a seed; carry the places' delays

Cause: the operators' file could declare standing services and nothing ran them; a new instance found no peers while the instance list was away; the examples lacked the delays between halls. Change: the first live name of a hall submits what the file declares and closes what it does not; settings take a peer seed; a lookup goes to another hall only if the way there and back fits before its deadline. Touches: configuration (a new instance in an outage).

--- a/packages/thymefork-core/src/thymefork_core/ledger/accepted_index.py
+++ b/packages/thymefork-core/src/thymefork_core/ledger/accepted_index.py
@@ -2,7 +2,7 @@
 
 from attrs import Factory, define, frozen
 
-from thymefork_core.model import WorkSpec
+from thymefork_core.model import WorkKind, WorkSpec
 
 from .entries import Accept
 
@@ -38,8 +38,14 @@
         """Take a state as it was checkpointed, and index its homes."""
         self.state = state
         self._homes = {}
+        self._services = set()
         for work in state.works.values():
-            self._homes.setdefault(work.hall, set()).add(work.home)
+            self._index(work)
+
+    def _index(self, work):
+        self._homes.setdefault(work.hall, set()).add(work.home)
+        if work.spec.kind is WorkKind.SERVICE:
+            self._services.add(work.spec.work_id)
 
     def homes(self, hall):
         """Return the instances that accepted work in a hall."""
@@ -60,6 +66,10 @@
         """Return accepted work by its id, or None."""
         return self.state.works.get(work_id)
 
+    def services(self, prefix):
+        """Return the remembered ids of services that begin with a prefix."""
+        return [work_id for work_id in self._services if work_id.startswith(prefix)]
+
     def expired(self, now_ms, is_live):
         """Forget ids past the window, but for live work; return them."""
         horizon_ms = now_ms - 2 * self.window_ms
@@ -70,6 +80,7 @@
         ]
         for work_id in gone:
             del self.state.works[work_id]
+            self._services.discard(work_id)
         return gone
 
     def _accept(self, entry, record):
@@ -80,5 +91,5 @@
             offset=record.offset,
         )
         self.state.works[entry.spec.work_id] = work
-        self._homes.setdefault(work.hall, set()).add(work.home)
+        self._index(work)
         return work
--- a/packages/thymefork-core/src/thymefork_core/model/operators/operators_file.py
+++ b/packages/thymefork-core/src/thymefork_core/model/operators/operators_file.py
@@ -13,7 +13,10 @@
 
 @frozen(kw_only=True)
 class OperatorsFile:
-    """Hold one whole configuration."""
+    """Hold one whole configuration.
+
+    Units: `between_halls_us` and `to_callers_us` are usual one-way delays.
+    """
 
     region: str
     halls: tuple[str, ...]
@@ -22,6 +25,8 @@
     teams: tuple[Team, ...]
     policies: tuple[Policy, ...]
     standing: tuple[StandingWork, ...] = ()
+    between_halls_us: int = 0
+    to_callers_us: int = 0
 
     def worker(self, name):
         """Return the declaration of a worker, or None."""
--- a/packages/thymefork-core/src/thymefork_core/node/lookups/hops.py
+++ b/packages/thymefork-core/src/thymefork_core/node/lookups/hops.py
@@ -9,6 +9,7 @@
 __all__ = ["PEER_MARK", "Hop", "Hops"]
 
 PEER_MARK = "@"
+US_A_MS = 1000
 
 
 @define(kw_only=True)
@@ -33,7 +34,7 @@
 
     def pass_on(self, request):
         """Send a lookup to the live peer with most free slots; False without one."""
-        peer = self._roomiest(request.service)
+        peer = self._roomiest(request)
         if peer is None:
             return False
         self._open_to[peer.name] = self._open_to.get(peer.name, 0) + 1
@@ -82,16 +83,23 @@
         ]
         return [self.end(hop_id) for hop_id in expired]
 
-    def _roomiest(self, service):
+    def _roomiest(self, request):
+        """Return the peer with most room, of other halls only if time allows."""
         ctx = self.ctx
         best, best_key = None, None
-        for member in ctx.members.live(ctx.now.mono_ms):
-            free = self._free_at(member, service)
+        hall = None if self._may_go_far(request) else ctx.hall
+        for member in ctx.members.live(ctx.now.mono_ms, hall=hall):
+            free = self._free_at(member, request.service)
             key = (member.hall == ctx.hall, free, member.name)
             if free > 0 and (best_key is None or key > best_key):
                 best, best_key = member, key
         return best
 
+    def _may_go_far(self, request):
+        """Tell whether the way to another hall and back fits before the deadline."""
+        way_ms = 2 * self.ctx.file.between_halls_us / US_A_MS
+        return self.ctx.now.wall_ms + way_ms < request.deadline_ms
+
     def _free_at(self, member, service):
         if member.heard_mono_ms <= self._told_full.get(member.name, -1):
             return 0
--- a/packages/thymefork-core/src/thymefork_core/node/node.py
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -19,7 +19,7 @@
 from .owner import Authority, Executor
 from .peer_desk import PeerDesk
 from .report import Reporter
-from .work import Home, Intake
+from .work import Home, Intake, Standing
 
 __all__ = ["Node"]
 
@@ -56,6 +56,7 @@
         self.executor = Executor(context=self.ctx)
         self.home = Home(context=self.ctx, executor=self.executor)
         self.intake = Intake(context=self.ctx, home=self.home)
+        self.standing = Standing(context=self.ctx, home=self.home)
         self.router = Router(context=self.ctx)
         self.configurator = Configurator(context=self.ctx)
         self.heartbeats = Heartbeats(
@@ -120,6 +121,7 @@
         self.home.tick()
         self.home.run_queue()
         self.intake.tick()
+        self.standing.tick()
         self.configurator.tick()
         self.checkpointer.tick()
         self._leave_if_empty()
--- a/packages/thymefork-core/src/thymefork_core/node/work/__init__.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/__init__.py
@@ -3,5 +3,6 @@
 from .gangs import Gangs
 from .home import Home
 from .intake import Intake
+from .standing import Standing
 
-__all__ = ["Gangs", "Home", "Intake"]
+__all__ = ["Gangs", "Home", "Intake", "Standing"]
--- a/packages/thymefork-entry/src/thymefork_entry/daemon.py
+++ b/packages/thymefork-entry/src/thymefork_entry/daemon.py
@@ -11,6 +11,7 @@
     BRAIN,
     SWEEP_S,
     Address,
+    InstanceList,
     ListReader,
     LogReader,
     LogWriter,
@@ -38,6 +39,7 @@
     def init(self, settings):
         """Build all components from the settings."""
         self._stops = 0
+        self._peer_seed = settings.peer_seed
         EPoll().register(self)
         self.exit_code = EXIT_STOPPED
         prefix = f"thymefork.{settings.name}"
@@ -84,6 +86,14 @@
             "messages": self.links.sent_messages,
         }
 
+    @handler("started", channel="*")
+    def _on_started(self, manager):
+        """Know the seed's peers until the instance list is read."""
+        if self._peer_seed:
+            self._on_list(InstanceList(version=-1, instances=self._peer_seed))
+            message = m.ListRead(instances=self._peer_seed, workers=())
+            self.fire(deliver(message), BRAIN)
+
     def _on_list(self, found):
         self.workers.on_list(found)
         self.links.on_list(found)
--- a/packages/thymefork-entry/src/thymefork_entry/settings.py
+++ b/packages/thymefork-entry/src/thymefork_entry/settings.py
@@ -5,6 +5,7 @@
 from attrs import Factory, field, frozen, validators
 
 from thymefork_core.exceptions import SettingsError
+from thymefork_core.membership import InstanceEntry
 from thymefork_core.node import Limits
 from thymefork_wire import load_document
 
@@ -40,7 +41,10 @@
 
 @frozen(kw_only=True)
 class Settings:
-    """Hold all that a daemon learns at its start."""
+    """Hold all that a daemon learns at its start.
+
+    The peers' seed is used until the instance list has been read.
+    """
 
     name: str = field(validator=validators.matches_re(r"[\w.-]{1,64}"))
     hall: str = field(validator=validators.matches_re(r"[\w.-]{1,64}"))
@@ -49,6 +53,7 @@
     log_service: Place
     instance_list: Place
     statsd: Place | None = None
+    peer_seed: tuple[InstanceEntry, ...] = ()
     limits: Limits = Factory(Limits)
     http_limits: HttpLimits = Factory(HttpLimits)
     peer_message_bytes: int = field(default=8_388_608, validator=validators.ge(1024))
--- a/packages/thymefork-entry/src/thymefork_entry/tests/conftest.py
+++ b/packages/thymefork-entry/src/thymefork_entry/tests/conftest.py
@@ -16,6 +16,7 @@
     file = orjson.loads(EXAMPLE.read_bytes())
     file["halls"] = file["halls"][:1]
     file["workers"] = file["workers"][:2]
+    file["standing"] = []
     with Cluster(
         file=file,
         instances_per_hall=1,
--- a/packages/thymefork-standin/src/thymefork_standin/cluster.py
+++ b/packages/thymefork-standin/src/thymefork_standin/cluster.py
@@ -184,6 +184,7 @@
             "peers": {"host": HOST, "port": self.ports[f"{name}/peers"]},
             "log_service": {"host": HOST, "port": self._platform_port(name, "log")},
             "instance_list": {"host": HOST, "port": self._platform_port(name, "list")},
+            "peer_seed": [] if self.cut_hall else self._seed(),
             **self.settings,
         }
         path = self.folder / f"{name}.json"
@@ -196,6 +197,9 @@
         self.daemons[name] = process
         return process
 
+    def _seed(self):
+        return [self.list_entry(name) for name in self.names]
+
     def _platform_port(self, name, kind):
         return self.ports.get(f"{name}>{kind}", self.ports[kind])
 
--- a/scenarios/configuration.feature
+++ b/scenarios/configuration.feature
@@ -45,3 +45,12 @@
     When operator luis applies a file over version 2 at instance 2
     Then the last apply was accepted
     And version 3 is in force on every live instance within 2 s
+
+  Scenario: A new instance finds its peers by the seed while the whole platform is away
+    Given 1 halls with 2 instances and 1 workers
+    When operator ana applies a file over version 1 at instance 1
+    And instance 2 is killed
+    And the log goes out
+    And the instance list goes out
+    And instance 2 is started again
+    Then instance 2 takes version 2 within 5000 ms
--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -18,6 +18,7 @@
     """Cut the libraries' example down to a few halls and workers."""
     file = orjson.loads(EXAMPLE.read_bytes())
     file["halls"] = file["halls"][:halls]
+    file["standing"] = []
     kept = [f"-{index:02d}" for index in range(1, workers + 1)]
     file["workers"] = [
         worker
