--- a/scenarios/steps_members.py
+++ b/scenarios/steps_members.py
@@ -29,6 +29,11 @@
     _note_events(b, n)
 
 
+@when(parsers.parse("the instance list lags by {span_ms:d} ms"))
+def list_lags(b, span_ms):
+    b.cluster.set_list(lag_ms=span_ms)
+
+
 @when("the instance list goes out")
 def list_out(b):
     b.cluster.set_list(outage=True)
