Ask the ledger in one place whether a work has run; drop a dead method

Cause: read once more, the home and the intake each looped over a work's tasks with the same check, and nothing called Requests.waiting_works. Change: HallLedger.has_run serves both; the dead method is gone. After: the core's and the wire's tests passed, and the scenarios of deadlines, cancellations and refusals; the full suite was not run again. Conclusion: no behaviour changed. Touches: 'not run' is true (the same check, in one place).

--- a/packages/thymefork-core/src/thymefork_core/ledger/hall_ledger.py
+++ b/packages/thymefork-core/src/thymefork_core/ledger/hall_ledger.py
@@ -67,6 +67,10 @@
         """Return the state of a task; a new one if the log names none."""
         return self.state.tasks.get(work_id, {}).get(task) or TaskState()
 
+    def has_run(self, spec):
+        """Tell whether a start of any task of a work was sent, or may have been."""
+        return any(self.task(spec.work_id, index).ran for index in range(spec.tasks))
+
     def open_attempts(self, worker):
         """Return the attempts that may be running on a worker."""
         return list(self._open.get(worker, {}).values())
--- a/packages/thymefork-core/src/thymefork_core/node/work/home.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/home.py
@@ -153,13 +153,9 @@
         while self._deadlines and self._deadlines[0][0] <= ctx.now.wall_ms:
             _, work_id = self._deadlines.pop(0)
             work = ctx.accepted.get(work_id)
-            if work is not None and not self._has_run(work.spec):
+            if work is not None and not ctx.ledger.has_run(work.spec):
                 self.close(work.spec, Reason.DEADLINE)
 
-    def _has_run(self, spec):
-        ledger = self.ctx.ledger
-        return any(ledger.task(spec.work_id, t).ran for t in range(spec.tasks))
-
     def run_queue(self):
         """Try queued work in order while there is room."""
         ctx = self.ctx
--- a/packages/thymefork-core/src/thymefork_core/node/work/intake.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/intake.py
@@ -297,7 +297,4 @@
         return True
 
     def _has_run(self, work):
-        tasks = range(work.spec.tasks)
-        ledger = self.ctx.ledger
-        mine = work.hall == self.ctx.hall
-        return mine and any(ledger.task(work.spec.work_id, t).ran for t in tasks)
+        return work.hall == self.ctx.hall and self.ctx.ledger.has_run(work.spec)
--- a/packages/thymefork-core/src/thymefork_core/node/work/requests.py
+++ b/packages/thymefork-core/src/thymefork_core/node/work/requests.py
@@ -36,10 +36,6 @@
         """Tell whether any request waits for a work."""
         return work_id in self._waiting
 
-    def waiting_works(self):
-        """Return the works that requests wait for."""
-        return list(self._waiting)
-
     def answer(self, answer):
         """Give a work's final answer; return the requests that are complete."""
         waiting = self._waiting.pop(answer.work_id, {}).values()
