Spread owners over the advisers; wait for workers after an outage

Change: each owner begins at its own place among the instances and waits 2.5 times a call's cost; only granted joins count; after an outage, lapsed entries are kept for 2.4 s, unless their machine has a new life.

--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -153,6 +153,9 @@
         if tickets is None:
             step.advice_not_before_ms = now_ms + ASK_AGAIN_MS
             self._context.count("retries", "advice_unanswered")
+            self._context.note(
+                "advice_unanswered", step=step.name, workers=len(worker_ids)
+            )
             return
         if step.allowed is None:
             step.allowed = set()
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -55,6 +55,7 @@
         self._joined_once = False
         self._asked_ms = 0.0
         self._answered_ms = 0.0
+        self._renewed_ms = 0.0
         self._round_trip_ms = 0.0
         self._refused = {}
         self._blocked_since_ms = 0.0
@@ -86,12 +87,12 @@
     @property
     def in_group(self):
         """Tell whether this instance has joined and may be dealt cells."""
-        return self._answered_ms > 0 and not self._left
+        return self._renewed_ms > 0 and not self._left
 
     @property
     def store_lost(self):
-        """Tell whether this instance's joins are not answered any more."""
-        return self.in_group and steady_ms() - self._answered_ms > STORE_LOST_MS
+        """Tell whether this instance's joins are not granted any more."""
+        return self.in_group and steady_ms() - self._renewed_ms > STORE_LOST_MS
 
     @property
     def is_well(self):
@@ -143,6 +144,7 @@
             self._join_after(JOIN_AGAIN_MS)
             return
         self._note(answering=True)
+        self._renewed_ms = max(self._renewed_ms, sent_ms)
         self._round_trip_ms = steady_ms() - sent_ms
         next_ms = max(1.0, sent_ms + JOIN_PERIOD_MS - steady_ms())
         self.valid_until_ms = max(self.valid_until_ms, sent_ms + self.ttl_ms)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -15,8 +15,9 @@
 LONG_CALL_MS = 150.0
 SHARE_FOR_LONG_CALLS = 0.7
 # A call is given up after its cost by the service's figures, times this, plus slack
-# for links and for a service that is a little slow.
-PATIENCE_FACTOR = 1.5
+# for links: the service may be a little slow, and works on one call of an instance
+# after another, so that another owner's call there may come first.
+PATIENCE_FACTOR = 2.5
 PATIENCE_SLACK_MS = 500.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
@@ -36,16 +37,18 @@
     """Give each instance one call at a time, the most urgent first.
 
     `on_answer(step, worker_ids, tickets, valid_ms)` takes each outcome; tickets are
-    None where no answer came.
+    None where no answer came. `turn`, from 0 to 1, is where this owner begins among
+    the instances: owners that all began with the same ones would wait for each other.
     """
 
-    def __init__(self, *, client, timers, metrics, instance, on_answer):
+    def __init__(self, *, client, timers, metrics, instance, turn, on_answer):
         self._client = client
         self._timers = timers
         self._metrics = metrics
         self._on_answer = on_answer
         self._advisers = {instance: _Adviser(name=instance)}
         self._own_name = instance
+        self._turn = turn
         self._waiting = []
         self._numbers = count(1)
         self._by_call = {}
@@ -100,6 +103,8 @@
     def _free_adviser(self, effect):
         now_ms = steady_ms()
         names = sorted(self._advisers)
+        first = int(self._turn * len(names))
+        names = names[first:] + names[:first]
         if effect.cost_ms > LONG_CALL_MS:
             names = names[: max(1, int(len(names) * SHARE_FOR_LONG_CALLS))]
         else:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -65,6 +65,7 @@
             timers=shell.timers,
             metrics=shell.metrics,
             instance=shell.settings.instance,
+            turn=cell / max(1, shell.layout.cells),
             on_answer=self._on_advice,
         )
         self._effects = EffectPerformer(
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -0,0 +1,65 @@
+"""Calls to the advice service, spread over the instances."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_cells.effects import AskAdvice
+from thymefork_daemon.owner import Advisers, advisers as advisers_module
+
+from .fakes import FakeMetrics, FakeTimers, use_clock
+
+NAMES = [f"edge-{number}" for number in range(10)]
+
+
+class FakeLink:
+    def __init__(self, name):
+        self.peer = SimpleNamespace(instance=name)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+@pytest.fixture
+def timers(monkeypatch):
+    timers = FakeTimers()
+    use_clock(monkeypatch, timers, advisers_module)
+    return timers
+
+
+def make(timers, links, turn):
+    advisers = Advisers(
+        client=None,
+        timers=timers,
+        metrics=FakeMetrics(),
+        instance="edge-own",
+        turn=turn,
+        on_answer=lambda *answer: None,
+    )
+    advisers.update(links)
+    return advisers
+
+
+def long_call():
+    step = SimpleNamespace(name="s", job=SimpleNamespace(is_live=True))
+    return AskAdvice(step=step, worker_ids=("w",), cost_ms=900.0, priority=1)
+
+
+def test_two_owners_begin_with_different_instances(timers):
+    """From cab-bogota-grown, scale-2: a harvest waited 12 s for its tickets (LOST)."""
+    links = [FakeLink(name) for name in NAMES]
+    for turn in (0.0, 0.5):
+        advisers = make(timers, links, turn)
+        for _ in range(4):
+            advisers.ask(long_call())
+    assert max(len(link.sent) for link in links) == 1
+
+
+def test_a_call_waits_for_another_owners_call_at_the_same_instance(timers):
+    links = [FakeLink("edge-0")]
+    advisers = make(timers, links, 0.0)
+    advisers.ask(long_call())
+    advisers.ask(long_call())
+    timers.run(2 * 900)  # both calls of two owners, one after the other
+    assert len(links[0].sent) == 1
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -189,6 +189,22 @@
     assert membership.store_lost and not membership.is_well
 
 
+def test_the_store_counts_as_lost_after_joins_that_were_turned_away(
+    make, store, timers
+):
+    """From cab-bogota-grown, trouble-1: such an owner was not replaced sooner."""
+    membership = make()
+    membership.start()
+    deal(store, 1)
+    answered = 1
+    for _ in range(60):
+        timers.run(10)
+        for join in store.joins[answered:]:
+            join["on_result"](None)
+        answered = len(store.joins)
+    assert membership.store_lost
+
+
 def test_a_slow_store_makes_nobody_judge_others(make, store, timers):
     membership = make()
     membership.start()
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -0,0 +1,80 @@
+"""The platform's list of workers, before, during and after an outage of the store."""
+
+from types import SimpleNamespace
+
+import orjson
+import pytest
+
+from thymefork_daemon import worker_list_watch as watch_module
+from thymefork_daemon.worker_list_watch import WorkerListWatch
+from thymefork_machines.store import NewestResult, ReadResult, StoreRecord
+
+from .fakes import FakeTimers, use_clock
+
+
+def entry(worker_id, machine="m-1"):
+    document = {"address": "10.0.0.9:1", "service": "s", "machine_id": machine}
+    return StoreRecord(key=worker_id, value=orjson.dumps(document))
+
+
+class FakeReader:
+    def __init__(self):
+        self.calls = []
+
+    def newest(self, *, topic, after, on_result):
+        self.calls.append(on_result)
+
+    def read(self, *, topic, offset, on_result):
+        self.calls.append(on_result)
+
+    def answer(self, result):
+        self.calls.pop(0)(result)
+
+
+@pytest.fixture
+def timers(monkeypatch):
+    timers = FakeTimers()
+    use_clock(monkeypatch, timers, watch_module)
+    return timers
+
+
+@pytest.fixture
+def scene(timers):
+    reader, changes = FakeReader(), []
+    watch = WorkerListWatch(
+        store=reader, timers=timers, on_change=lambda: changes.append(1)
+    )
+    watch.want(True)
+    records = (entry("a"), entry("b", "m-2"))
+    reader.answer(NewestResult(records=records, next_key="", end_offset=2))
+    timers.run(400)
+    return SimpleNamespace(watch=watch, reader=reader, timers=timers, changes=changes)
+
+
+def lapse(scene, *worker_ids, outage_ms):
+    for _ in range(outage_ms // 400):
+        scene.reader.answer(None)
+        scene.timers.run(400)
+    gone = tuple(StoreRecord(key=worker_id, value=b"") for worker_id in worker_ids)
+    scene.reader.answer(ReadResult(records=gone, next_offset=9))
+
+
+def test_an_entry_that_goes_takes_its_worker_out(scene):
+    lapse(scene, "a", outage_ms=0)
+    assert set(scene.watch.entries) == {"b"}
+
+
+def test_entries_that_lapsed_in_an_outage_have_time_to_come_back(scene):
+    lapse(scene, "a", "b", outage_ms=4_800)
+    assert set(scene.watch.entries) == {"a", "b"}
+    scene.timers.run(1_200)
+    scene.reader.answer(ReadResult(records=(entry("a"),), next_offset=10))
+    scene.timers.run(1_300)
+    assert set(scene.watch.entries) == {"a"}
+
+
+def test_a_lapsed_worker_gives_way_to_its_machines_new_life(scene):
+    lapse(scene, "a", outage_ms=4_800)
+    scene.timers.run(400)
+    scene.reader.answer(ReadResult(records=(entry("c", "m-1"),), next_offset=10))
+    assert set(scene.watch.entries) == {"b", "c"}
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -4,6 +4,7 @@
 
 from thymefork_core.exceptions import ProtocolError
 from thymefork_machines import decode_worker
+from thymefork_net import steady_ms
 
 __all__ = ["WorkerListWatch"]
 
@@ -11,6 +12,11 @@
 # Workers rewrite their entries all the time, so the list is read at this period: a
 # draining worker is known well within the 2 s in which it may still be given work.
 PERIOD_MS = 400.0
+# Without an answer for this long, entries may have lapsed while the store was away.
+AWAY_MS = 1_000.0
+# Workers that live are listed again within about two seconds of the store's return;
+# until then, and a reading later, a lapsed entry says nothing.
+RETURN_MS = 2_000.0 + PERIOD_MS
 
 
 class WorkerListWatch:
@@ -24,6 +30,10 @@
         self._on_change = on_change
         self._wanted = False
         self._running = False
+        self._answered_ms = steady_ms()
+        self._returned_until_ms = 0.0
+        self._listed = {}
+        self._kept = {}
 
     def want(self, wanted):
         """Begin or end following."""
@@ -31,6 +41,7 @@
         if wanted and not self._running:
             self._running = True
             self.is_complete = False
+            self._answered_ms = steady_ms()
             self._read_newest({}, "", None)
 
     def _again(self, action):
@@ -39,6 +50,44 @@
         else:
             self._running = False
 
+    def _note_answer(self):
+        """Note that the store answers; after an outage, let workers come back."""
+        now_ms = steady_ms()
+        if now_ms - self._answered_ms > AWAY_MS and self._listed:
+            self._returned_until_ms = now_ms + RETURN_MS
+            line = logger.bind(event="workers_may_return", workers=len(self._listed))
+            line.info("entries may have lapsed while the store was away")
+            self._timers.after(RETURN_MS, self._drop_kept)
+        self._answered_ms = now_ms
+
+    def _settle(self, before):
+        """Publish the list; keep what vanished while workers may still come back."""
+        if steady_ms() < self._returned_until_ms:
+            gone = before.keys() - self._listed.keys()
+            self._kept.update({worker_id: before[worker_id] for worker_id in gone})
+        machines = {entry.machine_id for entry in self._listed.values()}
+        self._kept = {
+            worker_id: entry
+            for worker_id, entry in self._kept.items()
+            if worker_id not in self._listed and entry.machine_id not in machines
+        }
+        self._publish()
+
+    def _drop_kept(self):
+        """Take the workers for gone that did not come back."""
+        if steady_ms() < self._returned_until_ms or not self._kept:
+            return
+        line = logger.bind(event="workers_not_back", workers=sorted(self._kept))
+        line.info("these are taken for gone")
+        self._kept = {}
+        self._publish()
+
+    def _publish(self):
+        entries = self._kept | self._listed
+        if entries != self.entries:
+            self.entries = entries
+            self._on_change()
+
     def _read_newest(self, found, after, offset):
         self._store.newest(
             topic=TOPIC,
@@ -50,6 +99,7 @@
         if result is None:
             self._again(lambda: self._read_newest({}, "", None))
             return
+        self._note_answer()
         # Later pages may miss changes made since the first: follow from its end.
         offset = result.end_offset if offset is None else offset
         for record in result.records:
@@ -57,11 +107,9 @@
         if result.next_key:
             self._read_newest(found, result.next_key, offset)
             return
-        changed = found != self.entries
-        self.entries = found
+        before, self._listed = self._listed, found
         self.is_complete = True
-        if changed:
-            self._on_change()
+        self._settle(before)
         self._again(lambda: self._follow(offset))
 
     def _follow(self, offset):
@@ -78,11 +126,11 @@
         if result.history_gone:
             self._read_newest({}, "", None)
             return
-        before = dict(self.entries)
+        self._note_answer()
+        before = dict(self._listed)
         for record in result.records:
-            self._take(self.entries, record)
-        if before != self.entries:
-            self._on_change()
+            self._take(self._listed, record)
+        self._settle(before)
         self._again(lambda: self._follow(result.next_offset))
 
     @staticmethod
