Reset calls that were given up, so that a cut delivers none of them later

The cut hall had healed at 39.1 and one of its instances had been restarted meanwhile; the group dealt the cell to a member that no process answered for, until it lapsed after 1.0 s. Ruled out: a takeover that hung (no instance began one).

Change: outgoing HTTP connections are reset when they are closed, also at the end of the process. Test: test_a_call_that_was_given_up_is_reset (failed first).

--- a/packages/thymefork-net/src/thymefork_net/http/client_connection.py
+++ b/packages/thymefork-net/src/thymefork_net/http/client_connection.py
@@ -2,7 +2,14 @@
 
 import httptools
 
-from ..streams import StreamBrokenError, connect_failure, open_stream, receive, send
+from ..streams import (
+    StreamBrokenError,
+    connect_failure,
+    open_stream,
+    receive,
+    reset_on_close,
+    send,
+)
 from .answer import HttpAnswer
 
 __all__ = ["ClientConnection"]
@@ -29,9 +36,12 @@
     def connect(self):
         """Begin to connect.
 
+        A call that a cut holds up must not arrive after it was given up, or after
+        this process has ended: a dead member would join its group again.
         Raises: StreamBrokenError if that fails at once.
         """
         self._sock = open_stream(self.address)
+        reset_on_close(self._sock)
         self._sockets.add(self._sock, self)
 
     def start(self, call):
--- a/packages/thymefork-net/src/thymefork_net/streams.py
+++ b/packages/thymefork-net/src/thymefork_net/streams.py
@@ -2,6 +2,7 @@
 
 import errno
 import socket
+import struct
 
 from loguru import logger
 
@@ -12,10 +13,13 @@
     "open_listener",
     "open_stream",
     "receive",
+    "reset_on_close",
     "send",
 ]
 
 RECEIVE_BYTES = 262_144
+# Linger for no time: a close, also at the end of the process, drops what is queued.
+_LINGER_NOT = struct.pack("ii", 1, 0)
 _IN_PROGRESS = (0, errno.EINPROGRESS, errno.EWOULDBLOCK)
 
 
@@ -70,6 +74,11 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
+def reset_on_close(sock):
+    """Let nothing that is still queued be delivered after the socket is closed."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_NOT)
+
+
 def connect_failure(sock):
     """Return why a connect has failed, as StreamBrokenError, or None."""
     code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
--- a/packages/thymefork-net/src/thymefork_net/tests/test_http.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_http.py
@@ -155,3 +155,20 @@
     served[0].limits = ServerLimits(header_timeout_ms=100)
     sock = raw(loop, address, b"GET /a HTTP/1.1\r\nHost:")
     assert b"408" in read_some(loop, sock, b"\r\n\r\n")
+
+
+def test_a_call_that_was_given_up_is_reset(loop, address):
+    """From wattle-tas-grown, scale-2: a join of a dead life arrived after a cut."""
+    with socket.socket() as listener:
+        listener.bind((address.host, address.port))
+        listener.listen()
+        pool = HttpPool(sockets=loop.sockets, timers=loop.timers, most_per_address=1)
+        answers = []
+        pool.send(call(address, answers, deadline_ms=steady_ms() + 100))
+        loop.until(lambda: answers)
+        peer, _ = listener.accept()
+        peer.settimeout(1.0)
+        with pytest.raises(ConnectionResetError):
+            while peer.recv(65_536):
+                pass
+        peer.close()
