Start copies only for silent or late runs; join soon after an owner is taken out

A look that one worker of a hall did not answer casts doubt on the whole hall until it answers, 3 to 5 ms later; steps that allow copies took that moment for a reason. Change: a worker counts as silent for copies once it has not answered for 0.1 s, or missed a look. - A silent owner was taken out at 3.45 s and its cell dealt at 3.67 s: the member that got it learned it by its regular join. Change: members join 30 and 90 ms after they judged.

Ruled out for the first: late runs (the copies came after 70 ms), the advice service.

--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -121,9 +121,15 @@
             task
             for task in step.tasks
             if task.is_waiting
-            or task.wants_copy(lambda run: self._images.late_ms(run, now_ms))
+            or task.wants_copy(lambda run: self._is_behind(run, now_ms))
         ]
 
+    def _is_behind(self, run, now_ms):
+        """Tell whether a copy of a run would end sooner than the run itself."""
+        if run.worker.is_silent(now_ms):
+            return True
+        return self._images.late_ms(run, now_ms) > 0
+
     # Placing a step ----------------------------------------------------------
 
     def _place(self, step, workers, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -34,20 +34,17 @@
         """Tell whether the task has to be started and nothing of it may run."""
         return not self.done and not self.runs
 
-    def wants_copy(self, late_ms):
+    def wants_copy(self, is_behind):
         """Tell whether a further run may, and should, go beside those that exist.
 
-        `late_ms` tells of a run how far it is behind; copies are for steps that
-        allow them, where no run is likely to end in time.
+        `is_behind` tells of a run whether a new one would end sooner; copies are for
+        steps that allow them, where no run is likely to end in time.
         """
         if self.done or not self.runs or not self.step.spec.speculative:
             return False
         if len(self.runs) >= MOST_COPIES:
             return False
-        return all(
-            not run.may_serve or run.worker.is_doubtful or late_ms(run) > 0
-            for run in self.runs
-        )
+        return all(not run.may_serve or is_behind(run) for run in self.runs)
 
     @property
     def serving_run(self):
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -6,6 +6,9 @@
 
 __all__ = ["Worker"]
 
+# A worker answers a look in 1.5 to 3.5 ms; one that was asked this long ago is silent.
+SILENT_MS = 100.0
+
 
 @define(kw_only=True, eq=False)
 class Worker:
@@ -106,6 +109,13 @@
         """Tell whether it has not answered since it, or its hall, fell silent."""
         return self.misses_in_row > 0 or self.last_answer_ms < self.doubted_ms
 
+    def is_silent(self, now_ms):
+        """Tell whether it was asked because of a doubt and has not answered soon."""
+        if self.misses_in_row:
+            return True
+        in_doubt = self.last_answer_ms < self.doubted_ms
+        return in_doubt and now_ms - self.doubted_ms > SILENT_MS
+
     @property
     def busy_cpu_milli(self):
         """Return the processor share that its runs reserve."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -330,3 +330,30 @@
     assert harness.replies["r"].state == JobState.SUCCEEDED
     assert harness.replies["c"].outcome is Outcome.UNKNOWN_JOB
     assert len(harness.starts_of(f"{JOB}.0.0.0")) == 1
+
+
+def test_a_hall_in_doubt_for_a_moment_brings_no_copies(make_harness):
+    """From cab-bogota-grown, trouble-3: 20 of 23 tasks were started twice at once."""
+    harness = make_harness(workers=6, hall=lambda number: f"hall-{number // 3}")
+    step = {"count": 3, "cpu_milli": 8_000, "estimated_ms": 800, "speculative": True}
+    harness.submit(JOB, job_spec(step))
+    harness.run(100)
+    starts = [harness.starts_of(f"{JOB}.0.0.{index}") for index in range(3)]
+    busy = next(w for w in harness.workers.values() if w.running)
+    worker = harness.cell.context.workers[busy.worker_id]
+    harness.cell.looks.doubt_hall(worker, harness.now)
+    assert worker.is_doubtful
+    harness.cell.context.needs_plan = True
+    harness.run(400)
+    assert starts == [harness.starts_of(f"{JOB}.0.0.{index}") for index in range(3)]
+
+
+def test_a_copy_is_started_where_the_worker_is_silent(make_harness):
+    harness = make_harness(workers=2, hall=lambda number: f"hall-{number}")
+    step = {"count": 1, "cpu_milli": 1_000, "estimated_ms": 800, "speculative": True}
+    harness.submit(JOB, job_spec(step))
+    harness.run(100)
+    ((worker_id, _, _),) = harness.starts_of(f"{JOB}.0.0.0")
+    harness.workers[worker_id].cut = True
+    harness.run(1_700)
+    assert len(harness.starts_of(f"{JOB}.0.0.0")) == 2
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
@@ -14,6 +14,9 @@
 SILENT_MS = 450.0
 # A member that hears fewer of its peers than this is more likely cut off itself.
 LEAST_HEARD_SHARE = 0.5
+# The members join this long after they judged: they judge within a few checks of each
+# other, and the one that is dealt the cell learns it with its next join.
+HURRY_AFTER_MS = (30.0, 90.0)
 # One owner is not taken out twice within this time: a takeover and two joins.
 PAUSE_MS = 1_000.0
 
@@ -61,6 +64,8 @@
         line = logger.bind(event="owner_taken_out", peer=str(address), reason=reason)
         line.info("the owner at {} is replaced: {}", address, reason)
         self._shell.directory.remove_dead(address)
+        for delay_ms in HURRY_AFTER_MS:
+            self._shell.timers.after(delay_ms, self._shell.membership.hurry)
 
     def _may_judge(self):
         if self._shell.is_stopping or not self._shell.membership.is_well:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -25,7 +25,7 @@
 @pytest.fixture
 def shell(timers):
     heard_ms = {OWNER: timers.now_ms}
-    removed = []
+    removed, hurried = [], []
     shell = SimpleNamespace(
         layout=SimpleNamespace(cells=1),
         settings=SimpleNamespace(peer=Address(host="10.0.0.1", port=7000)),
@@ -36,7 +36,8 @@
             is_silent=lambda address, ms: timers.now_ms - heard_ms[address] >= ms,
             heard_share=lambda ms: shell.share,
         ),
-        membership=SimpleNamespace(is_well=True),
+        membership=SimpleNamespace(is_well=True, hurry=lambda: hurried.append(1)),
+        hurried=hurried,
         is_stopping=False,
         timers=timers,
         metrics=FakeMetrics(),
@@ -55,6 +56,7 @@
     assert shell.removed == [OWNER]
     timers.run(500)
     assert shell.removed == [OWNER]
+    assert len(shell.hurried) == 2
 
 
 def test_an_owner_that_is_heard_is_let_be(shell, timers):
