--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_outages.py
@@ -0,0 +1,83 @@
+"""Outages of the store, and what an owner may do in them."""
+
+from thymefork_cells.effects import Outcome
+from thymefork_cells.state import JobState
+
+from .harness import job_spec
+
+JOB = "00000000000000aa"
+
+
+def test_without_most_workers_a_successor_waits_for_the_whole_outage(make_harness):
+    harness = make_harness(workers=4)
+    for worker in harness.workers.values():
+        worker.work_ms = 60_000.0
+    harness.submit(JOB, job_spec({"count": 4, "cpu_milli": 8_000}))
+    harness.run(300)
+    harness.dead = True
+    for worker_id in ("w0", "w1", "w2"):
+        harness.workers[worker_id].cut = True
+    harness.run(500)
+    harness.take_over()
+    harness.run(10_000)
+    assert harness.cell.context.workers["w0"].runs
+    harness.run(4_000)
+    assert not harness.cell.context.workers["w0"].runs
+
+
+def test_a_job_that_was_not_stored_is_refused_at_once_and_never_runs(harness):
+    harness.store_down = True
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(40)
+    assert harness.replies[JOB].outcome is Outcome.REFUSED
+    harness.store_down = False
+    harness.run(2_000)
+    assert not harness.starts_of(f"{JOB}.0.0.0")
+    assert JOB not in harness.cell.context.jobs
+
+
+def test_what_runs_goes_on_in_an_outage_beside_a_task_that_ended(make_harness):
+    """From cab-bogota-grown, trouble-3: 201 runs lapsed in an outage of 7 s.
+
+    A worker with an end that could not be stored was not looked at any more.
+    """
+    harness = make_harness(workers=1)
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 100, "estimated_ms": 800}))
+    harness.run(100)
+    harness.workers["w0"].work_ms = 6_000.0
+    long = {"count": 1, "cpu_milli": 100, "estimated_ms": 6_000}
+    harness.submit("b" * 16, job_spec(long))
+    harness.run(100)
+    harness.take_store_away(for_ms=7_000)
+    harness.run(500)
+    assert harness.job("b" * 16).shown_state is JobState.SUCCEEDED
+    assert len(harness.starts_of(f"{'b' * 16}.0.0.0")) == 1
+
+
+def test_a_start_whose_ticket_lapsed_while_it_was_stored_is_not_sent(make_harness):
+    """From cab-bogota-grown, trouble-3: 79 starts were refused after an outage."""
+    advice = {"decision_ms": 50, "per_worker_ms": 1, "valid_ms": 2_500}
+    harness = make_harness(workers=2, advice=advice)
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 100}))
+    harness.run(40)
+    harness.take_store_away(for_ms=4_000)
+    assert not harness.starts_of(f"{JOB}.0.0.0")
+    harness.run(40)
+    assert harness.counts["ticket_lapsed"] == 1
+    assert not harness.starts_of(f"{JOB}.0.0.0")
+    harness.run(200)
+    assert len(harness.starts_of(f"{JOB}.0.0.0")) == 1
+
+
+def test_answers_read_late_by_a_paused_owner_are_no_quorum(make_harness):
+    harness = make_harness(workers=4)
+    harness.run(2_000)
+    harness.take_over()
+    harness.run(50)
+    cell = harness.cell
+    assert cell.quorum.is_held(harness.now)
+    paused_until_ms = harness.now + 4_000.0
+    for worker in cell.context.workers.values():
+        report = harness.workers[worker.worker_id].look(2, 0, 0, harness.now)
+        cell.looks.on_report(worker, report, 0, now_ms=paused_until_ms)
+    assert not cell.quorum.is_held(paused_until_ms)
