Give a gang's workers back where room is not what it lacks

Workers on probation were kept for a gang, which never takes them; then neither the gang nor anyone else was started there, and a reservation had no end while the gang lacked something else.

Change: workers on probation are not kept; a reservation ends 1.5 s after the room it counted on should have been there, and its gang pauses for 3 s.

--- a/packages/thymefork-cells/src/thymefork_cells/gang_reservation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/gang_reservation.py
@@ -12,6 +12,11 @@
 # A run's expected end is only an estimate; a task that is let in before the gang's
 # room is there has to end this much earlier.
 BACKFILL_MARGIN_MS = 200.0
+# A gang that has not started this long after its room should have been there lacks
+# something else, such as tickets: a call for them takes about 1 s. Its workers are
+# given back, and kept for it again only after the pause.
+OVERDUE_MS = 1_500.0
+PAUSE_MS = 3_000.0
 
 
 class GangReservation:
@@ -28,13 +33,31 @@
         self._step = None
         self._worker_ids = frozenset()
         self._free_at_ms = 0.0
+        self._promised_ms = 0.0
+        self._paused_until_ms = {}
         self._review_due_ms = 0.0
 
     def review(self, steps, workers_of, now_ms):
         """Choose the gang and its workers; `workers_of` tells a step's candidates."""
+        self._give_up_overdue(now_ms)
         if self._is_over(now_ms):
             self._choose(self._oldest(steps, now_ms), workers_of, now_ms)
 
+    def _give_up_overdue(self, now_ms):
+        """Give the workers back where room was not what the gang lacked."""
+        if self._step is None or now_ms < self._promised_ms + OVERDUE_MS:
+            return
+        self._context.count("reservations", "given_up")
+        self._context.note("gang_reservation_ends", step=self._step.name)
+        self._paused_until_ms = {
+            name: until_ms
+            for name, until_ms in self._paused_until_ms.items()
+            if until_ms > now_ms
+        }
+        self._paused_until_ms[self._step.name] = now_ms + PAUSE_MS
+        self._step = None
+        self._review_due_ms = now_ms
+
     def permits(self, step, worker, now_ms):
         """Tell whether a step may use a worker."""
         if self._step is None or step is self._step:
@@ -53,14 +76,14 @@
             return True
         return now_ms >= self._review_due_ms
 
-    @staticmethod
-    def _oldest(steps, now_ms):
+    def _oldest(self, steps, now_ms):
         waiting = [
             step
             for step in steps
             if step.spec.gang
             and step.ready
             and now_ms - step.ready_ms > PATIENCE_MS
+            and now_ms >= self._paused_until_ms.get(step.name, 0.0)
             and _all_wait(step)
         ]
         return min(waiting, key=lambda step: step.ready_ms, default=None)
@@ -74,6 +97,8 @@
         for worker in workers_of(step):
             if step.allowed is not None and worker.worker_id not in step.allowed:
                 continue
+            if worker.health.on_probation:
+                continue  # it gets single tasks until one succeeds, but no gang
             for at_ms in self._room_times(worker, step.spec, now_ms):
                 free_at.append((at_ms, worker.worker_id))
         if len(free_at) < step.spec.count:
@@ -84,6 +109,7 @@
         self._worker_ids = frozenset(worker_id for _, worker_id in chosen)
         self._free_at_ms = chosen[-1][0]
         if was is not step:
+            self._promised_ms = self._free_at_ms
             self._note(now_ms)
 
     def _note(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_gang_reservation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_gang_reservation.py
@@ -54,3 +54,31 @@
     harness.submit("c" * 16, job_spec(SINGLE | {"estimated_ms": 60_000}))
     harness.run(300)
     assert harness.starts_of(f"{'c' * 16}.0.0.0")
+
+
+def reserved_beside(harness):
+    """Let a gang wait until workers are kept for it; return whether others starve."""
+    wide = {"count": 2, "cpu_milli": 3_000, "estimated_ms": 800, "gang": True}
+    harness.submit(GANG, job_spec(wide))
+    harness.run(6_000)
+    assert not any(gang_starts(harness))
+    harness.submit("c" * 16, job_spec(SINGLE | {"estimated_ms": 60_000}))
+    harness.run(3_000)
+    return not harness.starts_of(f"{'c' * 16}.0.0.0")
+
+
+def test_workers_on_probation_are_not_kept_for_a_gang(make_harness):
+    """From cab-bogota-grown, inc-412f (LOST): a gang takes none, so it kept them."""
+    harness = make_harness(workers=2, cpu_milli=3_000)
+    harness.run(50)
+    for worker in harness.cell.context.workers.values():
+        worker.health.on_probation = True
+    assert not reserved_beside(harness)
+
+
+def test_workers_are_given_back_where_the_gang_lacks_something_else(make_harness):
+    harness = make_harness(workers=2, cpu_milli=3_000)
+    harness.run(50)
+    harness.cell.placer._place_gang = lambda step, workers, now_ms: None
+    assert not reserved_beside(harness)
+    assert harness.counts["given_up"] >= 1
