--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -2,12 +2,12 @@
 
 from types import SimpleNamespace
 
-import pytest
-
 from thymefork_cells.effects import AskAdvice
 from thymefork_daemon.owner import Advisers, advisers as advisers_module
 
-from .fakes import FakeMetrics, FakeTimers, use_clock
+from .fakes import FakeMetrics
+
+CLOCKED = (advisers_module,)
 
 NAMES = [f"edge-{number}" for number in range(10)]
 
@@ -21,13 +21,6 @@
         self.sent.append(message)
 
 
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, advisers_module)
-    return timers
-
-
 def make(timers, links, turn):
     advisers = Advisers(
         client=None,
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
@@ -7,14 +7,9 @@
 from thymefork_daemon.owner.append_pump import AppendPump
 from thymefork_machines.store import AppendOutcome, AppendResult
 
-from .fakes import FakeMetrics, FakeStore, FakeTimers, use_clock
+from .fakes import FakeMetrics, FakeStore
 
-
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, append_pump)
-    return timers
+CLOCKED = (append_pump,)
 
 
 @pytest.fixture
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -10,7 +10,9 @@
 from thymefork_net import Address
 from thymefork_net.peers import Heartbeat, OwnedCell
 
-from .fakes import FakeMetrics, FakeTimers, use_clock
+from .fakes import FakeMetrics
+
+CLOCKED = (gateway_module,)
 
 JOB = "00000000000000aa"
 OWNER = Address(host="10.0.0.2", port=7000)
@@ -36,13 +38,6 @@
         self.requests.append(respond)
 
 
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, gateway_module)
-    return timers
-
-
 @pytest.fixture
 def shell(timers):
     known = {0: None}
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -10,16 +10,11 @@
 from thymefork_machines.store import JoinResult, MemberRow, PartitionRow
 from thymefork_net import Address
 
-from .fakes import FakeStore, FakeTimers, use_clock
-
-PEER = Address(host="10.0.0.1", port=7000)
+from .fakes import FakeStore
 
+CLOCKED = (owner_directory,)
 
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, owner_directory)
-    return timers
+PEER = Address(host="10.0.0.1", port=7000)
 
 
 @pytest.fixture
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -10,16 +10,11 @@
 from thymefork_net import Address
 from thymefork_net.peers import Heartbeat, OwnedCell
 
-from .fakes import FakeMetrics, FakeTimers, use_clock
-
-OWNER = Address(host="10.0.0.2", port=7000)
+from .fakes import FakeMetrics
 
+CLOCKED = (owner_watch_module,)
 
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, owner_watch_module)
-    return timers
+OWNER = Address(host="10.0.0.2", port=7000)
 
 
 @pytest.fixture
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_readiness.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_readiness.py
@@ -7,14 +7,7 @@
 from thymefork_daemon import readiness as readiness_module
 from thymefork_daemon.readiness import Readiness
 
-from .fakes import FakeTimers, use_clock
-
-
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, readiness_module)
-    return timers
+CLOCKED = (readiness_module,)
 
 
 @pytest.fixture
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -9,7 +9,7 @@
 from thymefork_daemon.worker_list_watch import WorkerListWatch
 from thymefork_machines.store import NewestResult, ReadResult, StoreRecord
 
-from .fakes import FakeTimers, use_clock
+CLOCKED = (watch_module,)
 
 
 def entry(worker_id, machine="m-1"):
@@ -31,13 +31,6 @@
         self.calls.pop(0)(result)
 
 
-@pytest.fixture
-def timers(monkeypatch):
-    timers = FakeTimers()
-    use_clock(monkeypatch, timers, watch_module)
-    return timers
-
-
 @pytest.fixture
 def scene(timers):
     reader, changes = FakeReader(), []
