--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -10,9 +10,9 @@
 
 TOPIC = "keyed.layout"
 KEY = "cells"
-# One Python process decides for this many workers at 0.40 of a core (played with 176
-# workers: docs/CAPACITY.md). Wide steps want as many workers in one cell as that allows:
-# a policy's few workers, with a bound a worker, may not be found in a smaller one.
+# One Python process decides for 176 workers at 0.40 of a core (played:
+# docs/CAPACITY.md). Wide steps want as many workers in one cell as that allows: a
+# policy's few workers, with a bound a worker, may not be found in a smaller one.
 WORKERS_PER_CELL = 200
 # Workers report themselves within about three seconds of the start.
 SETTLE_MS = 3_500.0
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -26,8 +26,8 @@
 # A partition that was dealt under a generation already used is waited for this long:
 # two joins, within which a stale answer is put right.
 STUCK_MS = 600.0
-# Owning a cell of 60 workers takes up to half a core; smaller instances carry callers
-# and advice, and own cells only while there is no large one.
+# Owning a cell of 176 workers takes up to 0.4 of a core; smaller instances carry
+# callers and advice, and own cells only while there is no large one.
 LARGE_CORES = 0.8
 # After a loss of all instances the large ones are back within about three seconds.
 STANDBY_AFTER_MS = 4_000.0
