Judge silence after an order by the pace of answers; look before stopping

Cause: a start or look without an answer was waited for 300 and 1,050 ms, a hundred times the usual answer, and a start whose answer alone was lost was stopped though it ran: each step of such a job lost 350 ms of the 530 that a short job has to spare. Ruled out: shorter fixed time-outs (a network that turned slow would look silent for good; the patience follows the slowest recent answer and grows with silence in a row).

--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -165,7 +165,7 @@
         if report.clock_ms > worker.last_clock_ms:  # else a newer one has overtaken it
             worker.last_clock_ms = report.clock_ms
             self._apply_running(worker, report, now_ms)
-            self._settle_absent(worker, report, now_ms)
+            self._settle_absent(worker, report, asked_ms, now_ms)
         if not worker.is_known:
             worker.is_known = not worker.strays
             self._context.needs_plan = True
@@ -253,12 +253,14 @@
             run.percent_changed_ms = now_ms
         run.tail_ms = row.load
 
-    def _settle_absent(self, worker, report, now_ms):
+    def _settle_absent(self, worker, report, asked_ms, now_ms):
         """Release the runs that the worker neither runs nor will ever run."""
         for run in list(worker.runs.values()):
             if run.listed_ms == now_ms:
                 continue
-            if self._is_gone(run, report.clock_ms):
+            if run.is_doubted and run.doubted_ms <= asked_ms:
+                self._lifecycle.stop(run, "its start was not answered")
+            elif self._is_gone(run, report.clock_ms):
                 self._context.count("run_ends", "vanished")
                 self._lifecycle.release(run, now_ms=now_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -9,9 +9,13 @@
 
 __all__ = ["OrderAnswer", "Orders", "Refusal"]
 
-# A stop that got no answer is sent again after this long; a worker answers in
-# 1.5 to 3.5 ms.
-STOP_AGAIN_MS = 400.0
+# A stop that got no answer is sent again after this long. The task can't be started
+# elsewhere before it is answered, so it is asked again soon; the wait for the answer
+# itself comes on top.
+STOP_AGAIN_MS = 60.0
+# The look after an unanswered start tells whether the run is there. Where that is not
+# answered in this time either, the run is forbidden.
+DOUBT_MS = 150.0
 
 
 class Refusal(StrEnum):
@@ -81,11 +85,12 @@
         self._looks.want(run.worker, now_ms)
 
     def _in_doubt(self, run, now_ms):
+        """Ask the worker whether a run is there; only an absent one is forbidden."""
         if run.state is RunState.SENT:
             self._context.count("retries", "start_unanswered")
+            run.doubted_ms = now_ms
             run.worker.doubted_ms = now_ms
             self._looks.doubt_hall(run.worker, now_ms)
-            self._lifecycle.stop(run, "its start was not answered")
 
     def _refused(self, run, refusal, now_ms):
         worker, step = run.worker, run.task.step
@@ -124,7 +129,10 @@
         for worker in self._context.workers.values():
             if not worker.entry.host:
                 continue
-            for run in worker.runs.values():
+            for run in list(worker.runs.values()):
+                if run.is_doubted and now_ms - run.doubted_ms > DOUBT_MS:
+                    self._lifecycle.stop(run, "its start was not answered")
+                    continue
                 if run.state is not RunState.STOPPING or run.stop_clock_ms:
                     continue
                 if run.stop_sent_ms and now_ms - run.stop_sent_ms > STOP_AGAIN_MS:
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -22,6 +22,7 @@
 class Run:
     """Follow one start; it takes room on its worker until it is gone.
 
+    `doubted_ms` is when its start was given up as unanswered, 0 if it was not.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -31,6 +32,7 @@
     state: RunState
     began_ms: float = 0.0
     confirmed_clock_ms: int = 0
+    doubted_ms: float = 0.0
     stop_clock_ms: int = 0
     stop_sent_ms: float = 0.0
     stop_reason: str = ""
@@ -53,6 +55,11 @@
         """Return the name that the worker lists it by."""
         return (self.task.name, self.run_id)
 
+    @property
+    def is_doubted(self):
+        """Tell whether its start was not answered and the worker has not listed it."""
+        return self.state is RunState.SENT and self.doubted_ms > 0
+
     @property
     def may_serve(self):
         """Tell whether the run works, or will, towards its task's end."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -39,7 +39,11 @@
 
 
 class Harness:
-    """Carry out a cell's effects; `lose` decides which orders get no answer."""
+    """Carry out a cell's effects.
+
+    `lose` decides which orders get no answer and are not carried out, `mute` which
+    starts are carried out and get none.
+    """
 
     def __init__(
         self, *, workers=4, cpu_milli=8_000, advice=None, max_attempts=2, hall=None
@@ -87,6 +91,7 @@
         self.store = {}
         self.store_down = False
         self.lose = lambda effect: False
+        self.mute = lambda effect: False
         self.replies = {}
         self.notes = []
         self.counts = Counter()
@@ -211,6 +216,9 @@
             answer = worker.start(
                 run.task.name, run.run_id, self.epoch_of(cell), deadline_ms, self.now
             )
+            if self.mute(effect):
+                yield self.env.timeout(SILENCE_MS)
+                answer = OrderAnswer(refusal=Refusal.SILENCE)
         if self._current(cell):
             cell.on_start(run, answer, now_ms=self.now)
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -5,7 +5,7 @@
 from thymefork_cells.effects import Outcome, StartRun
 from thymefork_cells.state import JobState
 
-from .harness import job_spec
+from .harness import SILENCE_MS, job_spec
 
 JOB = "00000000000000aa"
 
@@ -245,3 +245,38 @@
     assert harness.replies["r"].state == JobState.SUCCEEDED
     assert harness.replies["c"].outcome is Outcome.UNKNOWN_JOB
     assert len(harness.starts_of(f"{JOB}.0.0.0")) == 1
+
+
+def test_a_run_whose_start_was_carried_out_unanswered_goes_on(harness):
+    """From ferrecor-mvd, scale-2: each lost answer stopped a sound run."""
+    muted = []
+
+    def mute(effect):
+        if isinstance(effect, StartRun) and not muted:
+            muted.append(effect.run)
+            return True
+        return False
+
+    harness.mute = mute
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(2_500)
+    assert muted
+    assert len(harness.starts_of(f"{JOB}.0.0.0")) == 1
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+
+
+def test_an_unanswered_start_is_made_elsewhere_soon_after(harness):
+    lost = []
+
+    def lose(effect):
+        if isinstance(effect, StartRun) and not lost:
+            lost.append(harness.now)
+            return True
+        return False
+
+    harness.lose = lose
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(2_500)
+    _, _, again_ms = harness.starts_of(f"{JOB}.0.0.0")[0]
+    # Silence is told by the harness; a look, a stop and a look follow it.
+    assert again_ms - lost[0] < SILENCE_MS + 80
--- /dev/null
+++ b/packages/thymefork-net/src/thymefork_net/answer_pace.py
@@ -0,0 +1,38 @@
+"""How long to wait for an answer, by how long answers take."""
+
+__all__ = ["AnswerPace"]
+
+# The pace follows a slower answer at once and forgets it by this factor an answer, so
+# that one slow answer is forgotten after some twenty.
+DECAY = 0.9
+
+
+class AnswerPace:
+    """Follow the times of answers; tell when a call counts as unanswered.
+
+    While calls go unanswered one after the other, the patience grows with each, so
+    that a network which has turned slow is not mistaken for silence for good.
+    Units: milliseconds.
+    """
+
+    def __init__(self, *, first_ms, factor, shortest_ms, longest_ms):
+        self._pace_ms = first_ms
+        self._factor = factor
+        self._shortest_ms = shortest_ms
+        self._longest_ms = longest_ms
+        self._missed_in_row = 0
+
+    def answered(self, took_ms):
+        """Note an answer."""
+        self._pace_ms = max(took_ms, DECAY * self._pace_ms)
+        self._missed_in_row = 0
+
+    def missed(self):
+        """Note a call without an answer."""
+        self._missed_in_row += 1
+
+    @property
+    def patience_ms(self):
+        """Return how long to wait for the next answer."""
+        usual_ms = max(self._shortest_ms, self._factor * self._pace_ms)
+        return min(self._longest_ms, usual_ms * (1 + self._missed_in_row))
