Let gangs wait for slower members; keep workers for large tasks; ask denied workers ever later

Cause: (1) members of a gang that are done with their share stay at 100% until the slowest is, and counted as standing still after 1.5 s: sound gangs were stopped shortly before their end, up to three times. (2) Only gangs had room kept for them; a single task as large as a worker waited while small ones took each piece. (3) Steps that the policy allows nowhere asked again each 5 s, 0.75 s of an instance's advice each: half of such calls brought nothing. Ruled out: too little room as the cause of (1): 34 of 49 workers had room for it.

--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -12,7 +12,9 @@
 TICKET_MARGIN_MS = 120.0
 # A call that failed is tried again after this long.
 ASK_AGAIN_MS = 150.0
-# A step that has waited this long asks about the workers again that were denied.
+# A step that has waited this long asks about the workers again that were denied, and
+# then after twice as long each time: such a call keeps an instance busy for up to a
+# second and brings nothing unless a worker was new to the service before.
 ASK_ANEW_MS = 5_000.0
 # A step is asked for before its turn by its call's cost and this much more.
 AHEAD_MS = 250.0
@@ -75,8 +77,10 @@
         The policy does not change, but a worker that was new to the service when it
         was asked may have been left out of its answer.
         """
-        if step.ready and now_ms - max(step.ready_ms, step.denied_ms) > ASK_ANEW_MS:
+        patience_ms = ASK_ANEW_MS * 2**step.asked_anew
+        if step.ready and now_ms - max(step.ready_ms, step.denied_ms) > patience_ms:
             step.denied_ms = now_ms
+            step.asked_anew += 1
             step.denied.clear()
 
     def _candidates(self, step, workers, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -9,7 +9,6 @@
     load_job,
 )
 from .context import CellContext
-from .gang_reservation import GangReservation
 from .images import ImageTimes
 from .intake import Intake, chain_ms
 from .journal import Journal
@@ -19,6 +18,8 @@
 from .placer import Placer
 from .preemptor import Preemptor
 from .quorum import Quorum
+from .reservations import Reservations
+from .room_forecast import RoomForecast
 from .roster import Roster
 from .state import RunState
 from .watch import Watch
@@ -54,6 +55,7 @@
         self.looks = Looks(context=self.context, lifecycle=self.lifecycle)
         self.roster = Roster(context=self.context, lifecycle=self.lifecycle)
         self.intake = Intake(context=self.context, lifecycle=self.lifecycle)
+        forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(context=self.context, images=self.images)
         self.orders = Orders(
             context=self.context,
@@ -66,7 +68,9 @@
             advice=self.advice,
             images=self.images,
             preemptor=Preemptor(context=self.context, lifecycle=self.lifecycle),
-            reservation=GangReservation(context=self.context, images=self.images),
+            reservations=Reservations(
+                context=self.context, images=self.images, forecast=forecast
+            ),
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -53,6 +53,9 @@
             queue=queue_name,
             steps=len(spec.steps),
             tasks=spec.task_count,
+            cpu_milli=max(step.cpu_milli for step in spec.steps),
+            accelerators=max(step.accelerators for step in spec.steps),
+            gang=any(step.gang for step in spec.steps),
             configuration=self._context.configuration.version,
         )
         return job
--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -87,6 +87,8 @@
         run.worker.health.succeeded()
         if step.spec.long_running:
             return
+        if run.began_ms:
+            run.task.worked_ms = now_ms - run.began_ms
         self._complete(run.task)
         self._finish_if_done(step.job, now_ms)
 
@@ -171,6 +173,7 @@
             state=str(state),
             reason=reason,
             after_ms=round(now_ms - job.accepted_ms),
+            worked_ms=round(job.worked_ms),
             objective_ms=round(job.objective_ms - job.accepted_ms),
         )
 
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -23,10 +23,10 @@
 class Placer:
     """Give waiting tasks to workers with room, most urgent queue first."""
 
-    def __init__(self, *, context, advice, images, preemptor, reservation):
+    def __init__(self, *, context, advice, images, preemptor, reservations):
         self._context = context
         self._preemptor = preemptor
-        self._reservation = reservation
+        self._reservations = reservations
         self._images = images
         self._advice = advice
 
@@ -42,7 +42,7 @@
                 return workers
             return [worker for worker in workers if _fits_labels(step, worker)]
 
-        self._reservation.review(steps, workers_of, now_ms)
+        self._reservations.review(steps, workers_of, now_ms)
         for step in steps:
             workers = workers_of(step)
             if step.ready:
@@ -161,7 +161,7 @@
             self._preemptor.make_room(step, permitted, missing, now_ms)
 
     def _is_permitted(self, step, worker, now_ms):
-        if not self._reservation.permits(step, worker, now_ms):
+        if not self._reservations.permits(step, worker, now_ms):
             return False
         return self._advice.usable(step, worker, now_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -87,6 +87,20 @@
         """Return every run that may still exist."""
         return [run for step in self.steps for task in step.tasks for run in task.runs]
 
+    @property
+    def worked_ms(self):
+        """Return the longest chain of its tasks' own time, as far as it was seen."""
+        longest_ms = 0.0
+        for occurrence in range(self.spec.occurrences):
+            ends_ms = []
+            for index, step_spec in enumerate(self.spec.steps):
+                tasks = self.step(occurrence, index).tasks
+                before_ms = max((ends_ms[n] for n in step_spec.after), default=0.0)
+                took_ms = max((task.worked_ms for task in tasks), default=0.0)
+                ends_ms.append(before_ms + took_ms)
+            longest_ms = max(longest_ms, *ends_ms)
+        return longest_ms
+
     @property
     def has_begun(self):
         """Tell whether any task was ever started."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -36,6 +36,7 @@
     allowed: set | None = None
     denied: set = field(factory=set)
     denied_ms: float = 0.0
+    asked_anew: int = 0
     _waiting: list | None = None
     advice_asked: bool = False
     advice_not_before_ms: float = 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -12,7 +12,8 @@
 class Task:
     """Follow a task through its runs.
 
-    `run_count` is the highest run number used; run numbers only rise. `given_up`
+    `run_count` is the highest run number used; run numbers only rise. `worked_ms` is
+    how long the run took that ended well, 0 if another owner saw its start. `given_up`
     holds the runs whose leases were thought over before their end was heard.
     """
 
@@ -23,6 +24,7 @@
     failures: int = 0
     checkpoint: str = ""
     done: bool = False
+    worked_ms: float = 0.0
     runs: list = field(factory=list)
     standstills: int = 0
     given_up: set = field(factory=set)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -280,3 +280,14 @@
     _, _, again_ms = harness.starts_of(f"{JOB}.0.0.0")[0]
     # Silence is told by the harness; a look, a stop and a look follow it.
     assert again_ms - lost[0] < SILENCE_MS + 80
+
+
+def test_a_gang_whose_quick_members_wait_for_a_slow_one_is_let_be(make_harness):
+    """From ferrecor-mvd-grown, quiet-1: gangs on unlike workers were stopped at 100%."""
+    harness = make_harness(workers=2)
+    for worker in harness.workers.values():
+        worker.waits_at_the_end = True
+    gang = {"count": 2, "cpu_milli": 8_000, "estimated_ms": 500, "gang": True}
+    harness.submit(JOB, job_spec(gang))
+    harness.run(4_000)
+    assert "stood_still" not in harness.counts
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -18,7 +18,10 @@
 
 @define(kw_only=True, eq=False, slots=False)
 class VirtualWorker:
-    """Run tasks for `work_ms`; unreachable while `cut` is set."""
+    """Run tasks for `work_ms`; unreachable while `cut` is set.
+
+    With `waits_at_the_end` its tasks stay at 100%, as of a gang with slower members.
+    """
 
     worker_id: str
     work_ms: float = 800.0
@@ -26,6 +29,7 @@
     cut: bool = False
     fails_all: bool = False
     stands_still: bool = False
+    waits_at_the_end: bool = False
     slow_factor: float = 1.0
     fence: int = 0
     lease_until_ms: float = 0.0
@@ -42,6 +46,7 @@
         """End what is done and, once the lease is over, everything."""
         for key, run in list(self.running.items()):
             in_time = run.ends_ms < self.lease_until_ms and not self.stands_still
+            in_time = in_time and not self.waits_at_the_end
             if in_time and now_ms >= run.ends_ms:
                 self._end(key, run.how)
             elif now_ms >= self.lease_until_ms:
@@ -121,4 +126,5 @@
         if self.stands_still:
             return 0
         span_ms = max(1.0, run.ends_ms - run.began_ms)
-        return min(99, int(100 * (now_ms - run.began_ms) / span_ms))
+        most = 100 if self.waits_at_the_end else 99
+        return min(most, int(100 * (now_ms - run.began_ms) / span_ms))
--- a/packages/thymefork-cells/src/thymefork_cells/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/watch.py
@@ -90,6 +90,8 @@
             return False
         if run.pace_percent < 100 or run.step.fills_idle_cpu:
             return False
+        if run.step.gang and run.percent >= 100:
+            return False  # it waits for slower members: a gang ends as one
         usual_ms = self._images.expected_ms(run.step)
         patience_ms = max(STANDSTILL_MS, STANDSTILL_SHARE * usual_ms)
         patience_ms *= 2**run.task.standstills
