Keep links to a few members, so that each can judge an owner's silence

Cause: an instance that had links to the owner alone heard nobody once it fell silent, and so counted itself as cut off: a lost first owner was replaced after its membership had lapsed (0.9 s), not after 0.5 s. Ruled out: the store as the reason not to judge (joins were answered in 6 ms).

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
@@ -56,6 +56,11 @@
             self._on_change()
         return True
 
+    @property
+    def members(self):
+        """Return the addresses of the members that were read last."""
+        return {address_of_member(member) for member in self._members.values()}
+
     def missing_ms(self):
         """Return for how long the store has told that the group has no member."""
         return steady_ms() - self._nobody_since_ms if self._nobody_since_ms else 0.0
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -1,5 +1,8 @@
 """What passes between this instance and the others."""
 
+import xxhash
+
+from thymefork_net import steady_ms
 from thymefork_net.peers import (
     AdviceReply,
     AdviceRequest,
@@ -14,6 +17,14 @@
 
 __all__ = ["PeerDesk"]
 
+# Links are kept to this many members beside the owner. Without them an instance hears
+# nobody but the owner and can't tell its silence from a cut of its own: a lost first
+# owner was replaced after 0.9 s instead of 0.5 s.
+NEIGHBOURS = 3
+# While too few members are known, the group is read this often: a newcomer may have
+# read it before the others had joined.
+FIND_NEIGHBOURS_MS = 2_000.0
+
 
 class PeerDesk:
     """Send heartbeats, keep links to owners, and hand messages on."""
@@ -23,6 +34,7 @@
         self._member_links = set()
         self._owned_by_link = {}
         self._without_store = set()
+        self._neighbours_due_ms = 0.0
         self._owner_watch = OwnerWatch(shell=shell)
         shell.timers.every(OWNER_BEAT_MS, self._beat_as_owner)
 
@@ -67,6 +79,20 @@
                 self._shell.directory.refresh()
             else:
                 self._shell.links.to(address)
+        self._keep_neighbours()
+
+    def _keep_neighbours(self):
+        """Keep links to a few members, drawn by hash, so that they differ."""
+        own = self._shell.settings.peer
+        others = self._shell.directory.members - {own}
+        if len(others) < NEIGHBOURS and steady_ms() >= self._neighbours_due_ms:
+            self._neighbours_due_ms = steady_ms() + FIND_NEIGHBOURS_MS
+            self._shell.directory.refresh()
+        ranked = sorted(
+            others, key=lambda other: xxhash.xxh32_intdigest(f"{own}|{other}".encode())
+        )
+        for address in ranked[:NEIGHBOURS]:
+            self._shell.links.to(address)
 
     def on_message(self, link, message):
         """Hand a peer's message on."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -110,3 +110,24 @@
         desk._member_links.add(link)
     timers.run(110)
     assert [link.sent for link in links] == [1, 1, 1]
+
+
+def test_members_keep_links_to_others_than_the_owner(timers):
+    """From ferrecor-mvd, trouble-3: nobody could judge the first owner's silence."""
+    own = Address(host="10.0.0.1", port=7000)
+    others = {Address(host=f"10.0.0.{n}", port=7000) for n in range(2, 9)}
+    opened = set()
+    shell = SimpleNamespace(
+        timers=timers,
+        owners={},
+        configuration=None,
+        is_stopping=False,
+        layout=SimpleNamespace(cells=0),
+        settings=SimpleNamespace(peer=own),
+        directory=SimpleNamespace(members={own, *others}),
+        links=SimpleNamespace(all=[], to=opened.add),
+        membership=SimpleNamespace(in_group=True, store_lost=False),
+        metrics=FakeMetrics(),
+    )
+    PeerDesk(shell=shell).send_heartbeats()
+    assert len(opened) == 3 and opened < others
