Let work make way for tasks that want accelerators, on the cheapest worker

Cause: the preemptor never freed accelerators and took the first worker that would do; a task that wants a whole worker waited 5 to 18 s until all single ones there had ended. Now only work that keeps its progress and whose job can still meet its objective makes way, runs about to end are let be, and room that is coming counts.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -67,7 +67,9 @@
             context=self.context,
             advice=self.advice,
             images=self.images,
-            preemptor=Preemptor(context=self.context, lifecycle=self.lifecycle),
+            preemptor=Preemptor(
+                context=self.context, lifecycle=self.lifecycle, images=self.images
+            ),
             reservations=Reservations(
                 context=self.context, images=self.images, forecast=forecast
             ),
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -158,7 +158,8 @@
         self._note_starts(step, chosen, len(waiting), now_ms)
         if len(chosen) < len(waiting):
             missing = len(waiting) - len(chosen)
-            self._preemptor.make_room(step, permitted, missing, now_ms)
+            if self._preemptor.make_room(step, permitted, missing, now_ms):
+                self._reservations.review_soon()  # what is freed is kept for the step
 
     def _is_permitted(self, step, worker, now_ms):
         if not self._reservations.permits(step, worker, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/reservations.py
@@ -81,6 +81,10 @@
         ends_ms = now_ms + self._images.expected_ms(step.spec) + BACKFILL_MARGIN_MS
         return ends_ms < kept.free_at_ms[worker.worker_id]
 
+    def review_soon(self):
+        """Choose anew with the next plan, since runs are being stopped."""
+        self._review_due_ms = 0.0
+
     def _has_served(self):
         """Tell whether a step that workers were kept for has started or ended."""
         return any(not step.job.is_live or not step.waiting for step in self._kept)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -46,7 +46,14 @@
     """
 
     def __init__(
-        self, *, workers=4, cpu_milli=8_000, advice=None, max_attempts=2, hall=None
+        self,
+        *,
+        workers=4,
+        cpu_milli=8_000,
+        accelerators=0,
+        advice=None,
+        max_attempts=2,
+        hall=None,
     ):
         self.env = simpy.Environment()
         self.workers = {
@@ -64,6 +71,7 @@
                 labels=frozenset({"a", f"r-{number % 2}"}),
                 cpu_milli=cpu_milli,
                 memory_mb=32_000,
+                accelerators=accelerators,
             )
             for number, worker_id in enumerate(self.workers)
         ]
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_preemption.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_preemption.py
@@ -43,3 +43,48 @@
     harness.job(JOB).objective_ms = harness.now
     harness.run(1_200)
     assert not harness.starts_of(f"{JOB}.0.0.0")
+
+
+def fill_accelerators(harness, count):
+    """Occupy an accelerator each by work that keeps its progress."""
+    for worker in harness.workers.values():
+        worker.work_ms = 10_000.0
+    step = {"count": count, "cpu_milli": 500, "accelerators": 1, "checkpoints": True}
+    harness.submit(BATCH, job_spec(step), queue="batch")
+    harness.job(BATCH).objective_ms = harness.now + 60_000
+    harness.run(1_500)
+    for worker in harness.workers.values():
+        worker.work_ms = 300.0
+
+
+WHOLE_WORKER = {"count": 1, "cpu_milli": 1_000, "accelerators": 4, "estimated_ms": 400}
+
+
+def test_singles_make_way_for_a_task_that_wants_all_accelerators(make_harness):
+    """From ferrecor-mvd: such tasks waited 5 to 18 s beside single ones."""
+    harness = make_harness(workers=2, accelerators=4)
+    fill_accelerators(harness, 8)
+    harness.submit(JOB, job_spec(WHOLE_WORKER))
+    harness.run(2_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    assert harness.counts["made_way"] == 4
+
+
+def test_the_worker_with_the_least_work_to_stop_makes_way(make_harness):
+    harness = make_harness(workers=2, accelerators=4)
+    fill_accelerators(harness, 6)
+    busy = {key: len(worker.running) for key, worker in harness.workers.items()}
+    assert sorted(busy.values()) == [2, 4]
+    harness.submit(JOB, job_spec(WHOLE_WORKER))
+    harness.run(2_000)
+    assert busy[harness.starts_of(f"{JOB}.0.0.0")[0][0]] == 2
+    assert harness.counts["made_way"] == 2
+
+
+def test_work_whose_job_would_be_late_by_it_is_let_be(make_harness):
+    harness = make_harness(workers=1, accelerators=4)
+    fill_accelerators(harness, 4)
+    harness.job(BATCH).objective_ms = harness.now + 9_000
+    harness.submit(JOB, job_spec(WHOLE_WORKER))
+    harness.run(2_000)
+    assert not harness.counts["made_way"]
