--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -24,7 +24,9 @@
 PACE_DECAY = 0.9
 FIRST_PACE_MS = 12.0
 # An append usually takes 10 ms. Once one has been under way for this long, the store
-# counts as away: new work is refused rather than left in doubt.
+# counts as away: new work is refused, and callers who wait are told that theirs may be
+# kept. Giving up after 0.3 s instead refused a dozen jobs in a silence of 5 s that were
+# served after it otherwise (worth of such a day 0.02 lower).
 AWAY_MS = 1_000.0
 # Ten times the usual append is slow, three times is quick again.
 SLOW_MS = 100.0
@@ -33,12 +35,16 @@
 
 @define(kw_only=True, eq=False)
 class _Flight:
-    """Follow one batch; `in_doubt` tells that a try of it may yet be carried out."""
+    """Follow one batch; `in_doubt` tells that a try of it may yet be carried out.
+
+    From `away_ms` on the store counts as away.
+    """
 
     batch: object
     on_stored: object
     on_not_stored: object
     began_ms: float
+    away_ms: float
     hedge_ms: float
     tries_open: int = 0
     in_doubt: bool = False
@@ -59,6 +65,7 @@
         last_sequence,
         may_write,
         on_lost,
+        on_away=lambda batch: None,
     ):
         self._store = store
         self._timers = timers
@@ -68,6 +75,7 @@
         self._epoch = epoch
         self._may_write = may_write
         self._on_lost = on_lost
+        self._on_away = on_away
         self._sequence = last_sequence
         self._flight = None
         self._pace_ms = FIRST_PACE_MS
@@ -85,7 +93,7 @@
         """Tell whether the store has not taken an append for too long."""
         if self._failing:
             return True
-        return self.is_busy and steady_ms() - self._flight.began_ms > AWAY_MS
+        return self.is_busy and steady_ms() >= self._flight.away_ms
 
     def send(self, batch, on_stored, on_not_stored):
         """Store a batch and then call `on_stored(batch)`.
@@ -94,18 +102,30 @@
         nothing; the next batch then takes its number.
         """
         usual_ms = HEDGE_FACTOR * self._pace_ms
-        self._flight = _Flight(
+        now_ms = steady_ms()
+        self._flight = flight = _Flight(
             batch=batch,
             on_stored=on_stored,
             on_not_stored=on_not_stored,
-            began_ms=steady_ms(),
+            began_ms=now_ms,
+            away_ms=now_ms + AWAY_MS,
             hedge_ms=min(LONGEST_HEDGE_MS, max(SHORTEST_HEDGE_MS, usual_ms)),
         )
         if batch.records:
-            self._try(self._flight)
+            self._timers.at(flight.away_ms, lambda: self._note_away(flight))
+            self._try(flight)
         else:
             self._land()  # an append without records would take no number
 
+    def _note_away(self, flight):
+        """Tell that a batch is in doubt for longer than its callers should wait."""
+        if not self._is_open(flight):
+            return
+        flight.in_doubt = flight.in_doubt or flight.tries_open > 0
+        line = logger.bind(event="store_silent", cell=self._cell)
+        line.bind(records=len(flight.batch.records)).info("an append is not answered")
+        self._on_away(flight.batch)
+
     def clear_failure(self):
         """Let the next request find out whether the store is back."""
         self._failing = False
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
@@ -123,3 +123,14 @@
     send(pump, "a")
     answer(pump, AppendOutcome.OUT_OF_SEQUENCE, wanted=0)
     assert pump.lost == ["out_of_sequence"]
+
+
+def test_a_silent_store_is_told_of_once_and_soon(pump, timers):
+    """From ferrecor-mvd, trouble-2: 17 callers waited 2.9 s for a silent store."""
+    away = []
+    pump._on_away = away.append
+    send(pump, "a")
+    timers.run(950)
+    assert not away and not pump.store_is_away
+    timers.run(1_000)
+    assert len(away) == 1 and pump.store_is_away
