--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,135 @@
+"""Switch one mechanism off in a copy of the sources, to measure what it is worth.
+
+    python -m bench.ablation NAME DIR
+
+changes the sources below DIR, which is a copy of this repository, never the repository
+itself. A mechanism whose code has moved is refused, so that no run measures nothing.
+"""
+
+from pathlib import Path
+
+import typer
+from attrs import frozen
+
+_CELLS = "packages/thymefork-cells/src/thymefork_cells"
+_DAEMON = "packages/thymefork-daemon/src/thymefork_daemon"
+_MACHINES = "platform/src/thymefork_machines"
+
+
+class AblationError(Exception):
+    """Tell that a mechanism can't be switched off in these sources."""
+
+
+@frozen(kw_only=True)
+class Patch:
+    """Replace a text that stands once in a file."""
+
+    path: str
+    old: str
+    new: str
+
+    def apply(self, root):
+        """Change the file below a folder."""
+        file = Path(root) / self.path
+        text = file.read_text(encoding="utf-8")
+        if text.count(self.old) != 1:
+            raise AblationError(f"{self.path} does not hold once: {self.old!r}")
+        file.write_text(text.replace(self.old, self.new), encoding="utf-8")
+
+
+def _returning(path, signature, value):
+    """Return a patch by which a method does nothing but return a value."""
+    return Patch(path=path, old=signature, new=f"{signature}\n        return {value}")
+
+
+MECHANISMS = {
+    "reservations": _returning(
+        f"{_CELLS}/reservations.py", "def _waits_for_room(self, step, now_ms):", "False"
+    ),
+    "preemption": _returning(
+        f"{_CELLS}/preemptor.py",
+        "def make_room(self, step, workers, wanted, now_ms):",
+        "False",
+    ),
+    "copies": _returning(
+        f"{_CELLS}/placer.py", "def _startable(self, step, now_ms):", "step.waiting"
+    ),
+    "hall_preference": Patch(
+        path=f"{_CELLS}/placer.py",
+        old="OTHER_HALL_PENALTY = 1.6",
+        new="OTHER_HALL_PENALTY = 0.0",
+    ),
+    "health_pauses": Patch(
+        path=f"{_CELLS}/state/worker_health.py",
+        old="        self.pause(now_ms)\n        return True",
+        new="        return False",
+    ),
+    "slow_pauses_and_moves": _returning(
+        f"{_CELLS}/watch.py", "def _judge_speed(self, worker, now_ms):", "None"
+    ),
+    "standstill_stops": _returning(
+        f"{_CELLS}/watch.py", "def _stands_still(self, run):", "False"
+    ),
+    "pacing": _returning(
+        f"{_CELLS}/watch.py", "def _pace_neighbours(self, worker, serving):", "None"
+    ),
+    "learned_times": _returning(
+        f"{_CELLS}/images.py", "def learn(self, image, took_ms):", "None"
+    ),
+    "advice_ahead": _returning(
+        f"{_CELLS}/advice_desk.py",
+        "def _is_near(self, step, cost_ms, now_ms):",
+        "step.ready",
+    ),
+    "advice_spread": _returning(
+        f"{_DAEMON}/owner/advisers.py", "def update(self, links):", "None"
+    ),
+    "look_before_stop": Patch(
+        path=f"{_CELLS}/orders.py",
+        old="            self._looks.doubt_hall(run.worker, now_ms)\n",
+        new="            self._looks.doubt_hall(run.worker, now_ms)\n"
+        '            self._lifecycle.stop(run, "its start was not answered")\n',
+    ),
+    "quick_silence": Patch(
+        path=f"{_MACHINES}/worker_client.py",
+        old="SHORTEST_SILENCE_MS = 60.0",
+        new="SHORTEST_SILENCE_MS = 300.0",
+    ),
+    "owners_taken_out": _returning(
+        f"{_DAEMON}/owner_watch.py", "def _take_out(self, address, reason):", "None"
+    ),
+    "neighbour_links": Patch(
+        path=f"{_DAEMON}/peer_desk.py", old="NEIGHBOURS = 3", new="NEIGHBOURS = 0"
+    ),
+    "readiness_by_owner": Patch(
+        path=f"{_DAEMON}/readiness.py",
+        old="        cells = range(shell.layout.cells)\n",
+        new="        return True\n        cells = range(shell.layout.cells)\n",
+    ),
+    "holding_for_successor": Patch(
+        path=f"{_DAEMON}/gateway.py",
+        old="FIND_SUCCESSOR_MS = 1_600.0",
+        new="FIND_SUCCESSOR_MS = FIND_OWNER_MS",
+    ),
+    "outage_quorum": Patch(
+        path=f"{_DAEMON}/owner/cell_owner.py",
+        old="        return self._lasts() and self.cell.quorum.is_held(steady_ms())",
+        new="        return False",
+    ),
+    "lingering": Patch(
+        path=f"{_DAEMON}/owner/cell_owner.py",
+        old="LINGER_MS = 30.0",
+        new="LINGER_MS = 0.0",
+    ),
+}
+
+
+def main(name: str, root: str):
+    """Switch a mechanism off in the sources below a folder."""
+    if name not in MECHANISMS:
+        raise AblationError(f"{name} is none of {', '.join(MECHANISMS)}")
+    MECHANISMS[name].apply(root)
+
+
+if __name__ == "__main__":
+    typer.run(main)
--- /dev/null
+++ b/bench/tests/test_ablation.py
@@ -0,0 +1,28 @@
+"""Mechanisms that are switched off for measuring."""
+
+import shutil
+from pathlib import Path
+
+import pytest
+
+from bench.ablation import MECHANISMS, AblationError, main
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+@pytest.mark.parametrize("name", MECHANISMS)
+def test_each_mechanism_is_still_where_it_is_switched_off(name, tmp_path):
+    patch = MECHANISMS[name]
+    copy = tmp_path / patch.path
+    copy.parent.mkdir(parents=True)
+    shutil.copy(ROOT / patch.path, copy)
+    main(name, str(tmp_path))
+    compile(copy.read_text(encoding="utf-8"), str(copy), "exec")
+    assert copy.read_text(encoding="utf-8") != (ROOT / patch.path).read_text(
+        encoding="utf-8"
+    )
+
+
+def test_an_unknown_mechanism_is_refused(tmp_path):
+    with pytest.raises(AblationError, match="none of"):
+        main("luck", str(tmp_path))
