--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -175,8 +175,16 @@
             after_ms=round(now_ms - job.accepted_ms),
             worked_ms=round(job.worked_ms),
             objective_ms=round(job.objective_ms - job.accepted_ms),
+            measured_objective_ms=round(self._measured_objective_ms(job)),
         )
 
+    def _measured_objective_ms(self, job):
+        """Return how long the job may take by what its work took, 0 if unknown."""
+        queue = self._context.queue(job)
+        if queue is None or not job.worked_ms:
+            return 0.0
+        return queue.stretch * job.worked_ms + queue.target_latency_ms
+
     def stop(self, run, reason):
         """Have a run stopped; one that was never sent is dropped by its start."""
         if run.state in (RunState.STOPPING, RunState.GONE):
--- a/packages/thymefork-cli/src/thymefork_cli/main.py
+++ b/packages/thymefork-cli/src/thymefork_cli/main.py
@@ -23,6 +23,8 @@
     WRONG_FILE,
 )
 from .explain import explain_subject, read_lines
+from .losses import find_losses
+from .losses_plot import plot_losses
 from .show import show_config, show_status, show_work
 
 __all__ = ["app", "main"]
@@ -160,12 +162,30 @@
 
 @app.command()
 def explain(
-    subject: Annotated[str, typer.Argument(help="A job's, task's or run's id.")],
-    logs: Annotated[list[Path], typer.Argument(help="Saved logs of instances.")],
+    names: Annotated[
+        list[str],
+        typer.Argument(help="A job's, task's or run's id, then saved logs."),
+    ],
+    losses: Annotated[
+        bool, typer.Option("--losses", help="Count losses by cause; names are logs.")
+    ] = False,
+    plot: Annotated[
+        Path | None, typer.Option("--plot", help="Draw the losses over time.")
+    ] = None,
     json: JsonOption = False,
 ):
-    """Tell from saved logs what became of an id, the cause of its end last."""
-    story = explain_subject(subject, read_lines(logs))
+    """Tell from saved logs what became of an id, or what was lost and late, and why."""
+    paths = [Path(name) for name in (names if losses else names[1:])]
+    try:
+        lines = _read_logs(paths)
+        if losses:
+            _explain_losses(lines, plot, json)
+            return
+        if plot is not None:
+            raise ThymeforkError("--plot goes with --losses", step="explain")
+    except ThymeforkError as failure:
+        _fail(failure, json, WRONG_FILE)
+    story = explain_subject(names[0], lines)
     if json:
         typer.echo(orjson.dumps(story.document()).decode())
     else:
@@ -173,6 +193,25 @@
     raise typer.Exit(0 if story.lines else UNKNOWN_SUBJECT)
 
 
+def _read_logs(paths):
+    if not paths:
+        raise ThymeforkError("name at least one log file", step="explain")
+    try:
+        return read_lines(paths)
+    except OSError as failure:
+        raise ThymeforkError(str(failure), step="read logs") from failure
+
+
+def _explain_losses(lines, plot, as_json):
+    found = find_losses(lines)
+    if plot is not None:
+        plot_losses(found, plot)
+    if as_json:
+        typer.echo(orjson.dumps(found.document()).decode())
+    else:
+        typer.echo(found.text())
+
+
 def main():
     """Enter from the command line."""
     app()
--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/tests/test_losses.py
@@ -0,0 +1,129 @@
+"""Losses by cause from saved logs."""
+
+import orjson
+import pytest
+from typer.testing import CliRunner
+
+from thymefork_cli.losses import Cause, Outcome, find_losses
+from thymefork_cli.main import app
+
+JOB = "00000000000000aa"
+
+
+def line(second, event, **fields):
+    at = f"2026-12-02T10:00:{second:06.3f}+00:00"
+    return {"at": at, "event": event, "instance": "edge-1", **fields}
+
+
+def accepted(second):
+    return line(second, "job_accepted", job=JOB, queue="q")
+
+
+def ended(second, **fields):
+    fields = {"state": "succeeded", "measured_objective_ms": 2_000, **fields}
+    return line(second, "job_ended", job=JOB, queue="q", **fields)
+
+
+def refused(second, reason):
+    return line(second, "request_given_up", job=JOB, kind="submit", reason=reason)
+
+
+WAITS = line(4, "step_waits", step=f"{JOB}.0.0", allowed=2, with_ticket=2)
+NOT_ALLOWED = {**WAITS, "allowed": 0, "with_ticket": 0}
+STARTED_LATE = line(5, "tasks_start", job=JOB, step=f"{JOB}.0.0", waited_ms=4_000)
+FAILED = line(
+    4, "run_ended", task=f"{JOB}.0.0.1", how="failed", after_ms=3_000, worker="i-7"
+)
+SILENT = line(4, "leases_expired", worker="i-7")
+
+
+@pytest.mark.parametrize(
+    "lines, outcome, cause",
+    [
+        ([refused(1, "no_owner")], Outcome.LOST, Cause.NO_OWNER),
+        ([refused(1, "no_reply")], Outcome.LOST, Cause.NO_REPLY),
+        (
+            [accepted(1), line(2, "job_withdrawn", job=JOB)],
+            Outcome.LOST,
+            Cause.STORE_AWAY,
+        ),
+        ([accepted(1), ended(2, state="failed")], Outcome.LOST, Cause.FAILED),
+        (
+            [accepted(1), NOT_ALLOWED, line(40, "stopped")],
+            Outcome.LOST,
+            Cause.NOT_ALLOWED,
+        ),
+        ([accepted(1), WAITS, STARTED_LATE, ended(9)], Outcome.LATE, Cause.NO_ROOM),
+        ([accepted(1), STARTED_LATE, ended(9)], Outcome.LATE, Cause.START),
+        (
+            [accepted(1), SILENT, STARTED_LATE, ended(9)],
+            Outcome.LATE,
+            Cause.SILENT_WORKER,
+        ),
+        ([accepted(1), FAILED, ended(9)], Outcome.LATE, Cause.RUNS_FAILED),
+        (
+            [refused(1, "no_owner"), accepted(5), ended(7)],
+            Outcome.LATE,
+            Cause.NO_OWNER,
+        ),
+        (
+            [accepted(1), line(2, "ownership_gained"), ended(9)],
+            Outcome.LATE,
+            Cause.OWNER_REPLACED,
+        ),
+        ([accepted(1), ended(9)], Outcome.LATE, Cause.SLOW_RUNS),
+    ],
+)
+def test_each_loss_has_the_cause_that_took_most(lines, outcome, cause):
+    losses = find_losses(lines)
+    assert losses.requests == 1
+    assert [(item.outcome, item.cause) for item in losses.items] == [(outcome, cause)]
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [],
+        [accepted(1), ended(2)],
+        [accepted(1), ended(9, state="cancelled")],
+        [accepted(1), line(3, "stopped")],
+        [line(1, "request_refused", job=JOB, kind="read")],
+    ],
+)
+def test_what_did_not_fall_short_is_not_listed(lines):
+    assert not find_losses(lines).items
+
+
+@pytest.fixture
+def log(tmp_path):
+    file = tmp_path / "log"
+    rows = [accepted(1), FAILED, ended(9)]
+    file.write_bytes(b"\n".join(orjson.dumps(row) for row in rows))
+    return file
+
+
+def test_the_command_line_prints_a_table(log):
+    result = CliRunner().invoke(app, ["explain", "--losses", str(log)])
+    assert result.exit_code == 0
+    assert "1 requests, 0 lost, 1 late" in result.output
+    assert "runs of it failed" in result.output
+
+
+def test_the_command_line_prints_json(log):
+    result = CliRunner().invoke(app, ["explain", "--losses", str(log), "--json"])
+    document = orjson.loads(result.output)
+    assert document["by_cause"][0]["cause"] == "runs of it failed"
+
+
+def test_the_command_line_draws_a_plot(log, tmp_path):
+    plot = tmp_path / "losses.png"
+    arguments = ["explain", "--losses", str(log), "--plot", str(plot)]
+    result = CliRunner().invoke(app, arguments)
+    assert result.exit_code == 0
+    assert plot.read_bytes().startswith(b"\x89PNG")
+
+
+def test_a_log_that_is_not_there_is_a_clear_error(tmp_path):
+    result = CliRunner().invoke(app, ["explain", "--losses", str(tmp_path / "none")])
+    assert result.exit_code == 2
+    assert "No such file" in result.output
