Repeat unanswered calls to the store on new connections; distrust idle ones

Cause: open connections may go silent for good without a reset while new ones work. A hedged join or append took the next idle connection, which may be as silent: up to eight calls of a second each, while a membership lasts one second. Ruled out: the same for workers' pools (two and three connections an address: as many calls at most, and each connect is priced).

--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -89,15 +89,18 @@
     def _build_clients(self):
         settings = self.settings
         self.store = StoreClient(
-            pool=self._pool(8),
+            pool=self._pool(8, distrusts_idle=True),
             address=settings.store.address,
         )
         self.workers = WorkerClient(order_pool=self._pool(3), look_pool=self._pool(2))
         self.advice = AdviceClient(pool=self._pool(2), address=settings.advice)
 
-    def _pool(self, most_per_address):
+    def _pool(self, most_per_address, *, distrusts_idle=False):
         return HttpPool(
-            sockets=self.sockets, timers=self.timers, most_per_address=most_per_address
+            sockets=self.sockets,
+            timers=self.timers,
+            most_per_address=most_per_address,
+            distrusts_idle=distrusts_idle,
         )
 
     def _build_watches(self):
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -118,7 +118,7 @@
     def _join_after(self, delay_ms):
         self._join_timer = self._timers.after(delay_ms, self._join)
 
-    def _join(self):
+    def _join(self, *, repeats=False):
         self._join_timer = 0
         if self._left:
             return
@@ -131,6 +131,7 @@
             topic=CELLS_TOPIC,
             ttl_ms=int(self.ttl_ms),
             generation=self.generation,
+            repeats=repeats,
             on_result=lambda result: self._joined(result, sent_ms),
         )
 
@@ -138,7 +139,7 @@
         """Join once more beside a call that has no answer yet."""
         if self._asked_ms == sent_ms and self._answered_ms < sent_ms:
             self._timers.cancel(self._join_timer)
-            self._join()
+            self._join(repeats=True)
 
     def _joined(self, result, sent_ms):
         if self._left:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -154,6 +154,7 @@
             writer=writer_of(self._cell),
             epoch=self._epoch,
             sequence=self._sequence + 1,
+            repeats=flight.tries_open > 1,
             on_result=lambda result: self._on_result(flight, result, sent_ms),
         )
         self._timers.after(flight.hedge_ms, lambda: self._hedge(flight))
--- a/packages/thymefork-net/src/thymefork_net/http/call.py
+++ b/packages/thymefork-net/src/thymefork_net/http/call.py
@@ -14,7 +14,8 @@
     """Hold a request and what takes its outcome.
 
     Units: `deadline_ms` is on the steady clock. `still_wanted` is asked right before
-    the first byte leaves; the call fails unsent where it returns false.
+    the first byte leaves; the call fails unsent where it returns false. A call that
+    `wants_new_connection` repeats one that is unanswered: others may be as silent.
     """
 
     address: Address
@@ -25,6 +26,8 @@
     body: bytes = b""
     headers: tuple[tuple[str, str], ...] = ()
     still_wanted: Callable | None = None
+    wants_new_connection: bool = False
+    began_ms: float = 0.0
     timer_id: int = 0
     connection: object = None
 
--- a/packages/thymefork-net/src/thymefork_net/http/pool.py
+++ b/packages/thymefork-net/src/thymefork_net/http/pool.py
@@ -16,12 +16,19 @@
 
 
 class HttpPool:
-    """Reuse idle connections; close any whose call has timed out."""
+    """Reuse idle connections; close any whose call has timed out.
 
-    def __init__(self, *, sockets, timers, most_per_address):
+    Open connections may go silent for good, all at once and without a reset, while new
+    ones work. A pool that `distrusts_idle` ones closes, with a call that got no answer,
+    the idle connections to the same address that were not heard since. A pool of two or
+    three an address loses as many calls at most, and saves connects after single ones.
+    """
+
+    def __init__(self, *, sockets, timers, most_per_address, distrusts_idle=False):
         self._sockets = sockets
         self._timers = timers
         self._most_per_address = most_per_address
+        self._distrusts_idle = distrusts_idle
         self._idle = {}
         self._open_counts = {}
         self._waiting = {}
@@ -31,12 +38,16 @@
 
     def send(self, call):
         """Send a call on an idle connection or a new one, or let it wait."""
+        call.began_ms = steady_ms()
         call.timer_id = self._timers.at(call.deadline_ms, lambda: self._expire(call))
         self._place(call)
 
     def _place(self, call):
         idle = self._idle.get(call.address)
-        if idle:
+        if idle and call.wants_new_connection:
+            self._close(idle[0])
+            self._connect(call)
+        elif idle:
             idle.pop().start(call)
         elif self._open_counts.get(call.address, 0) < self._most_per_address:
             self._connect(call)
@@ -93,8 +104,15 @@
             self._end(call, HttpAnswer(status=0, sent=False, error="waited too long"))
             return
         if call.connection is not None:
+            if self._distrusts_idle:
+                self._close_unheard(call.address, call.began_ms)
             call.connection.on_broken("no answer in time")
 
+    def _close_unheard(self, address, since_ms):
+        for connection in list(self._idle.get(address, ())):
+            if connection.idle_since_ms < since_ms:
+                self._close(connection)
+
     def _end(self, call, answer):
         self._timers.cancel(call.timer_id)
         try:
--- a/packages/thymefork-net/src/thymefork_net/tests/test_http.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_http.py
@@ -172,3 +172,67 @@
             while peer.recv(65_536):
                 pass
         peer.close()
+
+
+class Silencer:
+    """Answer calls until told to; then open connections say nothing, new ones do."""
+
+    def __init__(self, loop, address):
+        self.silent = set()
+        self.connections = []
+        self._server = HttpServer(
+            sockets=loop.sockets,
+            timers=loop.timers,
+            address=address,
+            on_request=self._on_request,
+        )
+
+    def _on_request(self, request):
+        connection = request.connection
+        if connection not in self.connections:
+            self.connections.append(connection)
+        if connection not in self.silent:
+            request.answer(200, b"ok")
+
+    def silence(self):
+        """Let all connections that are open now go silent for good."""
+        self.silent = set(self.connections)
+
+
+@pytest.fixture
+def warm(loop, address):
+    """Return a pool with two idle connections that have both gone silent."""
+    silencer = Silencer(loop, address)
+    pool = HttpPool(
+        sockets=loop.sockets,
+        timers=loop.timers,
+        most_per_address=2,
+        distrusts_idle=True,
+    )
+    answers = []
+    pool.send(call(address, answers))
+    pool.send(call(address, answers))
+    loop.until(lambda: len(answers) == 2)
+    assert pool.connects == 2
+    silencer.silence()
+    return pool
+
+
+def test_after_silence_on_one_connection_the_next_call_takes_a_new_one(
+    loop, address, warm
+):
+    first, second = [], []
+    warm.send(call(address, first, deadline_ms=steady_ms() + 60))
+    loop.until(lambda: first)
+    assert first[0].status == 0
+    warm.send(call(address, second, deadline_ms=steady_ms() + 500))
+    loop.until(lambda: second)
+    assert second[0].status == 200 and warm.connects == 3
+
+
+def test_a_repeated_call_is_answered_beside_silent_connections(loop, address, warm):
+    first, again = [], []
+    warm.send(call(address, first))
+    warm.send(call(address, again, wants_new_connection=True))
+    loop.until(lambda: again)
+    assert again[0].status == 200 and not first
