--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_gang_reservation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_reservations.py
@@ -1,4 +1,4 @@
-"""Gangs among a stream of single tasks that take every piece of room."""
+"""Gangs and large tasks among small ones that take every piece of room."""
 
 from .harness import job_spec
 
@@ -82,3 +82,51 @@
     harness.cell.placer._place_gang = lambda step, workers, now_ms: None
     assert not reserved_beside(harness)
     assert harness.counts["given_up"] >= 1
+
+
+LARGE = {"count": 1, "cpu_milli": 3_000, "estimated_ms": 800}
+
+
+def test_a_task_as_large_as_a_worker_is_not_starved_by_small_ones(make_harness):
+    """From ferrecor-mvd: such a task waited 18 s for one of the workers allowed."""
+    harness = make_harness(workers=1, cpu_milli=3_000)
+    stream(harness, for_ms=1_000)
+    harness.submit(GANG, job_spec(LARGE))
+    harness.job(GANG).objective_ms = harness.now
+    stream(harness, for_ms=2_500)
+    assert harness.starts_of(f"{GANG}.0.0.0")
+
+
+def occupy(harness, cpu_milli):
+    """Let each worker run one task for long."""
+    for worker in harness.workers.values():
+        worker.work_ms = 6_000.0
+    count = len(harness.workers)
+    step = {"count": count, "cpu_milli": cpu_milli, "estimated_ms": 6_000}
+    harness.submit("b" * 16, job_spec(step))
+    harness.run(500)
+    for worker in harness.workers.values():
+        worker.work_ms = 800.0
+
+
+def test_large_tasks_of_several_jobs_have_room_kept_at_a_time(make_harness):
+    harness = make_harness(workers=2, cpu_milli=3_000)
+    occupy(harness, 2_000)
+    for job_id in (GANG, "d" * 16):
+        harness.submit(job_id, job_spec(LARGE), queue="batch")
+    harness.run(400)
+    harness.submit("c" * 16, job_spec(SINGLE | {"estimated_ms": 9_000}), queue="batch")
+    harness.run(400)
+    assert not harness.starts_of(f"{'c' * 16}.0.0.0")
+    harness.run(8_000)
+    assert harness.starts_of(f"{GANG}.0.0.0") and harness.starts_of(f"{'d' * 16}.0.0.0")
+
+
+def test_a_more_urgent_step_takes_what_is_kept_for_another(make_harness):
+    harness = make_harness(workers=1, cpu_milli=3_000)
+    occupy(harness, 2_000)
+    harness.submit(GANG, job_spec(LARGE), queue="batch")
+    harness.run(400)
+    harness.submit("c" * 16, job_spec(SINGLE))
+    harness.run(300)
+    assert harness.starts_of(f"{'c' * 16}.0.0.0")
