Let callers in doubt wait again: told at once, they used up their tries

Such callers come back after 0.05 to 0.2 s, whatever Retry-After says with a 504, so their four tries are over before an answer is possible; in a hall that is cut off with its owner, before the balancer leads them elsewhere.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -160,12 +160,6 @@
         self.journal.forget(new_jobs)
         self.journal.put_back(batch)
 
-    def on_store_away(self, batch):
-        """Tell all callers who wait for the silent store that theirs may be kept."""
-        batch.effects = self.intake.doubt(batch.effects)
-        for effect in self.intake.doubt(self.journal.take_effects()):
-            self.journal.after(effect)
-
     # Outcomes of effects -----------------------------------------------------
 
     def on_start(self, run, answer, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -82,27 +82,6 @@
                 kept.append(effect)
         return kept
 
-    def doubt(self, effects):
-        """Tell callers that their requests may be kept or not; return other effects.
-
-        Holding them would answer nobody sooner than the next try of the same id does,
-        and would leave those whose time is over without any answer.
-        """
-        kept = []
-        for effect in effects:
-            if isinstance(effect, Reply):
-                self.leave_in_doubt(effect.request_id)
-            else:
-                kept.append(effect)
-        return kept
-
-    def leave_in_doubt(self, request_id):
-        """Tell a caller to send its request again: it may be kept, or not."""
-        self._context.count("refusals", "in_doubt")
-        self._lifecycle.reply(
-            request_id, Outcome.IN_DOUBT, retry_after_ms=STORE_AWAY_RETRY_MS
-        )
-
     def _objective_ms(self, job):
         """Return how long the job may take by its queue's objective."""
         queue = self._context.queue(job)
--- a/packages/thymefork-cells/src/thymefork_cells/quorum.py
+++ b/packages/thymefork-cells/src/thymefork_cells/quorum.py
@@ -15,7 +15,9 @@
 SHARE = 0.6
 # A worker's word counts for this long: two looks at the pace of an outage.
 QUORUM_MS = 800.0
-# An owner without the store goes on at most this long: the usual outage (4 to 7 s).
+# An owner without the store goes on at most this long. In a longer outage what runs is
+# given up by its leases: an owner that is merely cut off would hold up its successor
+# for longer than starting the tasks again takes.
 OUTAGE_GRACE_MS = 8_000.0
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
@@ -7,8 +7,9 @@
 # Tasks fail by their own fault in up to a tenth of their runs, so one failure says
 # little; two in a row without a success in between happen by chance once in 100.
 FAILURES_TO_QUARANTINE = 2
-# The first pause is about the time that a short task takes; it doubles up to the
-# usual length of the troubles seen on workers (4 to 7 s).
+# The first pause is about the time that a short task takes. It doubles while tasks
+# fail: a worker that stays bad costs one task in 6 s, one that is well again is missed
+# for 6 s at most.
 FIRST_PAUSE_MS = 1_500.0
 LONGEST_PAUSE_MS = 6_000.0
 
--- a/packages/thymefork-cells/src/thymefork_cells/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/watch.py
@@ -6,12 +6,12 @@
 __all__ = ["Watch"]
 
 # A run whose progress has not changed for this long while its worker answers stands
-# still: even of the longest tasks (12 s) a hundredth takes a tenth of that. For longer
-# ones it is this share of the usual time, and twice as long after each stop.
+# still. Progress is told in whole percent, so for tasks over 50 s it is this share of
+# the usual time, three steps of it, and twice as long after each stop.
 STANDSTILL_MS = 1_500.0
 STANDSTILL_SHARE = 0.03
-# A worker is slow while half of its runs take this many times as long as usual; the
-# spread between sound workers is 0.8 to 1.25.
+# A worker is slow while half of its runs take this many times as long as usual: more
+# than sound workers of unlike speed differ by, and than data on another rack costs.
 SLOW = 2.2
 SLOW_PAUSE_MS = 2_000.0
 # Progress that was listed longer ago than this says nothing of the present.
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -24,9 +24,10 @@
 PACE_DECAY = 0.9
 FIRST_PACE_MS = 12.0
 # An append usually takes 10 ms. Once one has been under way for this long, the store
-# counts as away: new work is refused, and callers who wait are told that theirs may be
-# kept. Giving up after 0.3 s instead refused a dozen jobs in a silence of 5 s that were
-# served after it otherwise (worth of such a day 0.02 lower).
+# counts as away: new work is refused rather than left in doubt. What is in doubt by then
+# waits on, and its caller is told as soon as the append is answered: callers that were
+# told "unknown" at once came back within 0.2 s, had used up their tries by the time the
+# store or another owner answered, and were lost (0.01 of a day's worth with an outage).
 AWAY_MS = 1_000.0
 # Ten times the usual append is slow, three times is quick again.
 SLOW_MS = 100.0
@@ -65,7 +66,6 @@
         last_sequence,
         may_write,
         on_lost,
-        on_away=lambda batch: None,
     ):
         self._store = store
         self._timers = timers
@@ -75,7 +75,6 @@
         self._epoch = epoch
         self._may_write = may_write
         self._on_lost = on_lost
-        self._on_away = on_away
         self._sequence = last_sequence
         self._flight = None
         self._pace_ms = FIRST_PACE_MS
@@ -118,13 +117,11 @@
             self._land()  # an append without records would take no number
 
     def _note_away(self, flight):
-        """Tell that a batch is in doubt for longer than its callers should wait."""
+        """Log that the store counts as away, since it does not answer."""
         if not self._is_open(flight):
             return
-        flight.in_doubt = flight.in_doubt or flight.tries_open > 0
         line = logger.bind(event="store_silent", cell=self._cell)
         line.bind(records=len(flight.batch.records)).info("an append is not answered")
-        self._on_away(flight.batch)
 
     def clear_failure(self):
         """Let the next request find out whether the store is back."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -64,7 +64,6 @@
             last_sequence=self._takeover.sequence,
             may_write=self._holds,
             on_lost=self.lose,
-            on_away=self._on_store_away,
         )
         self._orders = OrderSender(owner=self, client=shell.workers)
         self._advisers = Advisers(
@@ -225,8 +224,6 @@
             intake.count_pending(respond, queue)
         elif store_is_away and not (kind == "submit" and intake.has_seen(job_id)):
             self._refuse(respond)
-        elif store_is_away and not intake.knows(job_id):
-            intake.leave_in_doubt(respond)
         elif kind == "submit":
             intake.submit(respond, job_id, queue, data, now_ms=now_ms)
         else:
@@ -306,12 +303,6 @@
         batch = self.cell.journal.take(steady_ms())
         self._pump.send(batch, self._on_stored, self._on_not_stored)
 
-    def _on_store_away(self, batch):
-        """Answer the callers of an append that is not answered."""
-        if not self._ended:
-            self.cell.on_store_away(batch)
-            self._perform_effects()
-
     def _on_not_stored(self, batch):
         self.cell.on_not_stored(batch, now_ms=steady_ms())
         self._perform_effects()
