--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -24,10 +24,10 @@
 PACE_DECAY = 0.9
 FIRST_PACE_MS = 12.0
 # An append usually takes 10 ms. Once one has been under way for this long, the store
-# counts as away: new work is refused rather than left in doubt. What is in doubt by then
-# waits on, and its caller is told as soon as the append is answered: callers that were
-# told "unknown" at once came back within 0.2 s, had used up their tries by the time the
-# store or another owner answered, and were lost (0.01 of a day's worth with an outage).
+# counts as away: new work is refused rather than left in doubt. What is in doubt by
+# then waits on, and its caller is told as soon as the append is answered: callers that
+# were told "unknown" at once came back within 0.2 s, had used up their tries by the
+# time the store or another owner answered, and were lost (0.01 of a day's worth).
 AWAY_MS = 1_000.0
 # Ten times the usual append is slow, three times is quick again.
 SLOW_MS = 100.0
