Place tasks with accelerators tightly, so that whole workers stay whole

Cause: a step's hall was the emptiest one, and accelerators did not count in a worker's score, so single ones were spread over all halls and workers.

--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -143,7 +143,7 @@
             worker for worker in workers if self._is_permitted(step, worker, now_ms)
         ]
         usable = [worker for worker in permitted if worker.has_room(step.spec)]
-        hall = _roomiest_hall(step.spec, usable, len(waiting))
+        hall = _best_hall(step.spec, usable, len(waiting))
         chosen = []
         for task in waiting:
             worker = _best(step.spec, task, usable, counts, hall)
@@ -234,14 +234,21 @@
         self._context.journal.after(StartRun(run=run))
 
 
-def _roomiest_hall(spec, workers, wanted):
-    """Return the hall that has room for the most of the wanted tasks."""
+def _best_hall(spec, workers, wanted):
+    """Return the hall that has room for the most of the wanted tasks.
+
+    Of halls with room for all, tasks with accelerators take the fullest, which keeps
+    whole workers whole elsewhere, and others the emptiest.
+    """
+    sign = -1 if spec.accelerators else 1
     copies = {}
     for worker in workers:
         hall = worker.entry.hall
         copies[hall] = copies.get(hall, 0) + _copies_in(worker, spec)
     return max(
-        copies, key=lambda hall: (min(copies[hall], wanted), copies[hall]), default=""
+        copies,
+        key=lambda hall: (min(copies[hall], wanted), sign * copies[hall]),
+        default="",
     )
 
 
@@ -290,6 +297,9 @@
     left_cpu = (worker.free_cpu_milli - spec.reserved_cpu_milli) / entry.cpu_milli
     left_memory = (worker.free_memory_mb - spec.memory_mb) / max(1, entry.memory_mb)
     score = left_cpu + 0.5 * left_memory
+    if spec.accelerators and entry.accelerators:
+        # Tasks that want all of a worker's need one that no single task has broken.
+        score += (worker.free_accelerators - spec.accelerators) / entry.accelerators
     if worker.health.failures_in_row:
         score += DOUBT_PENALTY
     if spec.preferred_rack and spec.preferred_rack != entry.rack:
