--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_placement.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_placement.py
@@ -5,13 +5,13 @@
 
 def test_single_accelerators_are_taken_where_some_are_taken(make_harness):
     """From ferrecor-mvd: singles in every hall left no worker whole for a render."""
-    harness = make_harness(workers=4, accelerators=4, hall=lambda number: f"h{number}")
-    single = {"count": 1, "cpu_milli": 500, "accelerators": 1}
-    for number in range(4):
-        harness.submit(f"{number:016x}", job_spec(single))
+    harness = make_harness(workers=4, accelerators=4, hall=lambda number: number // 2)
+    singles = {"count": 3, "cpu_milli": 500, "accelerators": 1}
+    for number in range(2):
+        harness.submit(f"{number:016x}", job_spec(singles))
         harness.run(30)
-    used = [worker for worker in harness.workers.values() if worker.starts]
-    assert len(used) == 1
+    used = {key: len(worker.starts) for key, worker in harness.workers.items()}
+    assert sorted(used.values()) == [0, 0, 2, 4]
 
 
 def test_tasks_without_accelerators_keep_together_in_the_emptiest_hall(make_harness):
