--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -55,7 +55,7 @@
         f"{_CELLS}/placer.py", "def _startable(self, step, now_ms):", "step.waiting"
     ),
     "hall_preference": Patch(
-        path=f"{_CELLS}/placer.py",
+        path=f"{_CELLS}/worker_choice.py",
         old="OTHER_HALL_PENALTY = 1.6",
         new="OTHER_HALL_PENALTY = 0.0",
     ),
--- a/packages/thymefork-cells/src/thymefork_cells/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/reservations.py
@@ -119,21 +119,10 @@
 
     def _keep(self, step, workers, was, now_ms):
         """Keep the workers on which the step's tasks would fit soonest."""
-        free_at = []
-        for worker in workers:
-            if self._may_be_kept(step, worker):
-                times = self._forecast.room_times(worker, step.spec, now_ms)
-                free_at += [(at_ms, worker.worker_id) for at_ms in times]
-        wanted = step.spec.count if step.spec.gang else len(step.waiting)
-        if step.spec.gang and len(free_at) < wanted:
-            return
-        chosen = sorted(free_at)[:wanted]
-        if not chosen:
+        times = self._soonest(step, workers, now_ms)
+        if not times:
             return
-        times = {worker_id: at_ms for at_ms, worker_id in reversed(chosen)}
-        next_ms = chosen[-1][0] if step.spec.gang else chosen[0][0]
-        if step.spec.gang:
-            times = dict.fromkeys(times, next_ms)
+        next_ms = min(times.values())
         is_under_way = was is not None and was.waiting == len(step.waiting)
         kept = _Reservation(
             step=step,
@@ -146,6 +135,20 @@
         if was is None:
             self._note(kept, next_ms, now_ms)
 
+    def _soonest(self, step, workers, now_ms):
+        """Return when each of the best workers is free; of a gang's, when all are."""
+        free_at = []
+        for worker in workers:
+            if self._may_be_kept(step, worker):
+                times = self._forecast.room_times(worker, step.spec, now_ms)
+                free_at += [(at_ms, worker.worker_id) for at_ms in times]
+        chosen = sorted(free_at)[: len(step.waiting)]
+        if not step.spec.gang:
+            return {worker_id: at_ms for at_ms, worker_id in reversed(chosen)}
+        if len(chosen) < step.spec.count:
+            return {}
+        return {worker_id: chosen[-1][0] for _, worker_id in chosen}
+
     def _may_be_kept(self, step, worker):
         if worker.worker_id in self._by_worker:
             return False
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -10,7 +10,7 @@
 
 TOPIC = "keyed.layout"
 KEY = "cells"
-# One Python process decides for 176 workers at 0.40 of a core (played:
+# One Python process decides for 176 workers at 0.40 of a core (measured in
 # docs/CAPACITY.md). Wide steps want as many workers in one cell as that allows: a
 # policy's few workers, with a bound a worker, may not be found in a smaller one.
 WORKERS_PER_CELL = 200
