--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_reservations.py
@@ -91,12 +91,24 @@
     """From ferrecor-mvd: such a task waited 18 s for one of the workers allowed."""
     harness = make_harness(workers=1, cpu_milli=3_000)
     stream(harness, for_ms=1_000)
-    harness.submit(GANG, job_spec(LARGE))
-    harness.job(GANG).objective_ms = harness.now
+    harness.submit(GANG, job_spec(LARGE | {"estimated_ms": 400}))
+    harness.job(GANG).objective_ms = harness.now + 1_750
     stream(harness, for_ms=2_500)
     assert harness.starts_of(f"{GANG}.0.0.0")
 
 
+def test_no_room_is_kept_for_a_large_task_that_is_late_anyway(make_harness):
+    """From an overload of twice what the workers bear: all room was kept idle."""
+    harness = make_harness(workers=1, cpu_milli=3_000)
+    stream(harness, for_ms=1_000)
+    harness.submit(GANG, job_spec(LARGE))
+    harness.job(GANG).objective_ms = harness.now
+    harness.run(300)
+    harness.submit("c" * 16, job_spec(SINGLE | {"estimated_ms": 9_000}))
+    harness.run(100)
+    assert harness.starts_of(f"{'c' * 16}.0.0.0")
+
+
 def occupy(harness, cpu_milli):
     """Let each worker run one task for long."""
     for worker in harness.workers.values():
