Let calls of the last queue be made though urgent ones never cease

Cause: advice was given by priority alone. Ruled out: room (14 of 14 workers had it), tickets denied (never answered), the reservation (given back after 1.5 s, each time). Change: a call waits behind more urgent ones that come up to 1 s later for each step of priority.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -19,6 +19,10 @@
 # after another, so that another owner's call there may come first.
 PATIENCE_FACTOR = 2.5
 PATIENCE_SLACK_MS = 500.0
+# A call waits behind more urgent ones that come up to this much later for each step of
+# priority, not behind all of them: under more load than the instances bear, calls of the
+# last queue were never made, and their steps never started beside free workers.
+PRIORITY_STEP_MS = 1_000.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
 
@@ -34,7 +38,7 @@
 
 
 class Advisers:
-    """Give each instance one call at a time, the most urgent first.
+    """Give each instance one call at a time, the most urgent first, none for ever.
 
     `on_answer(step, worker_ids, tickets, valid_ms)` takes each outcome; tickets are
     None where no answer came. `turn`, from 0 to 1, is where this owner begins among
@@ -68,7 +72,9 @@
 
     def ask(self, effect):
         """Queue a call."""
-        row = (effect.priority, next(self._numbers), steady_ms(), effect)
+        now_ms = steady_ms()
+        due_ms = now_ms + effect.priority * PRIORITY_STEP_MS
+        row = (due_ms, next(self._numbers), now_ms, effect)
         heapq.heappush(self._waiting, row)
         self._dispatch()
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -56,3 +56,28 @@
     advisers.ask(long_call())
     timers.run(2 * 900)  # both calls of two owners, one after the other
     assert len(links[0].sent) == 1
+
+
+def test_a_call_of_the_last_queue_is_made_though_urgent_ones_never_cease(timers):
+    """From an overload by one kind of request: a step waited 45 s to be asked (LOST)."""
+    links = [FakeLink(name) for name in NAMES]
+    advisers = make(timers, links, 0.0)
+    for _ in range(20):
+        advisers.ask(long_call())
+    step = SimpleNamespace(name="late", job=SimpleNamespace(is_live=True))
+    advisers.ask(AskAdvice(step=step, worker_ids=("w",), cost_ms=900.0, priority=2))
+    for _ in range(12):
+        timers.run(250)
+        advisers.ask(long_call())
+        for link in links:
+            if link.sent:
+                reply = SimpleNamespace(
+                    call_id=link.sent[-1].call_id,
+                    answered=True,
+                    tickets=[],
+                    valid_ms=2_000,
+                )
+                advisers.on_reply(reply)
+                advisers.ask(long_call())
+    asked = [message.step for link in links for message in link.sent]
+    assert "late" in asked
