--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -19,9 +19,9 @@
 # after another, so that another owner's call there may come first.
 PATIENCE_FACTOR = 2.5
 PATIENCE_SLACK_MS = 500.0
-# A call waits behind more urgent ones that come up to this much later for each step of
-# priority, not behind all of them: under more load than the instances bear, calls of the
-# last queue were never made, and their steps never started beside free workers.
+# A call waits behind more urgent ones that come up to this much later for each step
+# of priority, not behind all of them: under more load than the instances bear, calls of
+# the last queue were never made, and their steps never started beside free workers.
 PRIORITY_STEP_MS = 1_000.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -59,7 +59,7 @@
 
 
 def test_a_call_of_the_last_queue_is_made_though_urgent_ones_never_cease(timers):
-    """From an overload by one kind of request: a step waited 45 s to be asked (LOST)."""
+    """From an overload by one kind of request: a step was never asked for (LOST)."""
     links = [FakeLink(name) for name in NAMES]
     advisers = make(timers, links, 0.0)
     for _ in range(20):
