--- a/soak/src/thymefork_soak/fleet.py
+++ b/soak/src/thymefork_soak/fleet.py
@@ -105,12 +105,19 @@
             self.process.wait()
 
 
+def loopback_host(seed, process_id):
+    """Return the stand-in's address, so that several soaks may go at once.
+
+    Seeds alone are not enough: a soak by hand and one of the tests shared addresses.
+    """
+    return f"127.{10 + seed % 200}.{process_id % 256}.1"
+
+
 class Fleet:
     """Start everything, steer the platform, and end everything by its id."""
 
     def __init__(self, *, instances, workers, seed, folder):
-        # Each seed has loopback addresses of its own, so several soaks go at once.
-        self._host = f"127.{10 + seed % 200}.0.1"
+        self._host = loopback_host(seed, os.getpid())
         self.daemons = [
             Daemon(number=number, folder=folder, platform_host=self._host)
             for number in range(instances)
--- a/soak/src/thymefork_soak/proxy.py
+++ b/soak/src/thymefork_soak/proxy.py
@@ -29,8 +29,9 @@
                 writer.transport.abort()
 
     def stop(self):
-        """Stop listening."""
-        self._server.close()
+        """Stop listening, if it ever began."""
+        if self._server is not None:
+            self._server.close()
 
     async def _on_open(self, reader, writer):
         if self.mode == "reset":
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from thymefork_soak.fleet import loopback_host
 from thymefork_soak.main import soak
 from thymefork_soak.standin.ledger import Ledger
 from thymefork_soak.standin.log import Group, Partition
@@ -22,6 +23,11 @@
     assert not broken, (broken, seen, tmp_path)
 
 
+def test_soaks_with_like_seeds_have_addresses_of_their_own():
+    """From seeds 101 and 9101, played at once: an address was in use already."""
+    assert loopback_host(101, 4_000) != loopback_host(9_101, 4_001)
+
+
 def test_the_ledger_sees_two_runs_at_once():
     ledger = Ledger(jobs={"j": {"spec": "s", "steps": [{"count": 1, "cpu": 1}]}})
 
