Follow the pace of appends and judge an objective in one place each

The append pump followed its answers by a copy of AnswerPace; the preemptor and the reservations each judged whether a step ends in time. The moment from which the store counts as away is derived again, and its timer ends with the append. No change of behaviour.

--- a/packages/thymefork-cells/src/thymefork_cells/images.py
+++ b/packages/thymefork-cells/src/thymefork_cells/images.py
@@ -45,6 +45,10 @@
         known_ms = self._mean_ms.get(step.image) if step.image else None
         return known_ms if known_ms is not None else float(step.estimated_ms)
 
+    def ends_in_time(self, step, start_ms):
+        """Tell whether a task of a step that starts at a moment meets its objective."""
+        return start_ms + self.expected_ms(step.spec) < step.job.objective_ms
+
     def left_ms(self, run, now_ms):
         """Return how long a run is expected to go on."""
         total_ms = self._pace_total_ms(run)
--- a/packages/thymefork-cells/src/thymefork_cells/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/preemptor.py
@@ -35,7 +35,8 @@
         """Stop runs so that tasks of a step find room soon; tell whether any was."""
         if now_ms < max(step.ready_ms + PATIENCE_MS, step.preempt_not_before_ms):
             return False
-        if not self._is_in_time(step, now_ms):
+        room_ms = now_ms + self._context.bounds.stop_timeout_ms / 2
+        if not self._images.ends_in_time(step, room_ms):
             return False
         step.preempt_not_before_ms = now_ms + self._context.bounds.stop_timeout_ms
         plans = []
@@ -53,12 +54,6 @@
             self._stop(run, step)
         return bool(chosen)
 
-    def _is_in_time(self, step, now_ms):
-        """Tell whether the step can still meet its objective if room is made now."""
-        stop_ms = self._context.bounds.stop_timeout_ms / 2
-        left_ms = step.job.objective_ms - now_ms
-        return left_ms > stop_ms + self._images.expected_ms(step.spec)
-
     def _victims(self, step, worker, room, now_ms):
         """Return the fewest runs whose end makes room for one task; none if none do."""
         chosen = []
--- a/packages/thymefork-cells/src/thymefork_cells/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/reservations.py
@@ -117,16 +117,10 @@
             return waited_ms > GANG_PATIENCE_MS and _all_wait(step)
         if step.spec.long_running or waited_ms <= LARGE_PATIENCE_MS:
             return False
-        return self._is_in_time(step, now_ms)
-
-    def _is_in_time(self, step, now_ms):
-        """Tell whether a step that starts now meets its job's objective.
-
-        Room kept idle for jobs that are late only makes others late. Where twice the
-        load came that the workers bear, worth was 0.05 lower without this bound, and
-        0.04 with one of twice the objective; under a usual load it costs under 0.007.
-        """
-        return now_ms + self._images.expected_ms(step.spec) < step.job.objective_ms
+        # Room kept idle for jobs that are late only makes others late. Where twice the
+        # load came that the workers bear, worth was 0.05 lower without this bound, and
+        # 0.04 with one of twice the objective; under a usual load it costs under 0.007.
+        return self._images.ends_in_time(step, now_ms)
 
     def _keep(self, step, workers, was, now_ms):
         """Keep the workers on which the step's tasks would fit soonest."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -4,7 +4,7 @@
 from loguru import logger
 
 from thymefork_machines.store import AppendOutcome
-from thymefork_net import steady_ms
+from thymefork_net import AnswerPace, steady_ms
 
 from ..membership import CELLS_TOPIC
 from .takeover import writer_of
@@ -20,9 +20,7 @@
 SHORTEST_HEDGE_MS = 60.0
 LONGEST_HEDGE_MS = 800.0
 MOST_TRIES_OPEN = 4
-# How the usual time follows what was seen: at once upward, slowly downward.
-PACE_DECAY = 0.9
-FIRST_PACE_MS = 12.0
+FIRST_APPEND_MS = 12.0
 # An append usually takes 10 ms. Once one has been under way for this long, the store
 # counts as away: new work is refused rather than left in doubt. What is in doubt by
 # then waits on, and its caller is told as soon as the append is answered: callers that
@@ -36,17 +34,14 @@
 
 @define(kw_only=True, eq=False)
 class _Flight:
-    """Follow one batch; `in_doubt` tells that a try of it may yet be carried out.
-
-    From `away_ms` on the store counts as away.
-    """
+    """Follow one batch; `in_doubt` tells that a try of it may yet be carried out."""
 
     batch: object
     on_stored: object
     on_not_stored: object
     began_ms: float
-    away_ms: float
     hedge_ms: float
+    away_timer: int = 0
     tries_open: int = 0
     in_doubt: bool = False
 
@@ -77,7 +72,12 @@
         self._on_lost = on_lost
         self._sequence = last_sequence
         self._flight = None
-        self._pace_ms = FIRST_PACE_MS
+        self._pace = AnswerPace(
+            first_ms=FIRST_APPEND_MS,
+            factor=HEDGE_FACTOR,
+            shortest_ms=SHORTEST_HEDGE_MS,
+            longest_ms=LONGEST_HEDGE_MS,
+        )
         self._failing = False
         self._slow = False
         self._ended = False
@@ -92,7 +92,7 @@
         """Tell whether the store has not taken an append for too long."""
         if self._failing:
             return True
-        return self.is_busy and steady_ms() >= self._flight.away_ms
+        return self.is_busy and steady_ms() - self._flight.began_ms >= AWAY_MS
 
     def send(self, batch, on_stored, on_not_stored):
         """Store a batch and then call `on_stored(batch)`.
@@ -100,18 +100,17 @@
         `on_not_stored(batch)` takes it back where the store has certainly done
         nothing; the next batch then takes its number.
         """
-        usual_ms = HEDGE_FACTOR * self._pace_ms
-        now_ms = steady_ms()
         self._flight = flight = _Flight(
             batch=batch,
             on_stored=on_stored,
             on_not_stored=on_not_stored,
-            began_ms=now_ms,
-            away_ms=now_ms + AWAY_MS,
-            hedge_ms=min(LONGEST_HEDGE_MS, max(SHORTEST_HEDGE_MS, usual_ms)),
+            began_ms=steady_ms(),
+            hedge_ms=self._pace.patience_ms,
         )
         if batch.records:
-            self._timers.at(flight.away_ms, lambda: self._note_away(flight))
+            flight.away_timer = self._timers.after(
+                AWAY_MS, lambda: self._note_away(flight)
+            )
             self._try(flight)
         else:
             self._land()  # an append without records would take no number
@@ -206,11 +205,12 @@
 
     def _land(self):
         flight, self._flight = self._flight, None
+        self._timers.cancel(flight.away_timer)
         flight.on_stored(flight.batch)
 
     def _note_pace(self, took_ms):
         """Follow the usual time; log once when it becomes slow or quick again."""
-        self._pace_ms = max(took_ms, PACE_DECAY * self._pace_ms)
+        self._pace.answered(took_ms)
         was_slow = self._slow
         self._slow = took_ms > (QUICK_MS if was_slow else SLOW_MS)
         if self._slow != was_slow:
