--- a/packages/thymefork-cli/src/thymefork_cli/explain.py
+++ b/packages/thymefork-cli/src/thymefork_cli/explain.py
@@ -2,10 +2,11 @@
 
 from datetime import datetime, timedelta
 
-import orjson
 from attrs import field, frozen
 
-__all__ = ["Story", "explain_subject", "read_lines"]
+from .log_lines import is_about, lacks_permission
+
+__all__ = ["Story", "explain_subject"]
 
 # Lines about the whole cell that tell why its jobs had to wait, with what they mean.
 _CELL_EVENTS = {
@@ -52,27 +53,9 @@
     )
 
 
-def read_lines(paths):
-    """Return the structured lines of log files; other text in front is passed over."""
-    lines = []
-    for path in paths:
-        with open(path, encoding="utf-8", errors="replace") as file:
-            for text in file:
-                start = text.find("{")
-                if start < 0:
-                    continue
-                try:
-                    line = orjson.loads(text[start:])
-                except orjson.JSONDecodeError:
-                    continue  # a line that was cut off tells nothing that can be used
-                if isinstance(line, dict) and "event" in line and "at" in line:
-                    lines.append(line)
-    return sorted(lines, key=lambda line: line["at"])
-
-
 def explain_subject(subject, lines):
     """Return the story of a job, task or run."""
-    own = tuple(line for line in lines if _is_about(line, subject))
+    own = tuple(line for line in lines if is_about(line, subject))
     if not own:
         cause = "no line names this id: it never reached an instance whose log is here"
         return Story(subject=subject, lines=(), cause=cause)
@@ -86,14 +69,6 @@
     return Story(subject=subject, lines=own, near=near, cause=_cause(own, near))
 
 
-def _is_about(line, subject):
-    job = subject.partition(".")[0]
-    if line.get("job") == job:
-        return True
-    task = str(line.get("task", "") or line.get("step", ""))
-    return task == subject or task.startswith(subject + ".")
-
-
 def _is_near(line, workers):
     if line["event"] not in _CELL_EVENTS:
         return False
@@ -183,6 +158,6 @@
 
 def _wait_words(line):
     lacks = "room"
-    if not line["with_ticket"]:
+    if lacks_permission(line):
         lacks = "a permission of its policy"
     return f"{line['step']} waited {line['for_ms']} ms for {lacks}"
--- a/packages/thymefork-cli/src/thymefork_cli/losses.py
+++ b/packages/thymefork-cli/src/thymefork_cli/losses.py
@@ -6,6 +6,8 @@
 
 from attrs import field, frozen
 
+from .log_lines import job_of, lacks_permission
+
 __all__ = ["Cause", "Loss", "Losses", "Outcome", "find_losses"]
 
 # A job that has not ended this long before the logs do counts as lost; younger ones
@@ -105,7 +107,7 @@
     stories = {}
     around = []
     for line in lines:
-        job = _job_of(line)
+        job = job_of(line)
         if job:
             stories.setdefault(job, []).append(line)
         else:
@@ -117,13 +119,6 @@
     return Losses(requests=len(handed_in), items=found)
 
 
-def _job_of(line):
-    if line.get("job"):
-        return line["job"]
-    name = str(line.get("task", "") or line.get("step", ""))
-    return name.partition(".")[0]
-
-
 def _is_handed_in(own):
     """Tell whether the lines tell of a job, not only of a question about one."""
     return any(
@@ -204,7 +199,7 @@
 
 
 def _wait_cause(waits):
-    return Cause.NO_ROOM if waits[-1].get("with_ticket") else Cause.NO_PERMISSION
+    return Cause.NO_PERMISSION if lacks_permission(waits[-1]) else Cause.NO_ROOM
 
 
 def _delay(own, accepted, ended, around):
--- a/packages/thymefork-cli/src/thymefork_cli/main.py
+++ b/packages/thymefork-cli/src/thymefork_cli/main.py
@@ -22,7 +22,8 @@
     UNREACHABLE,
     WRONG_FILE,
 )
-from .explain import explain_subject, read_lines
+from .explain import explain_subject
+from .log_lines import read_lines
 from .losses import find_losses
 from .losses_plot import plot_losses
 from .show import show_config, show_status, show_work
--- a/packages/thymefork-cli/src/thymefork_cli/tests/test_explain.py
+++ b/packages/thymefork-cli/src/thymefork_cli/tests/test_explain.py
@@ -4,7 +4,8 @@
 import pytest
 from typer.testing import CliRunner
 
-from thymefork_cli.explain import explain_subject, read_lines
+from thymefork_cli.explain import explain_subject
+from thymefork_cli.log_lines import read_lines
 from thymefork_cli.main import app
 
 JOB = "00000000000000aa"
