--- a/packages/thymefork-cells/src/thymefork_cells/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/journal.py
@@ -31,22 +31,18 @@
 
 
 class Journal:
-    """Collect changed jobs until the store can take them: one append at a time."""
+    """Collect changed jobs until the store can take them: one append at a time.
+
+    `is_urgent` tells whether somebody waits: a caller, a start or a job that has ended.
+    The end of a task beside which others of its step still run hurries nobody.
+    """
 
     def __init__(self):
         self._new_jobs = {}
         self._changed_jobs = {}
         self._dropped_keys = []
         self._effects = []
-        self._is_urgent = False
-
-    @property
-    def is_urgent(self):
-        """Tell whether somebody waits: a caller, a start or a job that has ended.
-
-        The end of a task beside which others of its step still run hurries nobody.
-        """
-        return self._is_urgent
+        self.is_urgent = False
 
     @property
     def is_empty(self):
@@ -55,13 +51,13 @@
 
     def add(self, job):
         """Store a job that is new."""
-        self._is_urgent = True
+        self.is_urgent = True
         self._new_jobs[job.job_id] = job
         self._changed_jobs[job.job_id] = job
 
     def change(self, job):
         """Store a job's progress."""
-        self._is_urgent = self._is_urgent or not job.is_live
+        self.is_urgent = self.is_urgent or not job.is_live
         self._changed_jobs[job.job_id] = job
 
     def drop(self, job):
@@ -71,7 +67,7 @@
 
     def after(self, effect):
         """Carry an effect out once all that waits now is stored."""
-        self._is_urgent = self._is_urgent or not isinstance(effect, EndsStored)
+        self.is_urgent = self.is_urgent or not isinstance(effect, EndsStored)
         self._effects.append(effect)
 
     def take_effects(self):
@@ -86,7 +82,7 @@
 
     def put_back(self, batch):
         """Let a batch's remaining jobs and effects wait again, before all others."""
-        self._is_urgent = True
+        self.is_urgent = True
         for job, _ in batch.shown:
             self._changed_jobs[job.job_id] = job
         dropped = [key for key, value in batch.records if not value]
@@ -96,14 +92,14 @@
     def take(self, now_ms):
         """Return what waits as one batch."""
         batch = Batch(effects=self.take_effects())
-        self._is_urgent = False
+        self.is_urgent = False
         epoch_ms = time.time() * 1000.0
         for key in self._dropped_keys:
             batch.add(key, b"")
         self._dropped_keys = []
         for job_id, job in list(self._changed_jobs.items()):
             if batch.size_bytes > MOST_BATCH_BYTES:
-                self._is_urgent = True
+                self.is_urgent = True
                 break
             del self._changed_jobs[job_id]
             if self._new_jobs.pop(job_id, None) is not None:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -10,16 +10,21 @@
 JOB = "00000000000000aa"
 
 
-def test_an_unanswered_start_is_forbidden_before_the_next(harness):
-    lost = []
+def first_start():
+    """Return a predicate that holds for the first start only, and a list for its run."""
+    seen = []
+
+    def is_first(effect):
+        if seen or not isinstance(effect, StartRun):
+            return False
+        seen.append(effect.run)
+        return True
 
-    def lose(effect):
-        if isinstance(effect, StartRun) and not lost:
-            lost.append(effect.run)
-            return True
-        return False
+    return is_first, seen
 
-    harness.lose = lose
+
+def test_an_unanswered_start_is_forbidden_before_the_next(harness):
+    harness.lose, lost = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(2_500)
     worker = harness.workers[lost[0].worker.worker_id]
@@ -249,15 +254,7 @@
 
 def test_a_run_whose_start_was_carried_out_unanswered_goes_on(harness):
     """From ferrecor-mvd, scale-2: each lost answer stopped a sound run."""
-    muted = []
-
-    def mute(effect):
-        if isinstance(effect, StartRun) and not muted:
-            muted.append(effect.run)
-            return True
-        return False
-
-    harness.mute = mute
+    harness.mute, muted = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(2_500)
     assert muted
@@ -266,20 +263,12 @@
 
 
 def test_an_unanswered_start_is_made_elsewhere_soon_after(harness):
-    lost = []
-
-    def lose(effect):
-        if isinstance(effect, StartRun) and not lost:
-            lost.append(harness.now)
-            return True
-        return False
-
-    harness.lose = lose
+    harness.lose, lost = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(2_500)
     _, _, again_ms = harness.starts_of(f"{JOB}.0.0.0")[0]
     # Silence is told by the harness; a look, a stop and a look follow it.
-    assert again_ms - lost[0] < SILENCE_MS + 80
+    assert again_ms - lost[0].began_ms < SILENCE_MS + 80
 
 
 def test_a_gang_whose_quick_members_wait_for_a_slow_one_is_let_be(make_harness):
