--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -11,7 +11,7 @@
 
 
 def first_start():
-    """Return a predicate that holds for the first start only, and a list for its run."""
+    """Return a predicate that holds for the first start, and a list for its run."""
     seen = []
 
     def is_first(effect):
