Show stops that are owed, dropped, answered and overdue

Cause: the record of the incident tells who owned the cell and that no stop went unanswered; it cannot tell a stop that was never sent from one that was answered and did nothing, or one whose outcome got lost. Change: the counter stops{owed, no_address, answered, overdue}; stop_overdue, once a run, says whether the stop was answered and the worker listed; ownership_gained says how many workers with runs the platform does not list. No decision changes.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -115,7 +115,7 @@
         if not job.is_live:
             job.ended_ms = now_ms
             for run in job.runs:
-                self.lifecycle.stop(run, f"the job is {job.state}")
+                self.lifecycle.stop(run, f"the job is {job.state}", now_ms=now_ms)
         else:
             self.context.live_jobs[job.job_id] = job
         self.context.jobs[job.job_id] = job
@@ -129,6 +129,7 @@
             self.quorum.check(now_ms)
             self.roster.expire(now_ms)
             self.orders.stop_again(now_ms)
+            self.orders.note_overdue_stops(now_ms)
             self.watch.check(now_ms)
             self._forget_ended(now_ms)
             self.context.needs_plan = True
--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -61,7 +61,7 @@
             return
         job = task.step.job
         if how == "done":
-            self._complete(task)
+            self._complete(task, now_ms)
             self._finish_if_done(job, now_ms)
         elif how == "failed" and run_id in task.given_up:
             task.given_up.discard(run_id)
@@ -89,10 +89,10 @@
             return
         if run.began_ms:
             run.task.worked_ms = now_ms - run.began_ms
-        self._complete(run.task)
+        self._complete(run.task, now_ms)
         self._finish_if_done(step.job, now_ms)
 
-    def _complete(self, task):
+    def _complete(self, task, now_ms):
         """Mark a task done; of a gang, one good end stands for all."""
         step = task.step
         if step.spec.gang:
@@ -103,13 +103,13 @@
             task.done = True
             step.left -= 1
         step.touch()
-        self._stop_others(task, "another copy was first")
+        self._stop_others(task, "another copy was first", now_ms)
 
-    def _stop_others(self, task, reason):
+    def _stop_others(self, task, reason, now_ms):
         if task.step.spec.gang:
             return
         for other in list(task.runs):
-            self.stop(other, reason)
+            self.stop(other, reason, now_ms=now_ms)
 
     def _finish_if_done(self, job, now_ms):
         if job.is_live and all(step.is_done for step in job.steps):
@@ -159,7 +159,7 @@
         job.ended_ms = now_ms
         self._context.live_jobs.pop(job.job_id, None)
         for run in job.runs:
-            self.stop(run, f"the job is {state}")
+            self.stop(run, f"the job is {state}", now_ms=now_ms)
         self._context.journal.change(job)
         self._context.needs_plan = True
         self._context.count("jobs_ended", str(state))
@@ -185,7 +185,7 @@
             return 0.0
         return queue.stretch * job.worked_ms + queue.target_latency_ms
 
-    def stop(self, run, reason):
+    def stop(self, run, reason, *, now_ms):
         """Have a run stopped; one that was never sent is dropped by its start."""
         if run.state in (RunState.STOPPING, RunState.GONE):
             return
@@ -193,6 +193,8 @@
         run.state = RunState.STOPPING
         run.stop_reason = reason
         if was_sent:
+            run.stop_owed_ms = now_ms
+            self._context.count("stops", "owed")
             self._context.emit(StopRun(run=run))
 
     def reply(self, request_id, outcome, **fields):
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -259,7 +259,7 @@
             run.began_ms = run.began_ms or now_ms
             run.percent_changed_ms = now_ms
             if not run.task.step.job.is_live or run.task.done:
-                self._lifecycle.stop(run, "its job has ended")
+                self._lifecycle.stop(run, "its job has ended", now_ms=now_ms)
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
         if run.first_percent < 0:
@@ -275,7 +275,7 @@
             if run.listed_ms == now_ms:
                 continue
             if run.is_doubted and run.doubted_ms <= asked_ms:
-                self._lifecycle.stop(run, "its start was not answered")
+                self._lifecycle.stop(run, "its start was not answered", now_ms=now_ms)
             elif self._is_gone(run, report.clock_ms):
                 self._context.count("run_ends", "vanished")
                 self._lifecycle.release(run, now_ms=now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -16,6 +16,11 @@
 # The look after an unanswered start tells whether the run is there. Where that is not
 # answered in this time either, the run is forbidden.
 DOUBT_MS = 150.0
+DOUBT_REASON = "its start was not answered"
+# A stop is answered within 0.3 s, asked again until it is, and carried out within the
+# worker's bound after that. A run that is still there this long after all of it is
+# told once, so that an order that went astray shows while its task runs on.
+STOP_OVERDUE_MS = 1_000.0
 
 
 class Refusal(StrEnum):
@@ -118,6 +123,7 @@
         if run.state is RunState.GONE:
             return
         if answer.refusal in (Refusal.NONE, Refusal.REJECTED):
+            self._context.count("stops", "answered")
             run.stop_clock_ms = answer.clock_ms
             run.worker.stopped.add(run.key)
             run.worker.stop_answered_ms = now_ms
@@ -132,7 +138,7 @@
                 continue
             for run in list(worker.runs.values()):
                 if run.is_doubted and now_ms - run.doubted_ms > DOUBT_MS:
-                    self._lifecycle.stop(run, "its start was not answered")
+                    self._lifecycle.stop(run, DOUBT_REASON, now_ms=now_ms)
                     continue
                 if run.state is not RunState.STOPPING or run.stop_clock_ms:
                     continue
@@ -140,3 +146,28 @@
                     run.stop_sent_ms = 0.0
                     self._context.count("retries", "stop_unanswered")
                     self._context.emit(StopRun(run=run))
+
+    def note_overdue_stops(self, now_ms):
+        """Tell once of each run that is still there long after its stop was due."""
+        owed_before_ms = now_ms - STOP_OVERDUE_MS - self._context.bounds.stop_timeout_ms
+        for worker in self._context.workers.values():
+            for run in worker.runs.values():
+                if 0.0 < run.stop_owed_ms < owed_before_ms and not run.stop_is_overdue:
+                    run.stop_is_overdue = True
+                    self._note_overdue(run, now_ms)
+
+    def _note_overdue(self, run, now_ms):
+        worker = run.worker
+        self._context.count("stops", "overdue")
+        self._context.note(
+            "stop_overdue",
+            level="WARNING",
+            task=run.task.name,
+            run=run.run_id,
+            worker=worker.worker_id,
+            reason=run.stop_reason,
+            for_ms=round(now_ms - run.stop_owed_ms),
+            answered=run.stop_clock_ms > 0,
+            worker_listed=worker.is_listed,
+            worker_heard_ms_ago=round(now_ms - worker.last_answer_ms),
+        )
--- a/packages/thymefork-cells/src/thymefork_cells/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/preemptor.py
@@ -51,7 +51,7 @@
         plans.sort(key=_cost)
         chosen = [run for victims in plans[: max(0, wanted)] for run in victims]
         for run in chosen:
-            self._stop(run, step)
+            self._stop(run, step, now_ms)
         return bool(chosen)
 
     def _victims(self, step, worker, room, now_ms):
@@ -96,7 +96,7 @@
         queue = self._context.queue(step.job)
         return queue.priority if queue is not None else 0
 
-    def _stop(self, run, step):
+    def _stop(self, run, step, now_ms):
         self._context.count("run_ends", "made_way")
         self._context.note(
             "run_makes_way",
@@ -106,7 +106,7 @@
             for_step=step.name,
             percent=run.percent,
         )
-        self._lifecycle.stop(run, f"{step.name} is more urgent")
+        self._lifecycle.stop(run, f"{step.name} is more urgent", now_ms=now_ms)
 
 
 def _room_to_come(worker):
--- a/packages/thymefork-cells/src/thymefork_cells/roster.py
+++ b/packages/thymefork-cells/src/thymefork_cells/roster.py
@@ -34,6 +34,15 @@
             self._context.workers[worker_id] = worker
         return worker
 
+    @property
+    def unlisted_count(self):
+        """Return how many workers hold runs though the platform does not list them."""
+        return sum(
+            1
+            for worker in self._context.workers.values()
+            if worker.runs and not worker.is_listed
+        )
+
     def update(self, entries, *, now_ms):
         """Take the platform's list of workers."""
         mine = {
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -22,7 +22,8 @@
 class Run:
     """Follow one start; it takes room on its worker until it is gone.
 
-    `doubted_ms` is when its start was given up as unanswered, 0 if it was not.
+    `doubted_ms` is when its start was given up as unanswered, 0 if it was not;
+    `stop_owed_ms` is when it was decided that the worker has to be told to stop it.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -36,6 +37,8 @@
     stop_clock_ms: int = 0
     stop_sent_ms: float = 0.0
     stop_reason: str = ""
+    stop_owed_ms: float = 0.0
+    stop_is_overdue: bool = False
     percent: int = -1
     percent_changed_ms: float = 0.0
     listed_ms: float = 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/watch.py
@@ -83,7 +83,7 @@
             percent=run.percent,
             left_ms=round(self._images.left_ms(run, now_ms)),
         )
-        self._lifecycle.stop(run, "its worker is slow")
+        self._lifecycle.stop(run, "its worker is slow", now_ms=now_ms)
 
     def _stands_still(self, run):
         if run.state is not RunState.LIVE or run.step.long_running:
@@ -110,7 +110,7 @@
             percent=run.percent,
             for_ms=round(run.listed_ms - run.percent_changed_ms),
         )
-        self._lifecycle.stop(run, "it stands still")
+        self._lifecycle.stop(run, "it stands still", now_ms=now_ms)
 
     def _pace_neighbours(self, worker, serving):
         worst = max(run.tail_ms / run.step.target_tail_ms for run in serving)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -177,6 +177,7 @@
         self._log("ownership_gained").bind(
             records=len(records),
             jobs=len(cell.context.jobs),
+            unlisted_workers=cell.roster.unlisted_count,
             after_ms=round(now_ms - self._began_ms),
         ).info("serving the cell")
         self.on_links()
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
@@ -63,6 +63,7 @@
     def _stop(self, effect: fx.StopRun):
         run = effect.run
         if not run.worker.entry.host:
+            self._owner.metrics.count("stops", "no_address")
             return
         task_name, run_id = run.key
         self._client.stop(
