Owe a stop until its worker has answered it, whatever becomes of one order

Cause: a stop was sent once, where its run was found to be unwanted, and repeated only after that order had an answer or was given up as unanswered. An owner that took over in an outage knew runs from their jobs' records, but not the address of workers whose entries had lapsed; the order was dropped, nothing armed the repeat, and once the worker was listed again its leases were renewed for a run that nobody would stop. The class: an order taken for done, or for under way, because it was issued once. Ruled out: a stop answered in vain, or with its outcome lost (the logs of three reproductions: not answered, worker listed and heard within 0.1 s). Both would have had the same effect and are mended with it. Change: a stop is owed, as part of the cell's state, from the decision until the worker's answer; each turn sends what is owed and due to workers that have an address, again after 60 ms where it was not answered, after 0.5 s where no outcome came at all, and anew where the run is still listed after twice the worker's bound.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -128,13 +128,14 @@
             self._review_due_ms = now_ms + REVIEW_MS
             self.quorum.check(now_ms)
             self.roster.expire(now_ms)
-            self.orders.stop_again(now_ms)
+            self.orders.check_doubts(now_ms)
             self.orders.note_overdue_stops(now_ms)
             self.watch.check(now_ms)
             self._forget_ended(now_ms)
             self.context.needs_plan = True
         if self.context.needs_plan:
             self.placer.plan(now_ms)
+        self.orders.send_stops(now_ms)
         look_ms = self.looks.schedule(now_ms)
         return min(look_ms, self._review_due_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -12,7 +12,8 @@
 class CellContext:
     """Hold the jobs, workers and pending effects of one cell under one owner.
 
-    Units: `taken_over_ms` on the steady clock.
+    `owed_stops` holds, as keys in their order, the runs that a worker still has to be
+    told to stop. Units: `taken_over_ms` on the steady clock.
     """
 
     cell: int
@@ -24,6 +25,7 @@
     jobs: dict = field(factory=dict)
     live_jobs: dict = field(factory=dict)
     workers: dict = field(factory=dict)
+    owed_stops: dict = field(factory=dict)
     effects: list = field(factory=list)
     journal: object = None
     needs_plan: bool = True
--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -1,6 +1,6 @@
 """How tasks end, are tried again, and bring their job to its end."""
 
-from .effects import Reply, StopRun
+from .effects import Reply
 from .state import JobState, RunState
 
 __all__ = ["Lifecycle"]
@@ -17,6 +17,7 @@
         if run.state is RunState.GONE:
             return
         run.state = RunState.GONE
+        self._context.owed_stops.pop(run, None)
         run.worker.remove(run)
         run.worker.health.gone(run)
         run.task.runs.remove(run)
@@ -186,7 +187,11 @@
         return queue.stretch * job.worked_ms + queue.target_latency_ms
 
     def stop(self, run, reason, *, now_ms):
-        """Have a run stopped; one that was never sent is dropped by its start."""
+        """Have a run stopped; one that was never sent is dropped by its start.
+
+        The stop is owed from here on until its worker has answered it, whatever
+        becomes of a single order: a worker may have no address yet, or be silent.
+        """
         if run.state in (RunState.STOPPING, RunState.GONE):
             return
         was_sent = run.state is not RunState.INTENDED
@@ -194,8 +199,18 @@
         run.stop_reason = reason
         if was_sent:
             run.stop_owed_ms = now_ms
-            self._context.count("stops", "owed")
-            self._context.emit(StopRun(run=run))
+            run.stop_due_ms = now_ms
+            self._context.owed_stops[run] = None
+            has_address = bool(run.worker.entry.host)
+            self._context.count("stops", "owed" if has_address else "no_address")
+
+    def stop_again(self, run, *, now_ms):
+        """Have a run stopped that goes on though its stop was answered."""
+        run.stop_clock_ms = 0
+        run.stop_due_ms = now_ms
+        run.worker.stopped.discard(run.key)
+        self._context.owed_stops[run] = None
+        self._context.count("retries", "stop_in_vain")
 
     def reply(self, request_id, outcome, **fields):
         """Answer a request at once."""
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -26,6 +26,9 @@
 # A worker heard within this time is not doubted with its hall.
 FRESH_MS = 40.0
 LEASE_MARGIN_MS = 60.0
+# A stop is carried out within its bound of the answer. A run that is listed after this
+# many times as long, by the worker's own clock, has to be stopped once more.
+IN_VAIN_FACTOR = 2.0
 # After a look that got no answer, the next one follows this soon, and after each
 # further one later, up to the second figure: in a cut of 6 s the workers of a hall
 # were looked at forty times each for a return that is told 0.25 s later at most.
@@ -260,6 +263,8 @@
             run.percent_changed_ms = now_ms
             if not run.task.step.job.is_live or run.task.done:
                 self._lifecycle.stop(run, "its job has ended", now_ms=now_ms)
+        if self._stop_was_in_vain(run, clock_ms):
+            self._lifecycle.stop_again(run, now_ms=now_ms)
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
         if run.first_percent < 0:
@@ -269,6 +274,13 @@
             run.percent_changed_ms = now_ms
         run.tail_ms = row.load
 
+    def _stop_was_in_vain(self, run, clock_ms):
+        """Tell whether a run goes on though its stop was answered long ago."""
+        if run.state is not RunState.STOPPING or not run.stop_clock_ms:
+            return False
+        bound_ms = IN_VAIN_FACTOR * self._context.bounds.stop_timeout_ms
+        return clock_ms > run.stop_clock_ms + bound_ms
+
     def _settle_absent(self, worker, report, asked_ms, now_ms):
         """Release the runs that the worker neither runs nor will ever run."""
         for run in list(worker.runs.values()):
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -13,6 +13,10 @@
 # elsewhere before it is answered, so it is asked again soon; the wait for the answer
 # itself comes on top.
 STOP_AGAIN_MS = 60.0
+# A stop whose outcome is not known at all is sent again after this long: orders are
+# answered, or given up, within 0.3 s. Without it a cancelled task ran on for as long as
+# its owner lived (a minute, until the next owner came).
+STOP_LOST_MS = 500.0
 # The look after an unanswered start tells whether the run is there. Where that is not
 # answered in this time either, the run is forbidden.
 DOUBT_MS = 150.0
@@ -122,30 +126,34 @@
         """Apply the answer to a stop."""
         if run.state is RunState.GONE:
             return
-        if answer.refusal in (Refusal.NONE, Refusal.REJECTED):
+        answered = answer.refusal in (Refusal.NONE, Refusal.REJECTED)
+        if answered and answer.clock_ms:
             self._context.count("stops", "answered")
+            self._context.owed_stops.pop(run, None)
             run.stop_clock_ms = answer.clock_ms
             run.worker.stopped.add(run.key)
             run.worker.stop_answered_ms = now_ms
             self._looks.want(run.worker, now_ms)
-        elif answer.refusal is not Refusal.FENCED:
-            run.stop_sent_ms = now_ms
+        else:
+            run.stop_due_ms = now_ms + STOP_AGAIN_MS
 
-    def stop_again(self, now_ms):
-        """Send the stops that were not answered once more."""
+    def check_doubts(self, now_ms):
+        """Have the runs stopped that were in doubt for too long."""
         for worker in self._context.workers.values():
-            if not worker.entry.host:
-                continue
             for run in list(worker.runs.values()):
                 if run.is_doubted and now_ms - run.doubted_ms > DOUBT_MS:
                     self._lifecycle.stop(run, DOUBT_REASON, now_ms=now_ms)
-                    continue
-                if run.state is not RunState.STOPPING or run.stop_clock_ms:
-                    continue
-                if run.stop_sent_ms and now_ms - run.stop_sent_ms > STOP_AGAIN_MS:
-                    run.stop_sent_ms = 0.0
-                    self._context.count("retries", "stop_unanswered")
-                    self._context.emit(StopRun(run=run))
+
+    def send_stops(self, now_ms):
+        """Send the stops that are owed and due to the workers that have an address."""
+        for run in self._context.owed_stops:
+            if not run.worker.entry.host or now_ms < run.stop_due_ms:
+                continue
+            if run.stop_tries:
+                self._context.count("retries", "stop_unanswered")
+            run.stop_tries += 1
+            run.stop_due_ms = now_ms + STOP_LOST_MS
+            self._context.emit(StopRun(run=run))
 
     def note_overdue_stops(self, now_ms):
         """Tell once of each run that is still there long after its stop was due."""
@@ -169,5 +177,5 @@
             for_ms=round(now_ms - run.stop_owed_ms),
             answered=run.stop_clock_ms > 0,
             worker_listed=worker.is_listed,
-            worker_heard_ms_ago=round(now_ms - worker.last_answer_ms),
+            worker_heard_ms_ago=worker.heard_ms_ago(now_ms),
         )
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -23,7 +23,8 @@
     """Follow one start; it takes room on its worker until it is gone.
 
     `doubted_ms` is when its start was given up as unanswered, 0 if it was not;
-    `stop_owed_ms` is when it was decided that the worker has to be told to stop it.
+    `stop_owed_ms` is when it was decided that the worker has to be told to stop it,
+    `stop_due_ms` when the order is to be sent next.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -35,9 +36,10 @@
     confirmed_clock_ms: int = 0
     doubted_ms: float = 0.0
     stop_clock_ms: int = 0
-    stop_sent_ms: float = 0.0
     stop_reason: str = ""
     stop_owed_ms: float = 0.0
+    stop_due_ms: float = 0.0
+    stop_tries: int = 0
     stop_is_overdue: bool = False
     percent: int = -1
     percent_changed_ms: float = 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -99,6 +99,10 @@
             and step.accelerators <= self.entry.accelerators
         )
 
+    def heard_ms_ago(self, now_ms):
+        """Return how long ago it last answered; None if it never did."""
+        return round(now_ms - self.last_answer_ms) if self.last_answer_ms else None
+
     def clock_ms(self, now_ms):
         """Return the worker's clock by the last answer; None if it never answered."""
         if self.clock_offset_ms is None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
@@ -62,9 +62,6 @@
     @send.register
     def _stop(self, effect: fx.StopRun):
         run = effect.run
-        if not run.worker.entry.host:
-            self._owner.metrics.count("stops", "no_address")
-            return
         task_name, run_id = run.key
         self._client.stop(
             worker=run.worker,
