--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -212,6 +212,8 @@
         elif isinstance(effect, fx.StopRun):
             if effect.run.worker.entry.host and not self.drop(effect):
                 self.env.process(self._stop(cell, effect))
+        elif isinstance(effect, fx.PaceRun):
+            self.env.process(self._pace(cell, effect))
         elif isinstance(effect, fx.LookAt):
             self.env.process(self._look(cell, effect))
         elif isinstance(effect, fx.AskAdvice):
@@ -254,6 +256,16 @@
         if self._current(cell) and not isinstance(run, fx.StrayRun):
             cell.on_stop(run, answer, now_ms=self.now)
 
+    def _pace(self, cell, effect):
+        run = effect.run
+        worker = self.workers[run.worker.worker_id]
+        task, run_id = run.key
+        if worker.cut or self.lose(effect):
+            yield self.env.timeout(SILENCE_MS)
+            return
+        yield self.env.timeout(ORDER_MS)
+        worker.pace(task, run_id, effect.percent, self.epoch_of(cell), self.now)
+
     def _look(self, cell, effect):
         worker = self.workers[effect.worker.worker_id]
         if effect.lease_ms:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -21,7 +21,8 @@
     """Run tasks for `work_ms`; unreachable while `cut` is set.
 
     With `waits_at_the_end` its tasks stay at 100%, as of a gang with slower members.
-    The next `idle_stops` stops are answered and not carried out.
+    The next `idle_stops` stops are answered and not carried out. Serving tasks have a
+    tail of `tail_ms`; `paces` holds each run's share of its speed, 100 at its start.
     """
 
     worker_id: str
@@ -32,6 +33,8 @@
     stands_still: bool = False
     waits_at_the_end: bool = False
     idle_stops: int = 0
+    tail_ms: int = 0
+    paces: dict = field(factory=dict)
     slow_factor: float = 1.0
     fence: int = 0
     lease_until_ms: float = 0.0
@@ -80,6 +83,7 @@
                 ends_ms=now_ms + (50.0 if self.fails_all else span_ms),
                 how=how,
             )
+            self.paces[task, run_id] = 100
             self.starts.append((task, run_id, now_ms))
             refusal = Refusal.NONE
         return OrderAnswer(refusal=refusal, clock_ms=self.clock(now_ms))
@@ -106,6 +110,14 @@
             self._end((task, run_id), "stopped")
         return OrderAnswer(clock_ms=self.clock(now_ms))
 
+    def pace(self, task, run_id, percent, fence, now_ms):
+        self.advance(now_ms)
+        if fence < self.fence:
+            return OrderAnswer(refusal=Refusal.FENCED, clock_ms=self.clock(now_ms))
+        if (task, run_id) in self.running:
+            self.paces[task, run_id] = percent
+        return OrderAnswer(clock_ms=self.clock(now_ms))
+
     def look(self, fence, last_end, lease_ms, now_ms):
         self.advance(now_ms)
         if fence < self.fence:
@@ -120,6 +132,7 @@
                 run_id=run.run_id,
                 checkpoint="",
                 percent=self._percent(run, now_ms),
+                load=self.tail_ms,
             )
             for run in self.running.values()
         )
