Bring each filling task to its pace until the worker has taken it

A task that fills idle processors kept its pace for good, at worst none, where one order was lost, where a successor took every run for unpaced, or where the neighbour that it was held back for had gone (paces were looked at only beside tasks with users). Ruled out: a look shows no pace, so it can't be read back from the worker. Change: the wanted pace and the one that the worker has taken are kept apart (unknown for a run that a predecessor started); the order is repeated until it is answered; a module of its own, out of the watch for runs that stand still. An order that is carried out seconds late, after newer ones, can still set an old pace: open.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -15,6 +15,7 @@
 from .lifecycle import Lifecycle
 from .looks import Looks
 from .orders import Orders, Refusal
+from .pacing import Pacing
 from .placer import Placer
 from .preemptor import Preemptor
 from .quorum import Quorum
@@ -78,6 +79,8 @@
             context=self.context, lifecycle=self.lifecycle, images=self.images
         )
 
+        self.pacing = Pacing(context=self.context)
+
     @property
     def journal(self):
         """Return the records that wait to be stored."""
@@ -131,6 +134,7 @@
             self.orders.check_doubts(now_ms)
             self.orders.note_overdue_stops(now_ms)
             self.watch.check(now_ms)
+            self.pacing.check(now_ms)
             self._forget_ended(now_ms)
             self.context.needs_plan = True
         if self.context.needs_plan:
@@ -178,6 +182,13 @@
             return
         self.orders.on_stop(run, answer, now_ms=now_ms)
 
+    def on_pace(self, run, percent, answer, *, now_ms):
+        """Apply the answer to an order to pace a run."""
+        if answer.refusal is Refusal.OTHER_LIFE:
+            self.on_other_life(run.worker, now_ms=now_ms)
+            return
+        self.pacing.on_answer(run, percent, answer, now_ms=now_ms)
+
     def on_report(self, worker, report, last_end, *, quick=False, now_ms):
         """Apply what a worker lists."""
         ended = {(row.task, row.run_id) for row in report.ended if row.how == "done"}
--- a/packages/thymefork-cells/src/thymefork_cells/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/codec.py
@@ -154,6 +154,12 @@
 
 
 def _add_recovered(task, run_id, worker):
-    run = Run(task=task, run_id=run_id, worker=worker, state=RunState.RECOVERED)
+    run = Run(
+        task=task,
+        run_id=run_id,
+        worker=worker,
+        state=RunState.RECOVERED,
+        pace_told_percent=None,
+    )
     task.runs.append(run)
     worker.add(run)
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -24,7 +24,9 @@
 
     `doubted_ms` is when its start was given up as unanswered, 0 if it was not;
     `stop_owed_ms` is when it was decided that the worker has to be told to stop it,
-    `stop_due_ms` when the order is to be sent next.
+    `stop_due_ms` when the order is to be sent next. `pace_percent` is the share of its
+    speed that it is wanted to work at, `pace_told_percent` the one that its worker has
+    taken, None if that is not known.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -48,6 +50,8 @@
     first_listed_ms: float = 0.0
     resumed: bool = False
     pace_percent: int = 100
+    pace_told_percent: int | None = 100
+    pace_due_ms: float = 0.0
     tail_ms: int = 0
 
     @property
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -262,9 +262,14 @@
         task, run_id = run.key
         if worker.cut or self.lose(effect):
             yield self.env.timeout(SILENCE_MS)
-            return
-        yield self.env.timeout(ORDER_MS)
-        worker.pace(task, run_id, effect.percent, self.epoch_of(cell), self.now)
+            answer = OrderAnswer(refusal=Refusal.SILENCE)
+        else:
+            yield self.env.timeout(ORDER_MS)
+            answer = worker.pace(
+                task, run_id, effect.percent, self.epoch_of(cell), self.now
+            )
+        if self._current(cell):
+            cell.on_pace(run, effect.percent, answer, now_ms=self.now)
 
     def _look(self, cell, effect):
         worker = self.workers[effect.worker.worker_id]
--- a/packages/thymefork-cells/src/thymefork_cells/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/watch.py
@@ -1,6 +1,5 @@
-"""Runs that stand still or that disturb others."""
+"""Runs that stand still or whose worker is slow."""
 
-from .effects import PaceRun
 from .state import RunState
 
 __all__ = ["Watch"]
@@ -16,15 +15,10 @@
 SLOW_PAUSE_MS = 2_000.0
 # Progress that was listed longer ago than this says nothing of the present.
 FRESH_MS = 900.0
-# Tasks that fill idle processors are held back once a neighbour's tail reaches this
-# share of its target, and let go again below the second share.
-TAIL_HIGH = 0.75
-TAIL_LOW = 0.45
-PACE_STEPS = (100, 50, 20, 0)
 
 
 class Watch:
-    """Stop what stands still; slow down what disturbs tasks with users."""
+    """Stop what stands still; move what would end sooner elsewhere."""
 
     def __init__(self, *, context, lifecycle, images):
         self._context = context
@@ -34,9 +28,6 @@
     def check(self, now_ms):
         """Look over all runs."""
         for worker in self._context.workers.values():
-            serving = [run for run in worker.runs.values() if run.step.target_tail_ms]
-            if serving:
-                self._pace_neighbours(worker, serving)
             self._judge_speed(worker, now_ms)
             for run in list(worker.runs.values()):
                 if self._stands_still(run):
@@ -111,18 +102,3 @@
             for_ms=round(run.listed_ms - run.percent_changed_ms),
         )
         self._lifecycle.stop(run, "it stands still", now_ms=now_ms)
-
-    def _pace_neighbours(self, worker, serving):
-        worst = max(run.tail_ms / run.step.target_tail_ms for run in serving)
-        for run in worker.runs.values():
-            if not run.step.fills_idle_cpu or run.state is not RunState.LIVE:
-                continue
-            position = PACE_STEPS.index(run.pace_percent)
-            if worst > TAIL_HIGH and position + 1 < len(PACE_STEPS):
-                position = len(PACE_STEPS) - 1 if worst > 1.0 else position + 1
-            elif worst < TAIL_LOW and position > 0:
-                position -= 1
-            percent = PACE_STEPS[position]
-            if percent != run.pace_percent:
-                run.pace_percent = percent
-                self._context.emit(PaceRun(run=run, percent=percent))
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
@@ -85,9 +85,16 @@
             percent=effect.percent,
             fence=self._owner.epoch,
             wanted=self._owner.may_order,
-            done=lambda answer: self._heed(answer.refusal),
+            done=lambda answer: self._on_pace(effect, answer),
         )
 
+    def _on_pace(self, effect, answer):
+        if not self._heed(answer.refusal):
+            return
+        now_ms = steady_ms()
+        self._cell.on_pace(effect.run, effect.percent, answer, now_ms=now_ms)
+        self._owner.settle()
+
     @send.register
     def _look(self, effect: fx.LookAt):
         worker, now_ms = effect.worker, steady_ms()
