Test cancelled tasks among late orders, lost workers and removed owners

Tasks that a worker starts late, also for an owner that is gone, and sixteen seeds of orders lost or carried out up to 12 s late, cut and unlisted workers and changes of the owner; in the end no task of a cancelled job may be left, nor a stop be owed.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -43,6 +43,7 @@
 
     `lose` decides which orders get no answer and are not carried out, `mute` which
     starts are carried out and get none, `drop` which stops vanish without any outcome.
+    `late_ms` tells how much later an order without an answer is carried out, or 0.
     An order to a worker whose address is not known goes nowhere, as in the daemon.
     """
 
@@ -102,6 +103,7 @@
         self.lose = lambda effect: False
         self.mute = lambda effect: False
         self.drop = lambda effect: False
+        self.late_ms = lambda effect: 0.0
         self.replies = {}
         self.notes = []
         self.counts = Counter()
@@ -226,14 +228,16 @@
         run = effect.run
         worker = self.workers[run.worker.worker_id]
         deadline_ms = run.worker.clock_ms(self.now) + LEASE_MS
-        if worker.cut or self.lose(effect):
+        start = (run.task.name, run.run_id, self.epoch_of(cell), deadline_ms)
+        if self._comes_late(effect, worker, worker.start, start):
+            yield self.env.timeout(SILENCE_MS)
+            answer = OrderAnswer(refusal=Refusal.SILENCE)
+        elif worker.cut or self.lose(effect):
             yield self.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
             yield self.env.timeout(ORDER_MS)
-            answer = worker.start(
-                run.task.name, run.run_id, self.epoch_of(cell), deadline_ms, self.now
-            )
+            answer = worker.start(*start, self.now)
             if self.mute(effect):
                 yield self.env.timeout(SILENCE_MS)
                 answer = OrderAnswer(refusal=Refusal.SILENCE)
@@ -243,16 +247,29 @@
     def epoch_of(self, cell):
         return cell.context.epoch
 
+    def _comes_late(self, effect, worker, order, arguments):
+        """Have an order carried out later, if it is to be; tell whether it is."""
+        late_ms = self.late_ms(effect)
+        if late_ms:
+            self.env.process(self._carry_out(late_ms, worker, order, arguments))
+        return late_ms > 0
+
+    def _carry_out(self, late_ms, worker, order, arguments):
+        yield self.env.timeout(late_ms)
+        if not worker.cut:
+            order(*arguments, self.now)
+
     def _stop(self, cell, effect):
         run = effect.run
         worker = self.workers[run.worker.worker_id]
-        task, run_id = run.key
-        if worker.cut or self.lose(effect):
+        stop = (*run.key, self.epoch_of(cell))
+        late = self._comes_late(effect, worker, worker.stop, stop)
+        if late or worker.cut or self.lose(effect):
             yield self.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
             yield self.env.timeout(ORDER_MS)
-            answer = worker.stop(task, run_id, self.epoch_of(cell), self.now)
+            answer = worker.stop(*stop, self.now)
         if self._current(cell) and not isinstance(run, fx.StrayRun):
             cell.on_stop(run, answer, now_ms=self.now)
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_cancelled_runs.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_cancelled_runs.py
@@ -15,9 +15,11 @@
 fails in the same way; the third, where the entry lapses after the cancelling, passes.
 """
 
+import random
+
 import pytest
 
-from thymefork_cells.effects import Outcome, StopRun
+from thymefork_cells.effects import Outcome, StartRun, StopRun
 from thymefork_cells.state import JobState
 
 from .harness import job_spec
@@ -49,6 +51,39 @@
     assert harness.replies["cancel"].outcome is Outcome.CANCELLED
 
 
+@pytest.mark.parametrize("late_ms", [400, 2_500])
+def test_a_task_that_was_started_late_is_stopped_after_its_cancelling(
+    make_harness, late_ms
+):
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 600_000.0
+    harness.late_ms = lambda effect: late_ms if isinstance(effect, StartRun) else 0.0
+    harness.submit(JOB, job_spec({"count": 2, "cpu_milli": 500, "long_running": True}))
+    harness.run(100)
+    cancel(harness)
+    harness.run(GONE_MS + late_ms)
+    assert not running(harness)
+
+
+@pytest.mark.parametrize("late_ms", [400, 2_500])
+def test_a_task_that_was_started_late_for_a_removed_owner_is_stopped(
+    make_harness, late_ms
+):
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 600_000.0
+    harness.late_ms = lambda effect: late_ms if isinstance(effect, StartRun) else 0.0
+    harness.submit(JOB, job_spec({"count": 2, "cpu_milli": 500, "long_running": True}))
+    harness.run(100)
+    entries, harness.entries = harness.entries, []
+    harness.take_over()
+    harness.run(100)
+    cancel(harness)
+    harness.run(late_ms)
+    harness.list_workers(entries)
+    harness.run(GONE_MS)
+    assert not running(harness)
+
+
 @pytest.mark.parametrize("unlisted_ms", [300, 2_000])
 def test_a_task_cancelled_while_its_worker_is_not_listed_is_stopped(
     make_harness, unlisted_ms
@@ -113,3 +148,76 @@
     harness.drop = lambda effect: False
     harness.run(GONE_MS)
     assert not running(harness)
+
+
+class Troubles:
+    """Draw what goes wrong beside jobs that are cancelled."""
+
+    def __init__(self, *, harness, rng):
+        self._harness = harness
+        self._rng = rng
+        self._entries = list(harness.entries)
+
+    def begin(self):
+        """Let some orders be lost, and some be carried out up to 12 s later."""
+        self._harness.lose = lambda effect: self._rng.random() < 0.06
+        self._harness.late_ms = self._late_ms
+
+    def _late_ms(self, effect):
+        return self._rng.uniform(300, 12_000) if self._rng.random() < 0.1 else 0.0
+
+    def strike(self):
+        """Cut a worker off, change the list of workers or the owner, or neither."""
+        harness, rng = self._harness, self._rng
+        if rng.random() < 0.1:
+            worker = rng.choice(list(harness.workers.values()))
+            worker.cut = not worker.cut
+        if rng.random() < 0.15:
+            count = rng.randint(0, len(self._entries))
+            harness.list_workers(rng.sample(self._entries, count))
+        if rng.random() < 0.08:
+            harness.dead = True
+            harness.run(rng.choice([20, 300, 1_200]))
+            harness.take_over()
+
+    def end(self):
+        """Let everything work again."""
+        self._harness.lose = lambda effect: False
+        self._harness.late_ms = lambda effect: 0.0
+        for worker in self._harness.workers.values():
+            worker.cut = False
+        self._harness.list_workers(self._entries)
+
+
+def lasting_job(rng):
+    step = {"count": rng.randint(1, 4), "cpu_milli": 300, "long_running": True}
+    return job_spec(step)
+
+
+@pytest.mark.parametrize("seed", range(16))
+def test_no_cancelled_task_is_left_after_random_troubles(make_harness, seed):
+    rng = random.Random(seed)
+    harness = make_harness(workers=5)
+    for worker in harness.workers.values():
+        worker.work_ms = 600_000.0
+    troubles = Troubles(harness=harness, rng=rng)
+    troubles.begin()
+    job_ids = [f"{number:016x}" for number in range(40)]
+    cancelled = set()
+    for job_id in job_ids:
+        harness.submit(job_id, lasting_job(rng))
+        troubles.strike()
+        for other in rng.sample(job_ids, 2):
+            if other in harness.cell.context.jobs and rng.random() < 0.5:
+                harness.cell.intake.cancel(other, other, now_ms=harness.now)
+                cancelled.add(other)
+        harness.run(rng.choice([50, 200, 600]))
+    for job_id in cancelled & harness.cell.context.jobs.keys():
+        harness.cell.intake.cancel(job_id, job_id, now_ms=harness.now)
+    troubles.end()
+    harness.run(16_000)  # the last orders are carried out 12 s late
+    gone = {job_id for job_id in cancelled if job_id in harness.cell.context.jobs}
+    assert gone
+    assert not [task for task, _ in running(harness) if task.split(".")[0] in gone]
+    assert not [run for job_id in gone for run in harness.job(job_id).runs]
+    assert not harness.cell.context.owed_stops
