--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_outages.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_outages.py
@@ -1,5 +1,7 @@
 """Outages of the store, and what an owner may do in them."""
 
+import pytest
+
 from thymefork_cells.effects import Outcome
 from thymefork_cells.state import JobState
 
@@ -25,6 +27,36 @@
     assert not harness.cell.context.workers["w0"].runs
 
 
+@pytest.mark.parametrize("unlisted_after_ms", [10, 1_500])
+def test_workers_that_are_not_listed_count_against_a_successor_s_quorum(
+    make_harness, unlisted_after_ms
+):
+    """The predecessor may go on beside most workers, cut off from the store with them.
+
+    Their entries lapse, so that the few workers that are left were most of the list:
+    the successor took the others' leases for over and started their tasks a second time
+    while the predecessor still renewed them.
+    """
+    harness = make_harness(workers=4)
+    for worker in harness.workers.values():
+        worker.work_ms = 60_000.0
+    harness.submit(JOB, job_spec({"count": 4, "cpu_milli": 8_000}))
+    harness.run(300)
+    harness.dead = True
+    for worker_id in ("w0", "w1", "w2"):
+        harness.workers[worker_id].cut = True
+    harness.run(500)
+    harness.take_over()
+    harness.run(unlisted_after_ms)
+    harness.list_workers(
+        [entry for entry in harness.entries if entry.worker_id == "w3"]
+    )
+    harness.run(10_000 - unlisted_after_ms)
+    assert harness.cell.context.workers["w0"].runs
+    harness.run(4_000)
+    assert not harness.cell.context.workers["w0"].runs
+
+
 def test_a_job_that_was_not_stored_is_refused_at_once_and_never_runs(harness):
     harness.store_down = True
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
