--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -113,11 +113,12 @@
     ),
     "outage_quorum": Patch(
         path=f"{_DAEMON}/owner/cell_owner.py",
-        old="        return self._lasts() and self.cell.quorum.is_held(steady_ms())",
+        old="        return self._ownership.is_possible() "
+        "and self.cell.quorum.is_held(steady_ms())",
         new="        return False",
     ),
     "lingering": Patch(
-        path=f"{_DAEMON}/owner/cell_owner.py",
+        path=f"{_DAEMON}/owner/turn_loop.py",
         old="LINGER_MS = 30.0",
         new="LINGER_MS = 0.0",
     ),
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -0,0 +1,52 @@
+"""Callers' requests at the owner of their cell."""
+
+from thymefork_cells import effects as fx
+from thymefork_cells.intake import STORE_AWAY_RETRY_MS
+from thymefork_net import steady_ms
+
+__all__ = ["RequestHandler"]
+
+
+class RequestHandler:
+    """Have requests decided; refuse at once what the store could not take."""
+
+    def __init__(self, *, intake, ownership, pump, metrics):
+        self._intake = intake
+        self._ownership = ownership
+        self._pump = pump
+        self._metrics = metrics
+
+    def handle(self, kind, queue, job_id, data, respond):
+        """Decide a request; `respond` takes the reply once it may be told."""
+        intake, now_ms = self._intake, steady_ms()
+        if self._store_is_away() and not self._needs_no_append(kind, job_id):
+            self._refuse(respond)
+        elif kind == "read":
+            intake.read(respond, job_id)
+        elif kind == "count":
+            intake.count_pending(respond, queue)
+        elif kind == "submit":
+            intake.submit(respond, job_id, queue, data, now_ms=now_ms)
+        else:
+            intake.cancel(respond, job_id, now_ms=now_ms)
+
+    def _store_is_away(self):
+        return self._pump.store_is_away or not self._ownership.is_certain()
+
+    def _needs_no_append(self, kind, job_id):
+        """Tell whether a request is about what is stored, or on its way, already."""
+        if kind == "read":
+            return self._intake.knows(job_id)
+        if kind == "submit":
+            return self._intake.has_seen(job_id)
+        return kind == "count"
+
+    def _refuse(self, respond):
+        self._metrics.count("refusals", "store_away")
+        respond(
+            fx.Reply(
+                request_id=None,
+                outcome=fx.Outcome.REFUSED,
+                retry_after_ms=STORE_AWAY_RETRY_MS,
+            )
+        )
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
@@ -0,0 +1,113 @@
+"""When a cell decides, and when what it decided is stored."""
+
+from thymefork_net import steady_ms
+
+__all__ = ["TurnLoop"]
+
+# After an append that the store turned away, the next one follows this soon.
+STORE_AGAIN_MS = 60.0
+# Events that come within this time are decided on together: planning looks over all
+# live steps and workers, and an order takes 2 to 4 ms to be answered anyway.
+TURN_MS = 4.0
+# Records that nobody waits for are held this long for others to go along: an append is
+# priced by the call. Meanwhile a worker whose ends are not stored yet is not looked at,
+# so that a further end there is heard up to this much later; a short job has 500 ms to
+# spare.
+LINGER_MS = 30.0
+
+
+class TurnLoop:
+    """Let a cell take its turns; perform its effects and store its records.
+
+    Performing an effect may lose the cell and so end the loop.
+    """
+
+    def __init__(self, *, cell, ownership, pump, performer, timers):
+        self._cell = cell
+        self._ownership = ownership
+        self._pump = pump
+        self._performer = performer
+        self._timers = timers
+        self._ended = False
+        self._turn_timer = 0
+        self._turn_due_ms = 0.0
+        self._store_again_timer = 0
+        self._lingers_since_ms = 0.0
+
+    def end(self):
+        """Take no more turns: the cell is no longer ours."""
+        self._ended = True
+        self._timers.cancel(self._turn_timer)
+
+    def settle(self):
+        """Do what an event has led to; the next turn decides what follows from it.
+
+        Records wait for that turn too, so that the ends of a step and the starts of
+        the next one go into the same append.
+        """
+        if self._ended:
+            return
+        self._perform_effects()
+        self._schedule(min(self._turn_due_ms, steady_ms() + TURN_MS))
+
+    def turn(self):
+        """Let the cell decide, store what it has to and do what it wants."""
+        if self._ended:
+            return
+        now_ms = steady_ms()
+        self._turn_timer = 0
+        self._cell.context.store_is_away = not self._ownership.is_renewed()
+        due_ms = self._cell.turn(now_ms)
+        self._perform_effects()
+        if self._lingers(now_ms):
+            due_ms = min(due_ms, self._lingers_since_ms + LINGER_MS)
+        else:
+            self._store()
+        self._schedule(due_ms)
+
+    def _perform_effects(self):
+        self._performer.perform(self._cell.take_effects())
+
+    def _schedule(self, due_ms):
+        if self._turn_timer and due_ms == self._turn_due_ms:
+            return
+        self._timers.cancel(self._turn_timer)
+        self._turn_due_ms = due_ms
+        self._turn_timer = self._timers.at(due_ms, self.turn)
+
+    # Storing -----------------------------------------------------------------
+
+    def _lingers(self, now_ms):
+        """Tell whether the records that wait may wait for others."""
+        journal = self._cell.journal
+        if journal.is_empty or journal.is_urgent or self._pump.store_is_away:
+            self._lingers_since_ms = 0.0
+            return False
+        self._lingers_since_ms = self._lingers_since_ms or now_ms
+        return now_ms - self._lingers_since_ms < LINGER_MS
+
+    def _store(self):
+        if self._pump.is_busy or self._cell.journal.is_empty or self._ended:
+            return
+        if self._store_again_timer:
+            return
+        batch = self._cell.journal.take(steady_ms())
+        self._pump.send(batch, self._on_stored, self._on_not_stored)
+
+    def _on_stored(self, batch):
+        self._cell.on_stored(batch)
+        self._performer.perform(batch.effects)
+        self.settle()
+
+    def _on_not_stored(self, batch):
+        self._cell.on_not_stored(batch, now_ms=steady_ms())
+        self._perform_effects()
+        self._store_again_timer = self._timers.after(STORE_AGAIN_MS, self._store_again)
+
+    def _store_again(self):
+        self._store_again_timer = 0
+        if self._ended:
+            return
+        if self._cell.journal.is_empty:
+            self._pump.clear_failure()
+        self.settle()
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
@@ -0,0 +1,87 @@
+"""What an owner answers of itself while the store is away."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_cells import effects as fx
+from thymefork_daemon.owner.request_handler import RequestHandler
+
+from .fakes import FakeMetrics
+
+STORED, ON_ITS_WAY, NEW = "stored", "on its way", "new"
+
+
+class FakeIntake:
+    """Know one job and have seen two; record what is asked."""
+
+    def __init__(self):
+        self.asked = []
+
+    def knows(self, job_id):
+        return job_id == STORED
+
+    def has_seen(self, job_id):
+        return job_id in (STORED, ON_ITS_WAY)
+
+    def read(self, respond, job_id):
+        self.asked.append(("read", job_id))
+
+    def count_pending(self, respond, queue):
+        self.asked.append(("count", queue))
+
+    def submit(self, respond, job_id, queue, data, *, now_ms):
+        self.asked.append(("submit", job_id))
+
+    def cancel(self, respond, job_id, *, now_ms):
+        self.asked.append(("cancel", job_id))
+
+
+def handle(kind, job_id, *, pump_says_away=False, is_certain=True):
+    intake, metrics, replies = FakeIntake(), FakeMetrics(), []
+    handler = RequestHandler(
+        intake=intake,
+        ownership=SimpleNamespace(is_certain=lambda: is_certain),
+        pump=SimpleNamespace(store_is_away=pump_says_away),
+        metrics=metrics,
+    )
+    handler.handle(kind, "q", job_id, b"", replies.append)
+    return intake.asked, metrics.counts, replies
+
+
+@pytest.mark.parametrize("job_id", [STORED, ON_ITS_WAY, NEW])
+@pytest.mark.parametrize("kind", ["read", "submit", "cancel"])
+def test_all_is_decided_while_the_store_answers(kind, job_id):
+    asked, counts, replies = handle(kind, job_id)
+    assert asked == [(kind, job_id)]
+    assert not counts and not replies
+
+
+@pytest.mark.parametrize(
+    "away", [{"pump_says_away": True}, {"is_certain": False}], ids=str
+)
+@pytest.mark.parametrize(
+    "kind, job_id, decided",
+    [
+        ("read", STORED, True),
+        ("read", ON_ITS_WAY, False),
+        ("read", NEW, False),
+        ("submit", STORED, True),
+        ("submit", ON_ITS_WAY, True),
+        ("submit", NEW, False),
+        ("cancel", STORED, False),
+        ("cancel", NEW, False),
+    ],
+)
+def test_without_the_store_only_what_is_known_is_decided(kind, job_id, decided, away):
+    asked, counts, replies = handle(kind, job_id, **away)
+    assert asked == ([(kind, job_id)] if decided else [])
+    if not decided:
+        assert counts == [("refusals", "store_away")]
+        assert replies[0].outcome is fx.Outcome.REFUSED
+        assert replies[0].retry_after_ms > 0
+
+
+def test_a_queue_is_counted_without_the_store():
+    asked, _, _ = handle("count", "", pump_says_away=True)
+    assert asked == [("count", "q")]
