Split the gateway: routes to owners and messages between instances

Finding and forgetting an owner is now `OwnerRoutes`, the translation `caller_messages`. `_try` no longer does the sending itself, and the timer's four methods have names that say what is waited for (`_await_reply`, `_await_owner`, `_try_soon`, `_set_timer`); the step "try again soon" stood twice and stands once.

No behaviour changes.

--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/caller_messages.py
@@ -0,0 +1,40 @@
+"""Callers' requests and their replies as messages between instances."""
+
+from thymefork_cells import effects as fx
+from thymefork_net.peers import CallerReply, CallerRequest
+
+__all__ = ["read_reply", "reply_message", "request_message"]
+
+
+def request_message(call_id, pending):
+    """Return the message that forwards a request to its cell's owner."""
+    return CallerRequest(
+        call_id=call_id,
+        cell=pending.cell,
+        kind=pending.kind,
+        queue=pending.queue,
+        job_id=pending.job_id,
+        body=pending.data,
+    )
+
+
+def reply_message(call_id, reply):
+    """Return the message that brings an owner's reply back."""
+    return CallerReply(
+        call_id=call_id,
+        outcome=str(reply.outcome),
+        state=reply.state,
+        count=reply.count,
+        retry_after_ms=reply.retry_after_ms,
+    )
+
+
+def read_reply(message):
+    """Return the reply that a message brings."""
+    return fx.Reply(
+        request_id=None,
+        outcome=fx.Outcome(message.outcome),
+        state=message.state,
+        count=message.count,
+        retry_after_ms=message.retry_after_ms,
+    )
--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -6,9 +6,10 @@
 
 from thymefork_cells import cell_of, effects as fx
 from thymefork_net import steady_ms
-from thymefork_net.peers import CallerReply, CallerRequest
 
+from .caller_messages import read_reply, reply_message, request_message
 from .count_of_cells import CountOfCells
+from .owner_routes import OwnerRoutes
 from .pending_request import PendingRequest
 
 __all__ = ["Gateway"]
@@ -33,6 +34,7 @@
 
     def __init__(self, *, shell):
         self._shell = shell
+        self._routes = OwnerRoutes(shell=shell)
         self._numbers = count(1)
         self._pending = {}
 
@@ -84,60 +86,61 @@
         pending = self._pending.get(call_id)
         if pending is None:
             return
-        owner = self._shell.owners.get(pending.cell)
-        if owner is not None and owner.is_serving:
-            pending.link = None
-            pending.tries += 1
-            owner.request(
-                pending.kind,
-                pending.queue,
-                pending.job_id,
-                pending.data,
-                lambda reply: self._on_reply(call_id, reply),
-            )
-            self._arm(call_id, pending)
+        owner = self._routes.local_owner(pending.cell)
+        if owner is not None:
+            self._ask_here(call_id, pending, owner)
             return
-        link = self._link_to(pending.cell)
-        if link is None:
-            self._wait(call_id, pending)
-            return
-        pending.link = link
+        link = self._routes.link_to(pending.cell)
+        if link is not None:
+            self._ask_on(call_id, pending, link)
+        else:
+            self._await_owner(call_id, pending)
+
+    def _ask_here(self, call_id, pending, owner):
+        pending.link = None
         pending.tries += 1
-        link.send(
-            CallerRequest(
-                call_id=call_id,
-                cell=pending.cell,
-                kind=pending.kind,
-                queue=pending.queue,
-                job_id=pending.job_id,
-                body=pending.data,
-            )
+        owner.request(
+            pending.kind,
+            pending.queue,
+            pending.job_id,
+            pending.data,
+            lambda reply: self._on_reply(call_id, reply),
         )
-        self._arm(call_id, pending)
-
-    def _link_to(self, cell):
-        directory = self._shell.directory
-        address = directory.owner_of(cell)
-        if address is None or address == self._shell.settings.peer:
-            directory.refresh()
-            return None
-        link = self._shell.links.to(address)
-        if link is None:
-            directory.forget(cell, address)
-        return link
-
-    def _wait(self, call_id, pending):
+        self._await_reply(call_id, pending)
+
+    def _ask_on(self, call_id, pending, link):
+        pending.link = link
+        pending.tries += 1
+        link.send(request_message(call_id, pending))
+        self._await_reply(call_id, pending)
+
+    def _await_reply(self, call_id, pending):
+        left_ms = pending.deadline_ms - steady_ms()
+        self._set_timer(pending, left_ms, lambda: self._give_up(call_id, "no_reply"))
+
+    def _await_owner(self, call_id, pending):
         in_vain = not pending.tries and self._shell.readiness.is_cut_off
         if steady_ms() < pending.find_until_ms and not in_vain:
-            self._rearm(pending, FIND_PERIOD_MS, lambda: self._try(call_id))
+            self._set_timer(pending, FIND_PERIOD_MS, lambda: self._try(call_id))
         else:
             self._give_up(call_id, "no_owner")
 
-    def _arm(self, call_id, pending):
-        left_ms = pending.deadline_ms - steady_ms()
-        self._rearm(pending, left_ms, lambda: self._give_up(call_id, "no_reply"))
+    def _try_soon(self, call_id, pending):
+        """Try again after a moment, within which the owner may become known."""
+        action = lambda: self._try_if_time_is_left(call_id)
+        self._set_timer(pending, FIND_PERIOD_MS, action)
+
+    def _try_if_time_is_left(self, call_id):
+        pending = self._pending.get(call_id)
+        if pending is None:
+            return
+        if steady_ms() < pending.find_until_ms:
+            self._try(call_id)
+        else:
+            self._give_up(call_id, "no_owner")
 
-    def _rearm(self, pending, delay_ms, action):
+    def _set_timer(self, pending, delay_ms, action):
+        """Set a request's only timer in place of the one before."""
         self._shell.timers.cancel(pending.timer_id)
         pending.timer_id = self._shell.timers.after(max(0.0, delay_ms), action)
 
@@ -149,26 +152,11 @@
             return
         if reply.outcome == fx.Outcome.NOT_OWNER:
             pending.tries -= 1
-            self._look_again(call_id, pending)
+            self._routes.forget(pending.cell, pending.link)
+            self._try_soon(call_id, pending)
             return
         self._finish(call_id, reply)
 
-    def _look_again(self, call_id, pending):
-        if pending.link is not None:
-            self._shell.directory.forget(pending.cell, pending.link.address)
-        else:
-            self._shell.directory.refresh()
-        self._rearm(pending, FIND_PERIOD_MS, lambda: self._wait_or_try(call_id))
-
-    def _wait_or_try(self, call_id):
-        pending = self._pending.get(call_id)
-        if pending is None:
-            return
-        if steady_ms() < pending.find_until_ms:
-            self._try(call_id)
-        else:
-            self._give_up(call_id, "no_owner")
-
     def _give_up(self, call_id, reason):
         pending = self._pending.get(call_id)
         if pending is None:
@@ -198,29 +186,11 @@
 
     def on_caller_reply(self, message):
         """Take the owner's reply to a request that was forwarded."""
-        reply = fx.Reply(
-            request_id=None,
-            outcome=fx.Outcome(message.outcome),
-            state=message.state,
-            count=message.count,
-            retry_after_ms=message.retry_after_ms,
-        )
-        self._on_reply(message.call_id, reply)
+        self._on_reply(message.call_id, read_reply(message))
 
     def on_caller_request(self, link, message):
         """Decide a request that another instance has forwarded."""
-
-        def respond(reply):
-            link.send(
-                CallerReply(
-                    call_id=message.call_id,
-                    outcome=str(reply.outcome),
-                    state=reply.state,
-                    count=reply.count,
-                    retry_after_ms=reply.retry_after_ms,
-                )
-            )
-
+        respond = lambda reply: link.send(reply_message(message.call_id, reply))
         owner = self._shell.owners.get(message.cell)
         if owner is None:
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
@@ -233,14 +203,10 @@
         """Try the requests that were sent on a link at the cell's next owner."""
         for call_id, pending in list(self._pending.items()):
             if pending.link is link:
-                self._shell.directory.forget(pending.cell, link.address)
+                self._routes.forget(pending.cell, link)
                 pending.link = None
                 pending.find_until_ms = self._find_until(pending)
-                self._rearm(
-                    pending,
-                    FIND_PERIOD_MS,
-                    lambda call_id=call_id: self._wait_or_try(call_id),
-                )
+                self._try_soon(call_id, pending)
 
     def _find_until(self, pending):
         """Return until when the owner that follows a lost one is looked for."""
@@ -257,16 +223,16 @@
             return
         for owned in message.owned:
             if self._shell.directory.heard(owned.cell, address, owned.epoch):
-                self._send_on(owned.cell, address)
+                self._send_to_successor(owned.cell, address)
 
-    def _send_on(self, cell, address):
+    def _send_to_successor(self, cell, address):
         """Send what waits for a cell to its new owner, without waiting further.
 
         The requests get new numbers: what the old owner may still answer is out of
         date, and a refusal of its own might not be true any more.
         """
         for call_id, pending in list(self._pending.items()):
-            if pending.cell != cell or self._is_decided_by(pending, address):
+            if pending.cell != cell or self._is_with(pending, address):
                 continue
             if self._pending.pop(call_id, None) is None:
                 continue  # a link that broke meanwhile has ended it
@@ -275,9 +241,8 @@
             self._shell.metrics.count("retries", "owner_changed")
             self._try(new_id)
 
-    def _is_decided_by(self, pending, address):
+    def _is_with(self, pending, address):
         """Tell whether a request is already with an owner, here or at an address."""
         if pending.link is not None:
             return pending.link.address == address
-        owner = self._shell.owners.get(pending.cell)
-        return owner is not None and owner.is_serving
+        return self._routes.local_owner(pending.cell) is not None
