Move the cells that an instance owns out of the daemon

The deal, the losses of cells and what goes to all owners are now `OwnedCells`; the daemon keeps `owners` as a read-only property for its parts. `_on_membership` is three short methods, and two methods that only called another are gone.

No behaviour changes.

--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -19,7 +19,7 @@
 from .layout import Layout
 from .membership import Membership
 from .operators_face import OperatorsFace
-from .owner import CellOwner
+from .owned_cells import OwnedCells
 from .owner_directory import OwnerDirectory
 from .peer_desk import PeerDesk
 from .readiness import Readiness
@@ -49,13 +49,13 @@
         self._log_writer = log_writer
         self._own_past_removed = False
         self._life = f"{time.time_ns():x}{os.getpid():x}"
-        self.owners = {}
+        self.owned_cells = OwnedCells(shell=self)
         self.timers = SteadyTimers().register(self)
         self._settings_watch = SettingsWatch(
             settings=settings,
             path=settings_path,
             timers=self.timers,
-            on_change=self._on_settings,
+            on_change=self.owned_cells.on_settings,
         )
         self._shutdown = Shutdown(shell=self)
         self.sockets = Sockets().register(self)
@@ -108,21 +108,21 @@
             store=self.store, timers=self.timers, on_change=self._on_configuration
         )
         self.worker_list = WorkerListWatch(
-            store=self.store, timers=self.timers, on_change=self._on_workers
+            store=self.store, timers=self.timers, on_change=self.owned_cells.on_workers
         )
         self.layout = Layout(
             store=self.store,
             timers=self.timers,
             most_cells=self.settings.store.partitions,
             worker_list=self.worker_list,
-            on_known=self._on_layout,
+            on_known=self.owned_cells.update,
         )
         self.membership = Membership(
             store=self.store,
             timers=self.timers,
             settings=self.settings,
             life=self._life,
-            on_change=self._on_membership,
+            on_change=self.owned_cells.update,
             owner_missing_ms=lambda: self.directory.missing_ms(),
         )
         self.directory = OwnerDirectory(
@@ -144,6 +144,21 @@
         """Return the configuration in force, or None before it was read."""
         return self._configuration_watch.current
 
+    @property
+    def owners(self):
+        """Return the owners of this instance's cells by the cells' numbers."""
+        return self.owned_cells.owners
+
+    @property
+    def is_stopping(self):
+        """Tell whether this instance was asked to stop."""
+        return self._shutdown.has_begun
+
+    @property
+    def reads_store(self):
+        """Tell whether this instance's reads of the store are answered."""
+        return self._configuration_watch.is_answered
+
     # Life --------------------------------------------------------------------
 
     @handler("started", channel="*")
@@ -176,84 +191,15 @@
             self._log_writer.write_waiting()
             self.stop()
 
-    def _on_settings(self):
-        for owner in self.owners.values():
-            if owner.cell is not None:
-                owner.cell.context.bounds = self.settings.bounds
-
-    # Cells -------------------------------------------------------------------
-
-    def _on_layout(self):
-        self._on_membership()
-
-    def _on_membership(self):
-        if not self.layout.cells or self.is_stopping:
-            return
-        dealt = self.membership.epochs
-        partitions = {
-            cell: self.layout.partition_of(cell) for cell in range(self.layout.cells)
-        }
-        epochs = {
-            cell: dealt[partition]
-            for cell, partition in partitions.items()
-            if partition in dealt
-        }
-        for cell, owner in list(self.owners.items()):
-            if epochs.get(cell) != owner.epoch:
-                owner.end("the cell was dealt to another instance")
-                del self.owners[cell]
-                self.peers.send_heartbeats()
-        self.worker_list.want(bool(epochs))
-        for cell, epoch in epochs.items():
-            if cell not in self.owners:
-                owner = CellOwner(cell=cell, epoch=epoch, shell=self)
-                self.owners[cell] = owner
-                owner.start()
-
-    def on_cell_lost(self, owner):
-        """Drop a cell; a later generation of the group may bring it back."""
-        if self.owners.get(owner.cell_index) is owner:
-            del self.owners[owner.cell_index]
-        partition = self.layout.partition_of(owner.cell_index)
-        self.membership.give_up(partition, owner.epoch)
-
-    def on_peer_owns(self, owned_cells):
-        """Give up a cell that a peer serves under a later epoch."""
-        for owned in owned_cells:
-            owner = self.owners.get(owned.cell)
-            if owner is not None and owned.epoch > owner.epoch:
-                owner.lose(f"a peer owns it under epoch {owned.epoch}")
-
-    def on_cell_serving(self, owner):
-        """Tell the other instances at once."""
-        self.peers.send_heartbeats()
-
     def _on_owners(self):
         """Remove this instance's own previous life, which is certainly over."""
         if not self._own_past_removed:
             self._own_past_removed = True
             self.directory.remove_dead(self.settings.peer)
 
-    def _on_workers(self):
-        for owner in list(self.owners.values()):
-            owner.on_workers()
-
     def _on_configuration(self, configuration):
         self.front.on_configuration(configuration)
-        for owner in self.owners.values():
-            owner.on_configuration(configuration)
-
-    @property
-    def is_stopping(self):
-        """Tell whether this instance was asked to stop."""
-        return self._shutdown.has_begun
-
-    # Balancer and metrics ----------------------------------------------------
-
-    @property
-    def reads_store(self):
-        """Tell whether this instance's reads of the store are answered."""
-        return self._configuration_watch.is_answered
+        self.owned_cells.on_configuration(configuration)
 
     def _on_ready_request(self, request):
         request.answer(200 if self.readiness.check() else 503)
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
@@ -0,0 +1,84 @@
+"""The cells that this instance owns."""
+
+from .owner import CellOwner
+
+__all__ = ["OwnedCells"]
+
+
+class OwnedCells:
+    """Keep an owner for each cell that is dealt to this instance; `owners` maps them.
+
+    What concerns all cells goes to their owners from here.
+    """
+
+    def __init__(self, *, shell):
+        self.owners = {}
+        self._shell = shell
+
+    def update(self):
+        """Follow the deal: give up what is another's now, take over what is new."""
+        if not self._shell.layout.cells or self._shell.is_stopping:
+            return
+        epochs = self._dealt_epochs()
+        self._end_others(epochs)
+        self._shell.worker_list.want(bool(epochs))
+        for cell, epoch in epochs.items():
+            if cell not in self.owners:
+                owner = CellOwner(cell=cell, epoch=epoch, shell=self._shell)
+                self.owners[cell] = owner
+                owner.start()
+
+    def _dealt_epochs(self):
+        """Return the epoch of each cell whose partition is dealt to this instance."""
+        layout, dealt = self._shell.layout, self._shell.membership.epochs
+        partitions = {cell: layout.partition_of(cell) for cell in range(layout.cells)}
+        return {
+            cell: dealt[partition]
+            for cell, partition in partitions.items()
+            if partition in dealt
+        }
+
+    def _end_others(self, epochs):
+        for cell, owner in list(self.owners.items()):
+            if epochs.get(cell) != owner.epoch:
+                owner.end("the cell was dealt to another instance")
+                del self.owners[cell]
+                self._shell.peers.send_heartbeats()
+
+    # From the owners ---------------------------------------------------------
+
+    def on_lost(self, owner):
+        """Drop a cell; a later generation of the group may bring it back."""
+        if self.owners.get(owner.cell_index) is owner:
+            del self.owners[owner.cell_index]
+        partition = self._shell.layout.partition_of(owner.cell_index)
+        self._shell.membership.give_up(partition, owner.epoch)
+
+    def on_serving(self):
+        """Tell the other instances at once."""
+        self._shell.peers.send_heartbeats()
+
+    # To the owners -----------------------------------------------------------
+
+    def on_peer_owns(self, owned_cells):
+        """Give up a cell that a peer serves under a later epoch."""
+        for owned in owned_cells:
+            owner = self.owners.get(owned.cell)
+            if owner is not None and owned.epoch > owner.epoch:
+                owner.lose(f"a peer owns it under epoch {owned.epoch}")
+
+    def on_workers(self):
+        """Take the platform's list of workers."""
+        for owner in list(self.owners.values()):
+            owner.on_workers()
+
+    def on_configuration(self, configuration):
+        """Take a newer configuration."""
+        for owner in self.owners.values():
+            owner.on_configuration(configuration)
+
+    def on_settings(self):
+        """Take the settings that were read again."""
+        for owner in self.owners.values():
+            if owner.cell is not None:
+                owner.cell.context.bounds = self._shell.settings.bounds
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -129,7 +129,7 @@
     def lose(self, reason):
         """Give the cell up, since it is certainly another's."""
         self.end(reason)
-        self._shell.on_cell_lost(self)
+        self._shell.owned_cells.on_lost(self)
 
     def _log(self, event):
         return logger.bind(event=event, cell=self.cell_index, epoch=self.epoch)
@@ -188,7 +188,7 @@
             after_ms=round(now_ms - self._began_ms),
         ).info("serving the cell")
         self.on_links()
-        self._shell.on_cell_serving(self)
+        self._shell.owned_cells.on_serving()
         self._turns.turn()
 
     def _load_cell(self, records, now_ms):
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -122,7 +122,7 @@
             self._without_store.discard(address)
         if message.in_group:
             self._member_links.add(link)
-        self._shell.on_peer_owns(message.owned)
+        self._shell.owned_cells.on_peer_owns(message.owned)
         self._shell.gateway.on_heartbeat(link, message)
         self._owner_watch.on_heartbeat(link, message)
         owned = {owned.cell for owned in message.owned}
