Make the command line's losses a package, one type a file

They are modules of a package now, with the plot beside them (the longest have 77 lines), and a job's lines are a `JobLines` instead of a list that each function filtered anew. Filtering lines by event and measuring the time between two of them stood in `explain` and in `losses`; both take it from `log_lines`.

--- a/packages/thymefork-cli/src/thymefork_cli/explain.py
+++ b/packages/thymefork-cli/src/thymefork_cli/explain.py
@@ -1,10 +1,8 @@
 """The story of an id from the saved logs of any number of instances."""
 
-from datetime import datetime, timedelta
-
 from attrs import field, frozen
 
-from .log_lines import is_about, lacks_permission
+from .log_lines import is_about, lacks_permission, lines_with, ms_between
 
 __all__ = ["Story", "explain_subject"]
 
@@ -76,9 +74,9 @@
 
 
 def _cause(own, near):
-    ended = [line for line in own if line["event"] == "job_ended"]
-    refused = [line for line in own if line["event"] == "request_given_up"]
-    withdrawn = [line for line in own if line["event"] == "job_withdrawn"]
+    ended = lines_with(own, "job_ended")
+    refused = lines_with(own, "request_given_up")
+    withdrawn = lines_with(own, "job_withdrawn")
     if ended:
         end = _end_words(ended[-1])
         return "; ".join([end, *_early_tries(refused, withdrawn), *_delays(own, near)])
@@ -87,8 +85,8 @@
     if refused:
         line = refused[-1]
         return f"{line['outcome']}: {line['reason']} when {line['kind']} was asked"
-    told = [line for line in own if line["event"] == "request_refused"]
-    if told and not any(line["event"] == "job_accepted" for line in own):
+    told = lines_with(own, "request_refused")
+    if told and not lines_with(own, "job_accepted"):
         line = told[-1]
         words = f"{line['outcome']} after {line['after_ms']} ms, {len(told)} times"
         return f"{words}: its cell's owner could store nothing, or was not found"
@@ -123,15 +121,15 @@
         ("run_moves", "runs moved off a slow worker"),
         ("start_refused", "starts were refused"),
     ):
-        count = sum(line["event"] == event for line in own)
+        count = len(lines_with(own, event))
         if count:
             found.append(f"{count} {words}")
-    waits = [line for line in own if line["event"] == "step_waits"]
+    waits = lines_with(own, "step_waits")
     if waits:
         found.append(_wait_words(waits[-1]))
     seen = {line["event"] for line in near}
     found += [words for event, words in _CELL_EVENTS.items() if event in seen]
-    starts = [line for line in own if line["event"] == "tasks_start"]
+    starts = lines_with(own, "tasks_start")
     if starts:
         found += _longest_step(own, starts)
         waited_ms = max(line["waited_ms"] for line in starts)
@@ -141,19 +139,19 @@
 
 def _longest_step(own, starts):
     """Return which step took longest from its first start, once the job has ended."""
-    ends = [line["at"] for line in own if line["event"] == "job_ended"]
-    began = {}
-    for line in starts:
-        began.setdefault(line["step"], line["at"])
-    if not ends or not began:
+    ends = lines_with(own, "job_ended")
+    if not ends or not starts:
         return []
-    moments = [datetime.fromisoformat(at) for at in (*began.values(), ends[-1])]
-    spans = {
-        step: (after - before) / timedelta(milliseconds=1)
-        for step, before, after in zip(began, moments, moments[1:], strict=False)
+    first_starts = {}
+    for line in starts:
+        first_starts.setdefault(line["step"], line)
+    marks = [*first_starts.values(), ends[-1]]
+    spans_ms = {
+        before["step"]: ms_between(before, after)
+        for before, after in zip(marks, marks[1:], strict=False)
     }
-    longest = max(spans, key=spans.get)
-    return [f"{longest} took longest, {spans[longest]:.0f} ms from its first start"]
+    longest = max(spans_ms, key=spans_ms.get)
+    return [f"{longest} took longest, {spans_ms[longest]:.0f} ms from its first start"]
 
 
 def _wait_words(line):
--- a/packages/thymefork-cli/src/thymefork_cli/log_lines.py
+++ b/packages/thymefork-cli/src/thymefork_cli/log_lines.py
@@ -1,8 +1,17 @@
 """Structured lines of saved logs, and what they say."""
 
+from datetime import datetime, timedelta
+
 import orjson
 
-__all__ = ["is_about", "job_of", "lacks_permission", "read_lines"]
+__all__ = [
+    "is_about",
+    "job_of",
+    "lacks_permission",
+    "lines_with",
+    "ms_between",
+    "read_lines",
+]
 
 
 def read_lines(paths):
@@ -23,6 +32,17 @@
     return sorted(lines, key=lambda line: line["at"])
 
 
+def lines_with(lines, *events):
+    """Return the lines that tell of one of some events."""
+    return [line for line in lines if line["event"] in events]
+
+
+def ms_between(first, last):
+    """Return the milliseconds from one line to another by the time of day."""
+    began, ended = (datetime.fromisoformat(line["at"]) for line in (first, last))
+    return (ended - began) / timedelta(milliseconds=1)
+
+
 def job_of(line):
     """Return the id of the job that a line is about, or an empty text."""
     return line.get("job") or _task_of(line).partition(".")[0]
--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/cause.py
@@ -0,0 +1,24 @@
+"""What a request was lost or late for."""
+
+from enum import StrEnum
+
+__all__ = ["Cause"]
+
+
+class Cause(StrEnum):
+    """Name what a request was lost or late for."""
+
+    STORE_AWAY = "the store took nothing"
+    NO_OWNER = "its cell's owner was not found"
+    NO_REPLY = "its cell's owner did not reply"
+    FAILED = "its tasks failed too often"
+    NOT_ALLOWED = "its policy allows no worker"
+    NO_PERMISSION = "it waited for its policy's permission"
+    NO_ROOM = "it waited for room"
+    START = "it waited for a start"
+    SILENT_WORKER = "a worker with its runs fell silent"
+    RUNS_FAILED = "runs of it failed"
+    RUNS_STOPPED = "runs of it were stopped"
+    OWNER_REPLACED = "its cell's owner was replaced"
+    STORE_SLOW = "the store was slow or away meanwhile"
+    SLOW_RUNS = "its runs took long, or nothing in the logs explains it"
--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/cause_rules.py
@@ -0,0 +1,77 @@
+"""What the logs say a job was refused, waited or took long for."""
+
+from collections import Counter
+
+from ..log_lines import lacks_permission, ms_between
+from .cause import Cause
+
+__all__ = ["cause_of_delay", "cause_of_refusal", "cause_of_wait"]
+
+# A delay below this explains nothing: it is what each start or append takes.
+LEAST_DELAY_MS = 50.0
+
+
+def cause_of_refusal(job):
+    """Return why a job was not accepted at once."""
+    reasons = {line["reason"] for line in job.with_event("request_given_up")}
+    if job.with_event("job_withdrawn") or not reasons:
+        return Cause.STORE_AWAY
+    return Cause.NO_REPLY if "no_reply" in reasons else Cause.NO_OWNER
+
+
+def cause_of_wait(wait):
+    """Return what a step lacks by the line that says that it waits."""
+    return Cause.NO_PERMISSION if lacks_permission(wait) else Cause.NO_ROOM
+
+
+def cause_of_delay(job, ended, others):
+    """Return what took the largest part of a late job's time.
+
+    `others` are the lines that are about no job.
+    """
+    began_at, ended_at = job.first["at"], ended["at"]
+    meanwhile = {line["event"] for line in others if began_at <= line["at"] <= ended_at}
+    accepted = job.last("job_accepted")
+    parts_ms = {
+        cause_of_refusal(job): ms_between(job.first, accepted) if accepted else 0.0,
+        Cause.RUNS_FAILED: _lost_to_runs_ms(job, "failed"),
+        Cause.RUNS_STOPPED: _lost_to_runs_ms(job, "stopped", "broken", "lapsed"),
+    }
+    starts = job.with_event("tasks_start")
+    waited_ms = max((line["waited_ms"] for line in starts), default=0.0)
+    cause = _cause_of_late_start(job, meanwhile)
+    parts_ms[cause] = max(parts_ms.get(cause, 0.0), waited_ms)
+    largest = max(parts_ms, key=parts_ms.get)
+    if parts_ms[largest] >= LEAST_DELAY_MS:
+        return largest
+    return _cause_among(meanwhile)
+
+
+def _lost_to_runs_ms(job, *ends):
+    """Return the longest time that one task lost to runs with such ends."""
+    lost_ms = Counter()
+    for line in job.with_event("run_ended"):
+        if line.get("how") in ends:
+            lost_ms[line.get("task")] += line.get("after_ms") or 0
+    return max(lost_ms.values(), default=0.0)
+
+
+def _cause_of_late_start(job, meanwhile):
+    """Return why a start came late, by the events while the job lived."""
+    if "leases_expired" in meanwhile:
+        return Cause.SILENT_WORKER
+    wait = job.last("step_waits")
+    if wait is not None:
+        return cause_of_wait(wait)
+    if "ownership_gained" in meanwhile:
+        return Cause.OWNER_REPLACED
+    return Cause.START
+
+
+def _cause_among(meanwhile):
+    """Return the cause that events tell which are about no job."""
+    if "ownership_gained" in meanwhile:
+        return Cause.OWNER_REPLACED
+    if meanwhile & {"store_lost", "store_slow", "store_silent", "store_turns_away"}:
+        return Cause.STORE_SLOW
+    return Cause.SLOW_RUNS
--- /dev/null
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/find.py
@@ -0,0 +1,77 @@
+"""Finding the jobs that were lost or late."""
+
+from ..log_lines import job_of, ms_between
+from .cause import Cause
+from .cause_rules import cause_of_delay, cause_of_refusal, cause_of_wait
+from .job_lines import JobLines
+from .loss import Loss
+from .losses import Losses
+from .outcome import Outcome
+
+__all__ = ["find_losses"]
+
+# A job that has not ended this long before the logs do counts as lost; younger ones
+# may still be on their way.
+OPEN_MS = 20_000.0
+
+
+def find_losses(lines):
+    """Return what was lost or late in lines that are in time order."""
+    by_job, others = {}, []
+    for line in lines:
+        job = job_of(line)
+        if job:
+            by_job.setdefault(job, []).append(line)
+        else:
+            others.append(line)
+    jobs = [JobLines(job=job, lines=own) for job, own in by_job.items()]
+    handed_in = [job for job in jobs if job.is_handed_in]
+    found = [_loss_of(job, others, lines[-1]) for job in handed_in]
+    items = tuple(loss for loss in found if loss is not None)
+    return Losses(requests=len(handed_in), items=items)
+
+
+def _loss_of(job, others, last_line):
+    """Return how a job fell short, None if it did not or was cancelled.
+
+    `others` are the lines that are about no job.
+    """
+    ended = job.last("job_ended")
+    if ended is not None and ended["state"] not in ("cancelled", "failed"):
+        outcome, cause = Outcome.LATE, _cause_if_late(job, ended, others)
+    else:
+        outcome, cause = Outcome.LOST, _cause_if_lost(job, ended, last_line)
+    if cause is None:
+        return None
+    return Loss(
+        job=job.job,
+        queue=job.queue,
+        at=job.first["at"],
+        outcome=outcome,
+        cause=cause,
+    )
+
+
+def _cause_if_late(job, ended, others):
+    objective_ms = ended.get("measured_objective_ms") or ended.get("objective_ms", 0)
+    if not objective_ms or ms_between(job.first, ended) <= objective_ms:
+        return None
+    return cause_of_delay(job, ended, others)
+
+
+def _cause_if_lost(job, ended, last_line):
+    if ended is not None:
+        return Cause.FAILED if ended["state"] == "failed" else None
+    if not job.is_accepted:
+        return cause_of_refusal(job)
+    if ms_between(job.first, last_line) < OPEN_MS:
+        return None
+    return _cause_if_open(job)
+
+
+def _cause_if_open(job):
+    """Return what an accepted job without an end waits for, None if it merely lasts."""
+    wait = job.last("step_waits")
+    if wait is not None:
+        return Cause.NOT_ALLOWED if wait.get("allowed") == 0 else cause_of_wait(wait)
+    return None if job.with_event("tasks_start") else Cause.START
--- a/packages/thymefork-cli/src/thymefork_cli/main.py
+++ b/packages/thymefork-cli/src/thymefork_cli/main.py
@@ -24,8 +24,7 @@
 )
 from .explain import explain_subject
 from .log_lines import read_lines
-from .losses import find_losses
-from .losses_plot import plot_losses
+from .losses import find_losses, plot_losses
 from .show import show_config, show_status, show_work
 
 __all__ = ["app", "main"]
