--- a/packages/thymefork-cli/src/thymefork_cli/main.py
+++ b/packages/thymefork-cli/src/thymefork_cli/main.py
@@ -43,12 +43,17 @@
 ]
 
 
-def _fail(failure, as_json, code):
-    document = {"error": str(failure), "step": failure.step, "peer": failure.peer}
+def _print(document, as_json, show):
+    """Print a document as JSON, or have `show(document)` print it for people."""
     if as_json:
         typer.echo(orjson.dumps(document).decode())
     else:
-        typer.echo(f"thymefork: {failure}", err=True)
+        show(document)
+
+
+def _fail(failure, as_json, code):
+    document = {"error": str(failure), "step": failure.step, "peer": failure.peer}
+    _print(document, as_json, lambda _: typer.echo(f"thymefork: {failure}", err=True))
     raise typer.Exit(code)
 
 
@@ -61,13 +66,6 @@
         _fail(failure, as_json, WRONG_FILE)
 
 
-def _print(document, as_json, show):
-    if as_json:
-        typer.echo(orjson.dumps(document).decode())
-    else:
-        show(document)
-
-
 @app.command()
 def check(file: FileArgument, json: JsonOption = False):
     """Check a file without applying it."""
@@ -186,10 +184,7 @@
     except ThymeforkError as failure:
         _fail(failure, json, WRONG_FILE)
     story = explain_subject(names[0], lines)
-    if json:
-        typer.echo(orjson.dumps(story.document()).decode())
-    else:
-        typer.echo(story.text())
+    _print(story.document(), json, lambda _: typer.echo(story.text()))
     raise typer.Exit(0 if story.lines else UNKNOWN_SUBJECT)
 
 
@@ -206,10 +201,7 @@
     found = find_losses(lines)
     if plot is not None:
         plot_losses(found, plot)
-    if as_json:
-        typer.echo(orjson.dumps(found.document()).decode())
-    else:
-        typer.echo(found.text())
+    _print(found.document(), as_json, lambda _: typer.echo(found.text()))
 
 
 def main():
