Let the three kinds of connections read and write their socket in one place

The connection of a call, the accepted one and the link between instances each took a broken stream for the end of the connection, in reads and in writes: six copies of the same lines. They stand in `StreamConnection` now; the link still notes a refusal.

No behaviour changes.

--- a/packages/thymefork-net/src/thymefork_net/http/client_connection.py
+++ b/packages/thymefork-net/src/thymefork_net/http/client_connection.py
@@ -2,20 +2,14 @@
 
 import httptools
 
-from ..streams import (
-    StreamBrokenError,
-    connect_failure,
-    open_stream,
-    receive,
-    reset_on_close,
-    send,
-)
+from ..stream_connection import StreamConnection
+from ..streams import connect_failure, open_stream, reset_on_close
 from .answer import HttpAnswer
 
 __all__ = ["ClientConnection"]
 
 
-class ClientConnection:
+class ClientConnection(StreamConnection):
     """Own one socket; tell the pool about each call's end."""
 
     def __init__(self, *, sockets, address, pool):
@@ -63,7 +57,7 @@
         if not self._connected:
             failure = connect_failure(self._sock)
             if failure is not None:
-                self.on_broken(str(failure))
+                self._fail(failure)
                 return
             self._connected = True
         if self._out and not self._may_begin():
@@ -78,10 +72,8 @@
         return self.call.still_wanted()
 
     def _send(self):
-        try:
-            count = send(self._sock, self._out)
-        except StreamBrokenError as failure:
-            self.on_broken(str(failure))
+        count = self._send_some(self._out)
+        if count is None:
             return
         self._sent_bytes += count
         self._out = self._out[count:]
@@ -89,11 +81,7 @@
 
     def on_readable(self):
         """Read what came and finish the call once its answer is whole."""
-        try:
-            data = receive(self._sock)
-        except StreamBrokenError as failure:
-            self.on_broken(str(failure))
-            return
+        data = self._receive()
         if data is None:
             return
         if self.call is None:
--- a/packages/thymefork-net/src/thymefork_net/http/server_connection.py
+++ b/packages/thymefork-net/src/thymefork_net/http/server_connection.py
@@ -6,7 +6,7 @@
 import httptools
 
 from ..steady import steady_ms
-from ..streams import StreamBrokenError, receive, send
+from ..stream_connection import StreamConnection
 from .incoming import IncomingRequest
 
 __all__ = ["ServerConnection"]
@@ -14,7 +14,7 @@
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
-class ServerConnection:
+class ServerConnection(StreamConnection):
     """Own one accepted socket."""
 
     def __init__(self, *, sock, server):
@@ -53,11 +53,7 @@
 
     def on_readable(self):
         """Read what came and hand whole requests on."""
-        try:
-            data = receive(self._sock)
-        except StreamBrokenError as failure:
-            self.on_broken(str(failure))
-            return
+        data = self._receive()
         if data is None:
             return
         self.last_active_ms = steady_ms()
@@ -179,10 +175,8 @@
     def on_writable(self):
         """Send what the socket takes."""
         if self._out:
-            try:
-                count = send(self._sock, self._out)
-            except StreamBrokenError as failure:
-                self.on_broken(str(failure))
+            count = self._send_some(self._out)
+            if count is None:
                 return
             del self._out[:count]
             self.last_active_ms = steady_ms()
--- a/packages/thymefork-net/src/thymefork_net/peers/link.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/link.py
@@ -7,7 +7,8 @@
 from ..address import Address
 from ..frames import FrameReader, frame
 from ..steady import steady_ms
-from ..streams import StreamBrokenError, connect_failure, open_stream, receive, send
+from ..stream_connection import StreamConnection
+from ..streams import StreamBrokenError, connect_failure, open_stream
 from .envelope import decode, encode
 
 __all__ = ["Link"]
@@ -18,7 +19,7 @@
 MOST_QUEUED_BYTES = 4_194_304
 
 
-class Link:
+class Link(StreamConnection):
     """Own one socket to a peer; `peer` is its Hello once that was heard."""
 
     def __init__(self, *, sock, links, address=None):
@@ -69,21 +70,15 @@
                 return
             self.connected = True
         if self._out:
-            try:
-                count = send(self._sock, self._out)
-            except StreamBrokenError as failure:
-                self._fail(failure)
+            count = self._send_some(self._out)
+            if count is None:
                 return
             del self._out[:count]
         self._links.sockets.watch_writes(self._sock, bool(self._out))
 
     def on_readable(self):
         """Read what came and hand whole messages on."""
-        try:
-            data = receive(self._sock)
-        except StreamBrokenError as failure:
-            self._fail(failure)
-            return
+        data = self._receive()
         if data is None:
             return
         self.heard_ms = steady_ms()
