--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -31,10 +31,10 @@
 EPOCH_MS = 1_700_000_000_000.0
 
 
-def job_spec(*steps, **fields):
+def job_spec(*steps, payload="p", **fields):
     """Return a job of steps given as dictionaries."""
     return JobSpec(
-        payload="p", steps=tuple(StepSpec(**step) for step in steps), **fields
+        payload=payload, steps=tuple(StepSpec(**step) for step in steps), **fields
     )
 
 
