Let effects leave with the append that stores the last change before them

Change: changes are numbered; an effect is held until those before it are stored. Ruled out: a limit of one job an append (it would cost calls, and not end the fault).

--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -60,8 +60,12 @@
         )
         return job
 
-    def withdraw(self, jobs, effects, *, now_ms):
-        """Refuse jobs that were certainly not stored; return the other effects."""
+    def withdraw(self, jobs, *, now_ms):
+        """Refuse jobs that were certainly not stored.
+
+        Return a function that refuses the callers who wait for one of them, and tells
+        of each effect whether it stands.
+        """
         for job in jobs:
             for run in job.runs:
                 self._lifecycle.release(run, now_ms=now_ms)
@@ -69,18 +73,20 @@
             self._context.live_jobs.pop(job.job_id, None)
             self._context.note("job_withdrawn", job=job.job_id, reason="not stored")
         withdrawn = {job.job_id for job in jobs}
-        kept = []
-        for effect in effects:
-            if isinstance(effect, Reply) and effect.job_id in withdrawn:
-                self._context.count("refusals", "store_away")
-                self._lifecycle.reply(
-                    effect.request_id,
-                    Outcome.REFUSED,
-                    retry_after_ms=STORE_AWAY_RETRY_MS,
-                )
-            else:
-                kept.append(effect)
-        return kept
+
+        def keeps(effect):
+            if not isinstance(effect, Reply) or effect.job_id not in withdrawn:
+                return True
+            self._refuse(effect.request_id)
+            return False
+
+        return keeps
+
+    def _refuse(self, request_id):
+        self._context.count("refusals", "store_away")
+        self._lifecycle.reply(
+            request_id, Outcome.REFUSED, retry_after_ms=STORE_AWAY_RETRY_MS
+        )
 
     def _objective_ms(self, job):
         """Return how long the job may take by its queue's objective."""
--- a/packages/thymefork-cells/src/thymefork_cells/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/journal.py
@@ -2,7 +2,7 @@
 
 import time
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from .codec import JOB_KEY, PROGRESS_KEY, encode_progress, store_job
 from .effects import EndsStored
@@ -16,13 +16,17 @@
 
 @define(kw_only=True, eq=False)
 class Batch:
-    """Hold the records of one append and the effects that follow it."""
+    """Hold the records of one append and the effects that follow it.
+
+    `last_number` is the number of the last change that is in it.
+    """
 
     records: list = field(factory=list)
     effects: list = field(factory=list)
     new_jobs: list = field(factory=list)
     shown: list = field(factory=list)
     size_bytes: int = 0
+    last_number: int = 0
 
     def add(self, key, value):
         """Add a record; an empty value drops the key."""
@@ -30,83 +34,120 @@
         self.size_bytes += len(key) + len(value) + 5
 
 
+@frozen(kw_only=True, eq=False)
+class _Change:
+    """Hold a job that is to be stored; changes are numbered in their order."""
+
+    job: object
+    number: int
+
+
+@frozen(kw_only=True, eq=False)
+class _Held:
+    """Hold an effect until the changes up to a number are stored."""
+
+    effect: object
+    number: int
+
+
 class Journal:
     """Collect changed jobs until the store can take them: one append at a time.
 
+    Where more waits than one append carries, an effect leaves with the one that stores
+    the last change before it: sent with the first, it told callers of jobs that a power
+    cut then lost (155 of 400 jobs of 4 kB handed in at once, on virtual time).
     `is_urgent` tells whether somebody waits: a caller, a start or a job that has ended.
     The end of a task beside which others of its step still run hurries nobody.
     """
 
     def __init__(self):
         self._new_jobs = {}
-        self._changed_jobs = {}
+        self._changes = {}
         self._dropped_keys = []
-        self._effects = []
+        self._held = []
+        self._last_number = 0
         self.is_urgent = False
 
     @property
     def is_empty(self):
         """Tell whether nothing waits."""
-        return not (self._changed_jobs or self._dropped_keys or self._effects)
+        return not (self._changes or self._dropped_keys or self._held)
 
     def add(self, job):
         """Store a job that is new."""
-        self.is_urgent = True
         self._new_jobs[job.job_id] = job
-        self._changed_jobs[job.job_id] = job
+        self.change(job)
+        self.is_urgent = True
 
     def change(self, job):
-        """Store a job's progress."""
+        """Store a job's progress; it keeps its place where it waits already."""
         self.is_urgent = self.is_urgent or not job.is_live
-        self._changed_jobs[job.job_id] = job
+        if job.job_id not in self._changes:
+            self._last_number += 1
+            self._changes[job.job_id] = _Change(job=job, number=self._last_number)
 
     def drop(self, job):
         """Forget a job whose state need not be told any more."""
-        self._changed_jobs.pop(job.job_id, None)
+        self._changes.pop(job.job_id, None)
         self._dropped_keys += [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id]
 
     def after(self, effect):
         """Carry an effect out once all that waits now is stored."""
         self.is_urgent = self.is_urgent or not isinstance(effect, EndsStored)
-        self._effects.append(effect)
+        self._held.append(_Held(effect=effect, number=self._last_number))
 
-    def take_effects(self):
-        """Return the effects that wait for the next append."""
-        effects, self._effects = self._effects, []
-        return effects
+    def filter_effects(self, keeps):
+        """Drop the effects that wait and that `keeps` returns False for."""
+        self._held = [held for held in self._held if keeps(held.effect)]
 
     def forget(self, job_ids):
         """Drop what waits of jobs that were withdrawn."""
         for job_id in job_ids:
-            self._changed_jobs.pop(job_id, None)
+            self._changes.pop(job_id, None)
 
     def put_back(self, batch):
         """Let a batch's remaining jobs and effects wait again, before all others."""
         self.is_urgent = True
-        for job, _ in batch.shown:
-            self._changed_jobs[job.job_id] = job
+        number = batch.last_number
+        again = {job.job_id: _Change(job=job, number=number) for job, _ in batch.shown}
+        later = {key: row for key, row in self._changes.items() if key not in again}
+        self._changes = again | later
         dropped = [key for key, value in batch.records if not value]
         self._dropped_keys = dropped + self._dropped_keys
-        self._effects = batch.effects + self._effects
+        held = [_Held(effect=effect, number=number) for effect in batch.effects]
+        self._held = held + self._held
 
     def take(self, now_ms):
         """Return what waits as one batch."""
-        batch = Batch(effects=self.take_effects())
+        batch = Batch()
         self.is_urgent = False
-        epoch_ms = time.time() * 1000.0
         for key in self._dropped_keys:
             batch.add(key, b"")
         self._dropped_keys = []
-        for job_id, job in list(self._changed_jobs.items()):
-            if batch.size_bytes > MOST_BATCH_BYTES:
-                self.is_urgent = True
-                break
-            del self._changed_jobs[job_id]
-            if self._new_jobs.pop(job_id, None) is not None:
-                value = store_job(job, epoch_ms=epoch_ms, now_ms=now_ms)
-                batch.add(JOB_KEY + job_id, value)
-                batch.new_jobs.append(job)
-            if job.state is not JobState.QUEUED or job.has_begun:
-                batch.add(PROGRESS_KEY + job_id, encode_progress(job))
-            batch.shown.append((job, job.state))
+        epoch_ms = time.time() * 1000.0
+        while self._changes and batch.size_bytes <= MOST_BATCH_BYTES:
+            change = self._changes.pop(next(iter(self._changes)))
+            batch.last_number = change.number
+            self._put(batch, change.job, epoch_ms, now_ms)
+        self._release_effects(batch)
         return batch
+
+    def _put(self, batch, job, epoch_ms, now_ms):
+        if self._new_jobs.pop(job.job_id, None) is not None:
+            value = store_job(job, epoch_ms=epoch_ms, now_ms=now_ms)
+            batch.add(JOB_KEY + job.job_id, value)
+            batch.new_jobs.append(job)
+        if job.state is not JobState.QUEUED or job.has_begun:
+            batch.add(PROGRESS_KEY + job.job_id, encode_progress(job))
+        batch.shown.append((job, job.state))
+
+    def _release_effects(self, batch):
+        """Give a batch the effects before which nothing else has to be stored."""
+        if not self._changes:
+            batch.effects = [held.effect for held in self._held]
+            self._held = []
+            return
+        self.is_urgent = True
+        first_left = next(iter(self._changes.values())).number
+        batch.effects = [row.effect for row in self._held if row.number < first_left]
+        self._held = [row for row in self._held if row.number >= first_left]
