Tests that fail: leases beside an end, leases of what has to stop, a gang that was done

Found by the review of the incident: a worker is not looked at while an end can't be stored though joins are answered, so all that runs there lapses; a worker that answers looks but no stops keeps what is cancelled; a later run of a gang goes on when the end of an earlier one is heard.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -157,6 +157,12 @@
     def job(self, job_id):
         return self.cell.context.jobs[job_id]
 
+    def running(self):
+        """Return what the workers run, by task and run."""
+        for worker in self.workers.values():
+            worker.advance(self.now)
+        return {key for worker in self.workers.values() for key in worker.running}
+
     def runs_of(self, worker_id):
         """Return the runs that the owner counts on a worker, none if it forgot it."""
         worker = self.cell.context.workers.get(worker_id)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_cancelled_runs.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_cancelled_runs.py
@@ -35,14 +35,7 @@
     lasting = {"count": count, "cpu_milli": 500, "long_running": True}
     harness.submit(JOB, job_spec(lasting))
     harness.run(400)
-    assert running(harness)
-
-
-def running(harness):
-    """Return what runs anywhere."""
-    for worker in harness.workers.values():
-        worker.advance(harness.now)
-    return [key for worker in harness.workers.values() for key in worker.running]
+    assert harness.running()
 
 
 def cancel(harness):
@@ -62,7 +55,7 @@
     harness.run(100)
     cancel(harness)
     harness.run(GONE_MS + late_ms)
-    assert not running(harness)
+    assert not harness.running()
 
 
 @pytest.mark.parametrize("late_ms", [400, 2_500])
@@ -81,7 +74,7 @@
     harness.run(late_ms)
     harness.list_workers(entries)
     harness.run(GONE_MS)
-    assert not running(harness)
+    assert not harness.running()
 
 
 @pytest.mark.parametrize("unlisted_ms", [300, 2_000])
@@ -97,7 +90,7 @@
     harness.run(unlisted_ms)
     harness.list_workers(entries)
     harness.run(GONE_MS - unlisted_ms)
-    assert not running(harness)
+    assert not harness.running()
     assert not harness.cell.context.workers["w0"].runs
 
 
@@ -109,13 +102,13 @@
     harness.lose = lambda effect: isinstance(effect, StopRun)
     cancel(harness)
     harness.lose = lambda effect: False
-    assert running(harness)
+    assert harness.running()
     entries, harness.entries = harness.entries, []
     harness.take_over()
     harness.run(300)
     harness.list_workers(entries)
     harness.run(1_000)
-    assert not running(harness)
+    assert not harness.running()
     assert harness.job(JOB).shown_state is JobState.CANCELLED
 
 
@@ -127,7 +120,7 @@
     cancel(harness)
     harness.list_workers([])
     harness.run(GONE_MS)
-    assert not running(harness)
+    assert not harness.running()
 
 
 def no_outcome(harness):
@@ -147,7 +140,18 @@
     cancel(harness)
     harness.drop = lambda effect: False
     harness.run(GONE_MS)
-    assert not running(harness)
+    assert not harness.running()
+
+
+def test_a_worker_that_answers_looks_but_no_stops_does_not_keep_what_is_cancelled(
+    make_harness,
+):
+    harness = make_harness(workers=1)
+    start_lasting(harness)
+    harness.lose = lambda effect: isinstance(effect, StopRun)
+    cancel(harness)
+    harness.run(GONE_MS)
+    assert not harness.running()
 
 
 class Troubles:
@@ -218,6 +222,6 @@
     harness.run(16_000)  # the last orders are carried out 12 s late
     gone = {job_id for job_id in cancelled if job_id in harness.cell.context.jobs}
     assert gone
-    assert not [task for task, _ in running(harness) if task.split(".")[0] in gone]
+    assert not [task for task, _ in harness.running() if task.split(".")[0] in gone]
     assert not [run for job_id in gone for run in harness.job(job_id).runs]
     assert not harness.cell.context.owed_stops
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs.py
@@ -0,0 +1,32 @@
+"""Gangs whose end is heard after they were given up."""
+
+import pytest
+
+from thymefork_cells.state import RunState
+
+from .harness import job_spec
+
+JOB = "00000000000000aa"
+
+
+@pytest.mark.parametrize("state", [RunState.INTENDED, RunState.SENT, RunState.LIVE])
+def test_a_gang_that_was_done_after_all_does_not_run_once_more(harness, state):
+    """Its leases were thought over; its next run was on its way when its end was heard.
+
+    Run 1 stands for that next run here, and run 0 for the one that was given up.
+    """
+    gang = {"count": 2, "cpu_milli": 500, "gang": True}
+    harness.submit(JOB, job_spec(gang, {"count": 1, "cpu_milli": 500, "after": (0,)}))
+    step = harness.job(JOB).steps[0]
+    while not (step.tasks[0].runs and step.tasks[0].runs[0].state is state):
+        harness.run(1)
+        assert harness.now < 2_000
+    for task in step.tasks:
+        harness.cell.lifecycle.end_late(task.name, 0, "done", now_ms=harness.now)
+    assert step.is_done
+    harness.run(300)
+    assert not {task.name for task in step.tasks} & {
+        key[0] for key in harness.running()
+    }
+    if state is RunState.INTENDED:
+        assert not harness.starts_of(f"{JOB}.0.0.0")
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_outages.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_outages.py
@@ -113,3 +113,21 @@
         report = harness.workers[worker.worker_id].look(2, 0, 0, harness.now)
         cell.looks.on_report(worker, report, 0, now_ms=paused_until_ms)
     assert not cell.quorum.is_held(paused_until_ms)
+
+
+def test_what_runs_goes_on_while_only_appends_are_turned_away(make_harness):
+    """Joins are answered, so the store does not count as away; appends are refused.
+
+    A worker with an end that could not be stored was not looked at, and all that ran
+    beside that end lapsed.
+    """
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 600_000.0
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 100, "long_running": True}))
+    harness.run(100)
+    harness.workers["w0"].work_ms = 300.0
+    harness.submit("b" * 16, job_spec({"count": 1, "cpu_milli": 100}))
+    harness.run(100)
+    harness.store_down = True
+    harness.run(5_000)
+    assert (f"{JOB}.0.0.0", 1) in harness.running()
