Stop a later run of a gang whose end is heard after all

Cause: of a task that is done, the other runs were stopped, but not of a gang, whose members end as one. A later run, started since the leases of the first were thought over, went on beside the next steps. Change: all runs of the members but those of the run that ended are stopped.

--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -62,7 +62,7 @@
             return
         job = task.step.job
         if how == "done":
-            self._complete(task, now_ms)
+            self._complete(task, run_id, now_ms)
             self._finish_if_done(job, now_ms)
         elif how == "failed" and run_id in task.given_up:
             task.given_up.discard(run_id)
@@ -90,11 +90,11 @@
             return
         if run.began_ms:
             run.task.worked_ms = now_ms - run.began_ms
-        self._complete(run.task, now_ms)
+        self._complete(run.task, run.run_id, now_ms)
         self._finish_if_done(step.job, now_ms)
 
-    def _complete(self, task, now_ms):
-        """Mark a task done; of a gang, one good end stands for all."""
+    def _complete(self, task, run_id, now_ms):
+        """Mark a task done by a run; of a gang, one good end stands for all."""
         step = task.step
         if step.spec.gang:
             for member in step.tasks:
@@ -104,13 +104,14 @@
             task.done = True
             step.left -= 1
         step.touch()
-        self._stop_others(task, "another copy was first", now_ms)
-
-    def _stop_others(self, task, reason, now_ms):
-        if task.step.spec.gang:
-            return
-        for other in list(task.runs):
-            self.stop(other, reason, now_ms=now_ms)
+        self._stop_others(task, run_id, now_ms)
+
+    def _stop_others(self, task, run_id, now_ms):
+        """Stop the other runs of a task that is done; a gang's members end as one."""
+        tasks = task.step.tasks if task.step.spec.gang else [task]
+        for run in [run for member in tasks for run in member.runs]:
+            if run.run_id != run_id:
+                self.stop(run, "another run was first", now_ms=now_ms)
 
     def _finish_if_done(self, job, now_ms):
         if job.is_live and all(step.is_done for step in job.steps):
