Renew leases beside an end that can't be stored, and not for what has to stop

Cause: a worker with an end that was being stored was looked at only after that, unless the store counted as away, by joins alone; where joins were answered and appends were not, all that ran there lapsed. And a look renewed the leases on a worker though all its runs had to stop: if looks were answered and stops were not, cancelled tasks went on. The harness counts a lease from when its look was sent, as workers do.

--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -77,14 +77,24 @@
                 continue
             if not self._is_needed(worker):
                 continue
-            if worker.storing_ends and not self._context.store_is_away:
-                continue  # the next look follows as soon as the ends are stored
-            if worker.look_due_ms <= now_ms:
+            due_ms = self._due_ms(worker)
+            if due_ms <= now_ms:
                 self._look(worker, now_ms)
             else:
-                next_ms = min(next_ms, worker.look_due_ms)
+                next_ms = min(next_ms, due_ms)
         return next_ms
 
+    def _due_ms(self, worker):
+        """Return when a worker is to be looked at next.
+
+        While ends are being stored, a look would only list them again; the next one
+        follows as soon as they are, or when the leases there have to be renewed. Where
+        joins were answered and appends were not, all that ran beside an end lapsed.
+        """
+        if not worker.storing_ends:
+            return worker.look_due_ms
+        return max(worker.look_due_ms, worker.look_sent_ms + self._wait_ms())
+
     def _is_needed(self, worker):
         if not worker.is_known or worker.runs or worker.strays:
             return True
@@ -123,8 +133,7 @@
         waits = waits and not worker.stopped and not worker.storing_ends
         waits = waits and worker.doubted_ms <= worker.last_answer_ms
         waits = waits and not worker.misses_in_row
-        clock_known = worker.clock_offset_ms is not None
-        renews = clock_known and worker.runs and not worker.misses_in_row
+        renews = self._renews(worker)
         worker.looking = True
         worker.look_sent_ms = now_ms
         self._context.emit(
@@ -136,6 +145,16 @@
             )
         )
 
+    def _renews(self, worker):
+        """Tell whether a look renews the leases on a worker.
+
+        Nothing is renewed for runs that only have to stop: whatever keeps their stop
+        from being carried out, they end with the lease, within 3 s.
+        """
+        if worker.clock_offset_ms is None or worker.misses_in_row:
+            return False
+        return any(run.is_wanted for run in worker.runs.values())
+
     def _wait_ms(self):
         return QUORUM_WAIT_MS if self._context.store_is_away else LOOK_WAIT_MS
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -69,6 +69,11 @@
         """Tell whether its start was not answered and the worker has not listed it."""
         return self.state is RunState.SENT and self.doubted_ms > 0
 
+    @property
+    def is_wanted(self):
+        """Tell whether it may go on, as far as is known."""
+        return self.may_serve or self.state is RunState.RECOVERED
+
     @property
     def may_serve(self):
         """Tell whether the run works, or will, towards its task's end."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -303,6 +303,7 @@
         worker = self.workers[effect.worker.worker_id]
         if effect.lease_ms:
             cell.looks.note_lease(effect.worker, effect.lease_ms, now_ms=self.now)
+        sent_ms = self.now
         until_ms = self.now + max(effect.wait_ms, ORDER_MS)
         while self.now < until_ms and not worker.cut:
             worker.advance(self.now)
@@ -311,8 +312,10 @@
             yield self.env.timeout(ORDER_MS)
         report = None
         if not worker.cut:
+            # The lease is counted from the sending, however long the answer is held.
+            lease_ms = effect.lease_ms and effect.lease_ms - (self.now - sent_ms)
             report = worker.look(
-                self.epoch_of(cell), effect.last_end, effect.lease_ms, self.now
+                self.epoch_of(cell), effect.last_end, lease_ms, self.now
             )
         else:
             yield self.env.timeout(SILENCE_MS)
