Judge in the soak whether tasks outlast their cancelled job

Cause: tasks ran for a minute after their job's cancelling was acknowledged, and nothing in the soak judged that.

The time counts only from 3 s after the last fault.

--- a/soak/src/thymefork_soak/standin/ledger.py
+++ b/soak/src/thymefork_soak/standin/ledger.py
@@ -4,6 +4,12 @@
 
 __all__ = ["Ledger"]
 
+# The pages' bounds: how long a cancelling may take, how long a stop may, and how long
+# a machine and the store have to be undisturbed before bounds of time hold for them.
+CANCEL_MS = 3_000.0
+STOP_TIMEOUT_MS = 200.0
+CONTACT_MS = 3_000.0
+
 
 @define(kw_only=True)
 class Ledger:
@@ -15,6 +21,9 @@
     starts: int = 0
     started_jobs: set = field(factory=set)
     broken: list = field(factory=list)
+    cancelled_ms: dict = field(factory=dict)
+    faults: int = 0
+    calm_since_ms: float = 0.0
 
     def on_start(self, worker, task, run_id, payload, now_ms):
         """Judge a start that the worker has carried out."""
@@ -26,6 +35,7 @@
             self._note(f"TWICE: {where} beside {sorted(self.running[task])}")
         if task in self.done and self.done[task] is not None:
             self._note(f"TWICE: {where} after a noted end")
+        self._judge_start_of_cancelled(job_id, where, now_ms)
         job = self.jobs.get(job_id)
         if job is None or payload != job["spec"]:
             self._note(f"UNASKED: {where}")
@@ -50,5 +60,46 @@
         if how == "done":
             self.done[task] = now_ms
 
+    def on_cancelled(self, job_id, acknowledged_ms):
+        """Note that the cancelling of a job was acknowledged; the first time counts."""
+        self.cancelled_ms.setdefault(job_id, acknowledged_ms)
+
+    def on_fault(self, change, now_ms):
+        """Note that a fault begins (1) or ends (-1), wherever it is."""
+        self.faults += change
+        self.calm_since_ms = now_ms
+
+    def judge_cancelled(self, now_ms):
+        """Judge what runs of jobs whose cancelling was acknowledged.
+
+        The allowance: the three seconds and the time of a stop count from the
+        acknowledgement, but only within a stretch in which the store is stable and
+        every machine in touch, so from `CONTACT_MS` after the last fault.
+        """
+        if self.faults:
+            return
+        counted_from_ms = self.calm_since_ms + CONTACT_MS
+        for task, worker_ids in self.running.items():
+            acknowledged_ms = self.cancelled_ms.get(task.split(".")[0])
+            if acknowledged_ms is None or not worker_ids:
+                continue
+            since_ms = max(acknowledged_ms, counted_from_ms)
+            if now_ms > since_ms + CANCEL_MS + STOP_TIMEOUT_MS:
+                text = f"UNASKED: {task} runs on at {sorted(worker_ids)}, cancelled"
+                if not any(line.startswith(text) for line in self.broken):
+                    ago_ms = now_ms - acknowledged_ms
+                    self._note(f"{text} {ago_ms:.0f} ms ago")
+
+    def _judge_start_of_cancelled(self, job_id, where, now_ms):
+        # A start takes no stop. It counts if all machines are in touch, since it is not
+        # seen which one sent the order; what a fault held up arrives within that time.
+        acknowledged_ms = self.cancelled_ms.get(job_id)
+        if acknowledged_ms is None or self.faults:
+            return
+        due_ms = max(acknowledged_ms + CANCEL_MS, self.calm_since_ms + CONTACT_MS)
+        if now_ms > due_ms:
+            ago_ms = now_ms - acknowledged_ms
+            self._note(f"UNASKED: {where} started, cancelled {ago_ms:.0f} ms ago")
+
     def _note(self, text):
         self.broken.append(text)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -28,21 +28,82 @@
     assert loopback_host(101, 4_000) != loopback_host(9_101, 4_001)
 
 
-def test_the_ledger_sees_two_runs_at_once():
-    ledger = Ledger(jobs={"j": {"spec": "s", "steps": [{"count": 1, "cpu": 1}]}})
+class Worker:
+    worker_id = "w"
+    cpu_milli = 10
+
+    def used_cpu(self):
+        return 1
 
-    class Worker:
-        worker_id = "w"
-        cpu_milli = 10
 
-        def used_cpu(self):
-            return 1
+def ledger_of_one_job():
+    return Ledger(jobs={"j": {"spec": "s", "steps": [{"count": 1, "cpu": 1}]}})
 
+
+def test_the_ledger_sees_two_runs_at_once():
+    ledger = ledger_of_one_job()
     ledger.on_start(Worker(), "j.0.0.0", 1, "s", 0.0)
     ledger.on_start(Worker(), "j.0.0.0", 2, "s", 0.0)
     assert ledger.broken and ledger.broken[0].startswith("TWICE")
 
 
+# From an incident: tasks ran for a minute after their job's cancel was acknowledged.
+# A cancelling takes 3 s, a stop 0.2 s; a fault excuses until 3 s after its end.
+@pytest.mark.parametrize(
+    ("acknowledged_ms", "fault_ended_ms", "due_ms"),
+    [(10_000, 5_000, 13_200), (10_000, 9_000, 15_200), (10_000, 12_000, 18_200)],
+)
+def test_the_ledger_sees_tasks_that_outlast_their_cancelled_job(
+    acknowledged_ms, fault_ended_ms, due_ms
+):
+    ledger = ledger_of_one_job()
+    ledger.on_start(Worker(), "j.0.0.0", 1, "s", 0.0)
+    ledger.on_fault(1, 4_000)
+    ledger.on_fault(-1, fault_ended_ms)
+    ledger.judge_cancelled(60_000)
+    ledger.on_cancelled("j", acknowledged_ms)
+    ledger.on_cancelled("j", 50_000)
+    ledger.judge_cancelled(due_ms)
+    assert not ledger.broken
+    ledger.judge_cancelled(due_ms + 1)
+    ledger.judge_cancelled(due_ms + 101)
+    assert [line.split(":")[0] for line in ledger.broken] == ["UNASKED"]
+
+
+def test_the_ledger_counts_no_time_under_a_fault_and_no_task_that_has_ended():
+    ledger = ledger_of_one_job()
+    ledger.on_start(Worker(), "j.0.0.0", 1, "s", 0.0)
+    ledger.on_cancelled("j", 0.0)
+    ledger.on_fault(1, 1_000)
+    ledger.on_fault(1, 1_500)
+    ledger.on_fault(-1, 2_000)
+    ledger.judge_cancelled(60_000)
+    ledger.on_fault(-1, 60_000)
+    ledger.on_end(Worker(), "j.0.0.0", "stopped")
+    ledger.judge_cancelled(120_000)
+    assert not ledger.broken
+
+
+@pytest.mark.parametrize(
+    ("fault_ended_ms", "started_ms", "broken"),
+    [
+        (5_000, 13_000, False),
+        (5_000, 13_001, True),
+        (12_000, 15_000, False),
+        (12_000, 15_001, True),
+        (None, 30_000, False),
+    ],
+)
+def test_the_ledger_sees_starts_of_a_cancelled_job(fault_ended_ms, started_ms, broken):
+    ledger = ledger_of_one_job()
+    ledger.on_fault(1, 4_000)
+    if fault_ended_ms is not None:
+        ledger.on_fault(-1, fault_ended_ms)
+    ledger.on_cancelled("j", 10_000)
+    ledger.on_start(Worker(), "j.0.0.0", 1, "s", started_ms)
+    assert [line.split(":")[0] for line in ledger.broken] == ["UNASKED"] * broken
+
+
 def test_the_store_fences_and_repeats():
     partition = Partition()
     assert partition.append([], "w", 5, 0) is None
