Let the soak's store lose all workers' entries in an outage; run lasting tasks

Cause: the entries of workers lapse while the platform's store is away, and no job in the soak lasted, so the soak missed cancelled tasks that ran on.

Change: an outage of the store drops all entries of workers, unseen until it ends; workers that live are listed again within 2 s of its end. Lasting tasks run without an end, and one in ten fails within 8 s. Nothing uses either yet.

--- a/soak/src/thymefork_soak/standin/http_face.py
+++ b/soak/src/thymefork_soak/standin/http_face.py
@@ -43,6 +43,8 @@
 
     def __init__(self, *, loop, host, port, handle, seed):
         self.faults = Faults()
+        # An outage hides the other faults: their ends do not end it.
+        self.outage = None
         self._loop = loop
         self._handle = handle
         self._random = random.Random(seed)
@@ -54,7 +56,7 @@
         )
 
     def _on_request(self, request):
-        faults = self.faults
+        faults = self.outage or self.faults
         if faults.mode == "silent":
             return
         if faults.mode == "reset":
@@ -72,8 +74,8 @@
         lost = self._random.random() < faults.lose_share
 
         def answer(status, document=None, raw=b""):
-            if lost:
-                return
+            if lost or self.outage:
+                return  # what is away does not answer calls from before either
             body = raw or (orjson.dumps(document) if document is not None else b"")
             if faults.delay_ms:
                 self._loop.timers.after(
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -5,7 +5,7 @@
 
 import orjson
 
-from thymefork_net import Address
+from thymefork_net import Address, steady_ms
 from thymefork_net.http import HttpServer
 
 from .advice import Advice
@@ -17,6 +17,9 @@
 __all__ = ["main"]
 
 BEAT_MS = 500.0
+JUDGE_MS = 100.0
+# Workers that live are listed again within this time after an outage of the store.
+RELIST_MS = 2_000.0
 SERVERS = "keyed.servers"
 
 
@@ -26,6 +29,7 @@
     def __init__(self, *, loop, host, first_port, workers, seed):
         self._loop = loop
         self._ledger = Ledger()
+        self._random = random.Random(f"{seed} relist")
         self.store = Store(loop=loop, host=host, port=first_port, seed=seed)
         self._advice = Advice(loop=loop, host=host, port=first_port + 1, seed=seed)
         self._control = HttpServer(
@@ -49,10 +53,14 @@
             for number in range(workers)
         ]
         self._listed = {}
+        self._unlisted = set()
         loop.timers.every(BEAT_MS, self._beat)
+        loop.timers.every(JUDGE_MS, self._judge)
 
     def _beat(self):
         for worker in self._workers:
+            if worker in self._unlisted:
+                continue
             old = self._listed.get(worker.name)
             if old and old != worker.worker_id:
                 self.store.put(SERVERS, old, None)
@@ -60,6 +68,9 @@
                 self.store.put(SERVERS, worker.worker_id, worker.entry())
                 self._listed[worker.name] = worker.worker_id
 
+    def _judge(self):
+        self._ledger.judge_cancelled(steady_ms())
+
     def _on_control(self, request):
         body = orjson.loads(request.body or b"{}")
         document = getattr(self, "_" + request.path.strip("/"))(body)
@@ -78,10 +89,34 @@
         else:
             self._workers[int(target)].face.faults = faults
 
+    def _outage(self, body):
+        self._listed.clear()
+        self._unlisted = set(self._workers)
+        self.store.begin_outage(Faults(mode=body["mode"]), SERVERS)
+
+    def _outage_end(self, body):
+        self.store.end_outage(SERVERS)
+        for worker in self._workers:
+            self._loop.timers.after(
+                self._random.uniform(0.0, RELIST_MS), lambda one=worker: self._list(one)
+            )
+
+    def _list(self, worker):
+        if self.store.face.outage is None:
+            self._unlisted.discard(worker)
+            self._beat()
+
+    def _disturb(self, body):
+        self._ledger.on_fault(body["change"], steady_ms())
+
+    def _cancelled(self, body):
+        self._ledger.on_cancelled(body["id"], body["acknowledged_ms"])
+
     def _crash(self, body):
         self._workers[body["worker"]].crash()
 
     def _verdict(self, body):
+        self._judge()
         return {
             "broken": self._ledger.broken,
             "starts": self._ledger.starts,
--- a/soak/src/thymefork_soak/standin/store.py
+++ b/soak/src/thymefork_soak/standin/store.py
@@ -41,6 +41,18 @@
         partition.put(key, value)
         self._wake(partition)
 
+    def begin_outage(self, faults, lapsing_topic):
+        """Go away; all entries of a topic lapse meanwhile, and nobody sees it yet."""
+        self.face.outage = faults
+        partition = self.partition(lapsing_topic)
+        for key in list(partition.newest):
+            partition.put(key, b"")
+
+    def end_outage(self, lapsed_topic):
+        """Come back, and show what has lapsed to those who wait for it."""
+        self.face.outage = None
+        self._wake(self.partition(lapsed_topic))
+
     def _on_call(self, request, answer):
         query = {name: rows[0] for name, rows in parse_qs(request.query).items()}
         getattr(self, "_" + request.path.strip("/").replace("-", "_"))(
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -10,6 +10,10 @@
 __all__ = ["Worker"]
 
 TICK_MS = 10.0
+# Tasks that last are at work after this time, and a few fail within the longest one.
+LASTING_BEGIN_MS = 200.0
+LASTING_FAIL_SHARE = 0.1
+LASTING_FAIL_MS = 8_000.0
 
 
 @define(kw_only=True)
@@ -20,9 +24,12 @@
     began_ms: float
     ends_ms: float
     how: str
+    lasting: bool = False
 
     def percent(self, now_ms):
         """Return the progress, as a worker tells it."""
+        if self.lasting:
+            return 100 if now_ms > self.began_ms + LASTING_BEGIN_MS else 0
         share = (now_ms - self.began_ms) / max(1.0, self.ends_ms - self.began_ms)
         return min(99, int(100 * share))
 
@@ -158,16 +165,28 @@
             else {"cpu": 0, "estimated_ms": 500}
         )
         now_ms = steady_ms()
+        lasting = step.get("long_running", False)
+        works_ms, how = self._lasting() if lasting else self._ending(step)
         self._running[key] = _Run(
             task=task,
             run_id=run_id,
             cpu_milli=step["cpu"],
             began_ms=now_ms,
-            ends_ms=now_ms + self._random.uniform(0.2, 1.8) * step["estimated_ms"],
-            how="failed" if self._random.random() < 0.02 else "done",
+            ends_ms=now_ms + works_ms,
+            how=how,
+            lasting=lasting,
         )
         self._ledger.on_start(self, task, run_id, body["spec"], now_ms)
 
+    def _ending(self, step):
+        works_ms = self._random.uniform(0.2, 1.8) * step["estimated_ms"]
+        return works_ms, "failed" if self._random.random() < 0.02 else "done"
+
+    def _lasting(self):
+        if self._random.random() < LASTING_FAIL_SHARE:
+            return self._random.uniform(0.0, LASTING_FAIL_MS), "failed"
+        return float("inf"), "failed"
+
     def _stop(self, body, answer, clock_ms):
         key = (body["task"], body["run_id"])
         closed = self._closed.get(body["task"], 0)
