Submit lasting jobs in the soak, and have outages with a lull after them

Cause: takeovers by other faults stopped what had been forgotten, before it was judged.

Change: six more callers keep one lasting job each and cancel it until that is acknowledged. From 6 s on, outages come beside the other faults, each followed by 7 s without any; one comes in the shortest soak too.

--- a/soak/src/thymefork_soak/callers.py
+++ b/soak/src/thymefork_soak/callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 from attrs import define, field
 
@@ -23,6 +24,7 @@
     accepted: bool = False
     refused_only: bool = True
     cancelled: bool = False
+    lasting: bool = False
     state: str = ""
     answers: list = field(factory=list)
 
@@ -59,8 +61,7 @@
             await asyncio.sleep(RETRY_S)
         if story.accepted and self._random.random() < 0.1:
             # Without an answer it may have been done as well.
-            story.cancelled = True
-            await self.call("DELETE", story.job_id)
+            await self.cancel(story)
 
     def _job(self):
         # Some tasks outlast a lease, so that what runs on silent workers matters.
@@ -71,6 +72,18 @@
             steps.append({"count": 2, "cpu": 800, "estimated_ms": 500, "after": [0]})
         return {"spec": f"text {self._random.random()}", "steps": steps}
 
+    async def cancel(self, story):
+        """Cancel a job once; tell the stand-in of an acknowledgement."""
+        story.cancelled = True
+        status = await self.call("DELETE", story.job_id)
+        # The clock is the stand-in's: both read this machine's steady clock.
+        acknowledged_ms = time.monotonic() * 1000.0
+        if status not in (200, 410):
+            return False
+        notice = {"id": story.job_id, "acknowledged_ms": acknowledged_ms}
+        await self._fleet.steer("cancelled", notice)
+        return True
+
     async def read_state(self, story):
         """Ask for a job's state."""
         return await self.call("GET", story.job_id, want_state=True)
--- a/soak/src/thymefork_soak/faults.py
+++ b/soak/src/thymefork_soak/faults.py
@@ -7,6 +7,11 @@
 
 __all__ = ["FaultPlan"]
 
+# The seeds in the tests showed their faults without outages within this time.
+FIRST_OUTAGE_S = 6.0
+# After an outage nothing else goes wrong for so long that cancelled tasks, which the
+# next takeover would stop as well, are judged: contact, cancelling and stop.
+QUIET_S = 7.0
 PROXY_MODES = ("silent", "one_way", "reset", "delay")
 
 
@@ -20,6 +25,8 @@
         self._workers = workers
         self._version = 1
         self._running = set()
+        self._open = asyncio.Event()
+        self._open.set()
         self._kinds = (
             self._kill,
             self._kill,
@@ -38,11 +45,45 @@
         """Begin a fault every so often; they end by themselves."""
         while now() < until:
             await asyncio.sleep(self._random.uniform(0.4, 2.0))
+            await self._open.wait()
             kind = self._random.choice(self._kinds)
             self.done.append(f"{now():.1f} {kind.__name__.strip('_')}")
-            task = asyncio.ensure_future(kind())
+            task = asyncio.ensure_future(self._carry_out(kind()))
             self._running.add(task)
             task.add_done_callback(self._running.discard)
+        await self._until_idle()
+
+    async def work_outages(self, until, now, random):
+        """Have the store go away and all workers' entries lapse, with a lull after it.
+
+        One comes in the shortest soak too, after the other faults. Its draws are of its
+        own, so that what seeds drew before there were outages stays.
+        """
+        await asyncio.sleep(FIRST_OUTAGE_S)
+        while True:
+            began = now()
+            await self._carry_out(self._outage(random))
+            self.done.append(f"{began:.1f} outage until {now():.1f}")
+            if now() >= until:
+                return
+            self._open.clear()
+            await self._until_idle()
+            await asyncio.sleep(QUIET_S)
+            self._open.set()
+            await asyncio.sleep(random.uniform(0.5, 4.0))
+
+    async def _outage(self, random):
+        mode = random.choice(("silent", "silent", "busy", "reset"))
+        await self._fleet.steer("outage", {"mode": mode})
+        await asyncio.sleep(random.uniform(3.0, 8.0))
+        await self._fleet.steer("outage_end", {})
+
+    async def _carry_out(self, fault):
+        await self._fleet.steer("disturb", {"change": 1})
+        await fault
+        await self._fleet.steer("disturb", {"change": -1})
+
+    async def _until_idle(self):
         while self._running:
             await asyncio.wait(set(self._running))
 
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -12,6 +12,7 @@
 from .callers import Caller
 from .faults import FaultPlan
 from .fleet import Fleet
+from .lasting import LastingCaller
 
 __all__ = ["main", "soak"]
 
@@ -21,6 +22,9 @@
 FINISH_S = 30.0
 WORKERS = 6
 CALLERS = 4
+LASTING_CALLERS = 6
+# What was cancelled last is judged only after contact, cancelling and stop; and a bit.
+MARGIN_S = 6.5
 
 
 async def soak(seed, seconds, instances, folder):
@@ -42,11 +46,22 @@
         plan = FaultPlan(
             fleet=fleet, random=random.Random(rng.random()), workers=WORKERS
         )
+        lasting = [
+            LastingCaller(fleet=fleet, random=random.Random(f"{seed} lasting {number}"))
+            for number in range(LASTING_CALLERS)
+        ]
+        kept = [asyncio.ensure_future(caller.work()) for caller in lasting]
         until = SETTLE_S + seconds
         await asyncio.gather(
-            plan.work(until, now), *(caller.work(until, now) for caller in callers)
+            plan.work(until, now),
+            plan.work_outages(until, now, random.Random(f"{seed} outages")),
+            *(caller.work(until, now) for caller in callers),
         )
-        broken = await _judge(fleet, callers, now)
+        (folder / "faults.txt").write_text("\n".join([*plan.done, ""]))
+        callers += lasting
+        broken = await _leave(lasting, kept)
+        await asyncio.sleep(MARGIN_S)
+        broken += await _judge(fleet, callers, now)
     finally:
         fleet.stop()
     stories = [story for caller in callers for story in caller.stories]
@@ -54,6 +69,16 @@
     return broken, f"{len(stories)} jobs, {accepted} accepted, {len(plan.done)} faults"
 
 
+async def _leave(lasting, kept):
+    """End the lasting jobs; return whether some could not be ended."""
+    for caller in lasting:
+        caller.leave()
+    ended, stuck = await asyncio.wait(kept, timeout=FINISH_S)
+    for task in ended:
+        task.result()  # a fault of the soak's own is raised here
+    return [f"ACKS: {len(stuck)} lasting jobs are not ended"] if stuck else []
+
+
 async def _judge(fleet, callers, now):
     stories = [(caller, story) for caller in callers for story in caller.stories]
     pending = [row for row in stories if row[1].accepted]
@@ -73,6 +98,8 @@
         if story.refused_only and story.job_id in started:
             broken.append(f"REFUSED: {story.job_id} ran; answers {story.answers}")
         wanted = ("succeeded", "cancelled") if story.cancelled else ("succeeded",)
+        if story.lasting:
+            wanted = ("cancelled",)
         if story.accepted and story.state not in wanted:
             broken.append(f"LOST: {story.job_id} is {story.state or 'not answered'}")
     return broken
