Have the soak fail when a fault of its own stays under way

Cause: a fault that failed midway would have counted as under way for good, and nothing cancelled would have been judged after it.

Change: a fault's end is told in any case; the soak raises if one is counted at the verdict. That it raises has not been seen in a run.

--- a/soak/src/thymefork_soak/faults.py
+++ b/soak/src/thymefork_soak/faults.py
@@ -48,7 +48,7 @@
             await self._open.wait()
             kind = self._random.choice(self._kinds)
             self.done.append(f"{now():.1f} {kind.__name__.strip('_')}")
-            task = asyncio.ensure_future(self._carry_out(kind()))
+            task = asyncio.ensure_future(self._carry_out(kind))
             self._running.add(task)
             task.add_done_callback(self._running.discard)
         await self._until_idle()
@@ -62,7 +62,7 @@
         await asyncio.sleep(FIRST_OUTAGE_S)
         while True:
             began = now()
-            await self._carry_out(self._outage(random))
+            await self._carry_out(lambda: self._outage(random))
             self.done.append(f"{began:.1f} outage until {now():.1f}")
             if now() >= until:
                 return
@@ -80,8 +80,10 @@
 
     async def _carry_out(self, fault):
         await self._fleet.steer("disturb", {"change": 1})
-        await fault
-        await self._fleet.steer("disturb", {"change": -1})
+        try:
+            await fault()
+        finally:
+            await self._fleet.steer("disturb", {"change": -1})
 
     async def _until_idle(self):
         while self._running:
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -93,6 +93,9 @@
         await asyncio.sleep(0.3)
     verdict = await fleet.steer("verdict", {})
     broken = list(verdict["broken"])
+    if verdict["faults"]:
+        # Without this, a fault that failed midway would excuse all that came after it.
+        raise RuntimeError("faults are under way still: nothing cancelled was judged")
     started = set(verdict["started_jobs"])
     for _, story in stories:
         if story.refused_only and story.job_id in started:
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -119,6 +119,7 @@
         self._judge()
         return {
             "broken": self._ledger.broken,
+            "faults": self._ledger.faults,
             "starts": self._ledger.starts,
             "started_jobs": sorted(self._ledger.started_jobs),
             "done": sorted(self._ledger.done),
