--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -103,8 +103,8 @@
     ),
     "readiness_by_owner": Patch(
         path=f"{_DAEMON}/readiness.py",
-        old="        cells = range(shell.layout.cells)\n",
-        new="        return True\n        cells = range(shell.layout.cells)\n",
+        old="        cells = range(daemon.layout.cells)\n",
+        new="        return True\n        cells = range(daemon.layout.cells)\n",
     ),
     "holding_for_successor": Patch(
         path=f"{_DAEMON}/gateway.py",
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -18,7 +18,7 @@
 from .gateway import Gateway
 from .layout import Layout
 from .membership import Membership
-from .operators_face import OperatorsFace
+from .operators_server import OperatorsServer
 from .owned_cells import OwnedCells
 from .owner_directory import OwnerDirectory
 from .peer_desk import PeerDesk
@@ -49,7 +49,7 @@
         self._log_writer = log_writer
         self._own_past_removed = False
         self._life = f"{time.time_ns():x}{os.getpid():x}"
-        self.owned_cells = OwnedCells(shell=self)
+        self.owned_cells = OwnedCells(daemon=self)
         self.timers = SteadyTimers().register(self)
         self._settings_watch = SettingsWatch(
             settings=settings,
@@ -57,12 +57,12 @@
             timers=self.timers,
             on_change=self.owned_cells.on_settings,
         )
-        self._shutdown = Shutdown(shell=self)
+        self._shutdown = Shutdown(daemon=self)
         self.sockets = Sockets().register(self)
         self.metrics = Metrics()
         self._build_clients()
         self._build_watches()
-        self.peers = PeerDesk(shell=self)
+        self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
             instance=settings.instance,
@@ -70,17 +70,17 @@
             address=settings.peer,
             listener=self.peers,
         )
-        self.readiness = Readiness(shell=self)
-        self.gateway = Gateway(shell=self)
-        self.front = Front(shell=self)
+        self.readiness = Readiness(daemon=self)
+        self.gateway = Gateway(daemon=self)
+        self.front = Front(daemon=self)
         self._ready_server = HttpServer(
             sockets=self.sockets,
             timers=self.timers,
             address=settings.ready,
             on_request=self._on_ready_request,
         )
-        OperatorsFace(
-            shell=self, address=Address(host=settings.front.host, port=METRICS_PORT)
+        OperatorsServer(
+            daemon=self, address=Address(host=settings.front.host, port=METRICS_PORT)
         )
         self.timers.every(HEARTBEAT_MS, self.peers.send_heartbeats)
         self.timers.every(HOUSEKEEPING_MS, self._keep_house)
--- a/packages/thymefork-daemon/src/thymefork_daemon/front.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/front.py
@@ -24,12 +24,12 @@
 class Front:
     """Check requests, answer what needs no owner, and forward the rest."""
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
         self.server = HttpServer(
-            sockets=shell.sockets,
-            timers=shell.timers,
-            address=shell.settings.front,
+            sockets=daemon.sockets,
+            timers=daemon.timers,
+            address=daemon.settings.front,
             on_request=self._on_request,
             on_refused=self._on_refused,
         )
@@ -44,18 +44,18 @@
         )
 
     def _on_refused(self, status):
-        self._shell.metrics.count("refusals", f"bad_request_{status}")
+        self._daemon.metrics.count("refusals", f"bad_request_{status}")
 
     def _on_request(self, request):
-        configuration = self._shell.configuration
+        configuration = self._daemon.configuration
         if configuration is None:
-            self._shell.metrics.count("refusals", "no_configuration")
+            self._daemon.metrics.count("refusals", "no_configuration")
             CallerRequests.refuse(request, 503, NO_CONFIGURATION_RETRY_MS)
             return
         host = CallerRequests.host_of(request)
         queue = configuration.queue_for(host, request.path)
         if queue is None:
-            self._shell.metrics.count("refusals", "no_queue")
+            self._daemon.metrics.count("refusals", "no_queue")
             request.answer(404)
             return
         try:
@@ -66,7 +66,7 @@
         self._forward(request, queue, wanted)
 
     def _refuse_bad(self, request, failure):
-        self._shell.metrics.count("refusals", f"bad_request_{failure.status}")
+        self._daemon.metrics.count("refusals", f"bad_request_{failure.status}")
         line = logger.bind(event="bad_request", path=request.path)
         line.info("{}", failure)
         CallerRequests.refuse(request, failure.status, reason=str(failure))
@@ -75,26 +75,26 @@
         data = encode_spec(wanted.spec) if wanted.spec is not None else b""
         if (
             len(data) + RECORD_MARGIN_BYTES
-            > self._shell.settings.store.most_record_bytes
+            > self._daemon.settings.store.most_record_bytes
         ):
             self._on_refused(413)
             request.answer(413)
             return
         deadline_ms = request.arrived_ms + self._patience_ms(request)
-        self._shell.metrics.count("requests", wanted.kind)
+        self._daemon.metrics.count("requests", wanted.kind)
 
         def respond(reply):
             took_ms = steady_ms() - request.arrived_ms
-            self._shell.metrics.observe("request", took_ms, kind=wanted.kind)
+            self._daemon.metrics.observe("request", took_ms, kind=wanted.kind)
             if reply.outcome in (Outcome.REFUSED, Outcome.IN_DOUBT):
                 _log_refusal(wanted, queue, reply, took_ms)
-            if reply.outcome == Outcome.REFUSED and self._shell.readiness.is_cut_off:
+            if reply.outcome == Outcome.REFUSED and self._daemon.readiness.is_cut_off:
                 # Others can serve it: the caller need not wait, nor come back here.
                 request.keep_alive = False
                 reply = evolve(reply, retry_after_ms=0)
             CallerRequests.answer(request, reply)
 
-        self._shell.gateway.request(
+        self._daemon.gateway.request(
             wanted.kind, queue.name, wanted.job_id, data, deadline_ms, respond
         )
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -32,15 +32,15 @@
     Requests carry their job's id, so the same one may be sent again safely.
     """
 
-    def __init__(self, *, shell):
-        self._shell = shell
-        self._routes = OwnerRoutes(shell=shell)
+    def __init__(self, *, daemon):
+        self._daemon = daemon
+        self._routes = OwnerRoutes(daemon=daemon)
         self._numbers = count(1)
         self._pending = {}
 
     def request(self, kind, queue, job_id, data, deadline_ms, respond):
         """Have a request decided by the owner of its cell."""
-        cells = self._shell.layout.cells
+        cells = self._daemon.layout.cells
         if not cells:
             self._refuse(respond, "layout_unknown")
             return
@@ -72,7 +72,7 @@
         return len(self._pending)
 
     def _refuse(self, respond, reason):
-        self._shell.metrics.count("refusals", reason)
+        self._daemon.metrics.count("refusals", reason)
         reply = fx.Reply(
             request_id=None,
             outcome=fx.Outcome.REFUSED,
@@ -119,7 +119,7 @@
         self._set_timer(pending, left_ms, lambda: self._give_up(call_id, "no_reply"))
 
     def _await_owner(self, call_id, pending):
-        in_vain = not pending.tries and self._shell.readiness.is_cut_off
+        in_vain = not pending.tries and self._daemon.readiness.is_cut_off
         if steady_ms() < pending.find_until_ms and not in_vain:
             self._set_timer(pending, FIND_PERIOD_MS, lambda: self._try(call_id))
         else:
@@ -141,8 +141,8 @@
 
     def _set_timer(self, pending, delay_ms, action):
         """Set a request's only timer in place of the one before."""
-        self._shell.timers.cancel(pending.timer_id)
-        pending.timer_id = self._shell.timers.after(max(0.0, delay_ms), action)
+        self._daemon.timers.cancel(pending.timer_id)
+        pending.timer_id = self._daemon.timers.after(max(0.0, delay_ms), action)
 
     # Ends --------------------------------------------------------------------
 
@@ -163,7 +163,7 @@
             return
         doubtful = pending.tries and pending.kind in ("submit", "cancel")
         outcome = fx.Outcome.IN_DOUBT if doubtful else fx.Outcome.REFUSED
-        self._shell.metrics.count("refusals", reason)
+        self._daemon.metrics.count("refusals", reason)
         logger.bind(
             event="request_given_up",
             job=pending.job_id,
@@ -179,7 +179,7 @@
 
     def _finish(self, call_id, reply):
         pending = self._pending.pop(call_id)
-        self._shell.timers.cancel(pending.timer_id)
+        self._daemon.timers.cancel(pending.timer_id)
         pending.respond(reply)
 
     # Messages ----------------------------------------------------------------
@@ -191,7 +191,7 @@
     def on_caller_request(self, link, message):
         """Decide a request that another instance has forwarded."""
         respond = lambda reply: link.send(reply_message(message.call_id, reply))
-        owner = self._shell.owners.get(message.cell)
+        owner = self._daemon.owners.get(message.cell)
         if owner is None:
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
             return
@@ -222,7 +222,7 @@
         if address is None:
             return
         for owned in message.owned:
-            if self._shell.directory.heard(owned.cell, address, owned.epoch):
+            if self._daemon.directory.heard(owned.cell, address, owned.epoch):
                 self._send_to_successor(owned.cell, address)
 
     def _send_to_successor(self, cell, address):
@@ -238,7 +238,7 @@
                 continue  # a link that broke meanwhile has ended it
             new_id = next(self._numbers)
             self._pending[new_id] = pending
-            self._shell.metrics.count("retries", "owner_changed")
+            self._daemon.metrics.count("retries", "owner_changed")
             self._try(new_id)
 
     def _is_with(self, pending, address):
--- a/packages/thymefork-daemon/src/thymefork_daemon/operators_face.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/operators_server.py
@@ -5,24 +5,24 @@
 from thymefork_cells import cell_of
 from thymefork_net.http import HttpServer
 
-__all__ = ["OperatorsFace"]
+__all__ = ["OperatorsServer"]
 
 
-class OperatorsFace:
+class OperatorsServer:
     """Serve `/metrics` and `/report/JOB` on the metrics address."""
 
-    def __init__(self, *, shell, address):
-        self._shell = shell
+    def __init__(self, *, daemon, address):
+        self._daemon = daemon
         HttpServer(
-            sockets=shell.sockets,
-            timers=shell.timers,
+            sockets=daemon.sockets,
+            timers=daemon.timers,
             address=address,
             on_request=self._on_request,
         )
 
     def _on_request(self, request):
         if request.path == "/metrics":
-            text = self._shell.metrics.text()
+            text = self._daemon.metrics.text()
             request.answer(200, text, content_type="text/plain")
         elif request.path.startswith("/report/"):
             job_id = request.path.removeprefix("/report/")
@@ -35,21 +35,21 @@
         report = {
             "work_id": job_id,
             "known": False,
-            "hall": self._shell.settings.hall,
+            "hall": self._daemon.settings.hall,
             "home": "",
             "state": "",
             "waits_for": "",
             "tasks": [],
         }
-        cells = self._shell.layout.cells
+        cells = self._daemon.layout.cells
         if not cells:
             return {**report, "waits_for": "the number of cells is not agreed yet"}
         index = cell_of(job_id, cells)
-        owner = self._shell.owners.get(index)
+        owner = self._daemon.owners.get(index)
         if owner is None or owner.cell is None:
-            address = self._shell.directory.owner_of(index)
+            address = self._daemon.directory.owner_of(index)
             return {**report, "home": str(address), "waits_for": "ask the cell's owner"}
-        report["home"] = self._shell.settings.instance
+        report["home"] = self._daemon.settings.instance
         job = owner.cell.context.jobs.get(job_id)
         return report if job is None else {**report, **_story(job)}
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
@@ -11,26 +11,26 @@
     What concerns all cells goes to their owners from here.
     """
 
-    def __init__(self, *, shell):
+    def __init__(self, *, daemon):
         self.owners = {}
-        self._shell = shell
+        self._daemon = daemon
 
     def update(self):
         """Follow the deal: give up what is another's now, take over what is new."""
-        if not self._shell.layout.cells or self._shell.is_stopping:
+        if not self._daemon.layout.cells or self._daemon.is_stopping:
             return
         epochs = self._dealt_epochs()
         self._end_others(epochs)
-        self._shell.worker_list.want(bool(epochs))
+        self._daemon.worker_list.want(bool(epochs))
         for cell, epoch in epochs.items():
             if cell not in self.owners:
-                owner = CellOwner(cell=cell, epoch=epoch, shell=self._shell)
+                owner = CellOwner(cell=cell, epoch=epoch, daemon=self._daemon)
                 self.owners[cell] = owner
                 owner.start()
 
     def _dealt_epochs(self):
         """Return the epoch of each cell whose partition is dealt to this instance."""
-        layout, dealt = self._shell.layout, self._shell.membership.epochs
+        layout, dealt = self._daemon.layout, self._daemon.membership.epochs
         partitions = {cell: layout.partition_of(cell) for cell in range(layout.cells)}
         return {
             cell: dealt[partition]
@@ -43,7 +43,7 @@
             if epochs.get(cell) != owner.epoch:
                 owner.end("the cell was dealt to another instance")
                 del self.owners[cell]
-                self._shell.peers.send_heartbeats()
+                self._daemon.peers.send_heartbeats()
 
     # From the owners ---------------------------------------------------------
 
@@ -51,12 +51,12 @@
         """Drop a cell; a later generation of the group may bring it back."""
         if self.owners.get(owner.cell_index) is owner:
             del self.owners[owner.cell_index]
-        partition = self._shell.layout.partition_of(owner.cell_index)
-        self._shell.membership.give_up(partition, owner.epoch)
+        partition = self._daemon.layout.partition_of(owner.cell_index)
+        self._daemon.membership.give_up(partition, owner.epoch)
 
     def on_serving(self):
         """Tell the other instances at once."""
-        self._shell.peers.send_heartbeats()
+        self._daemon.peers.send_heartbeats()
 
     # To the owners -----------------------------------------------------------
 
@@ -81,4 +81,4 @@
         """Take the settings that were read again."""
         for owner in self.owners.values():
             if owner.cell is not None:
-                owner.cell.context.bounds = self._shell.settings.bounds
+                owner.cell.context.bounds = self._daemon.settings.bounds
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -27,38 +27,38 @@
 class CellOwner:
     """Take a cell over, then carry out what it decides, until it is lost."""
 
-    def __init__(self, *, cell, epoch, shell):
+    def __init__(self, *, cell, epoch, daemon):
         self.cell_index = cell
         self.epoch = epoch
         self.cell = None
-        self._shell = shell
+        self._daemon = daemon
         self._began_ms = steady_ms()
         self._ended = False
         self._turns = None
         self._requests = None
-        partition = shell.layout.partition_of(cell)
+        partition = daemon.layout.partition_of(cell)
         self._ownership = Ownership(
-            membership=shell.membership, partition=partition, epoch=epoch
+            membership=daemon.membership, partition=partition, epoch=epoch
         )
         self._partition = CellPartition(
-            store=shell.store, cell=cell, partition=partition, epoch=epoch
+            store=daemon.store, cell=cell, partition=partition, epoch=epoch
         )
         self._takeover = self._build_takeover()
         self._pump = self._build_pump()
         self._advisers = self._build_advisers()
         self._performer = EffectPerformer(
             cell_index=cell,
-            metrics=shell.metrics,
+            metrics=daemon.metrics,
             advisers=self._advisers,
-            orders=OrderSender(owner=self, client=shell.workers),
+            orders=OrderSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
         )
 
     def _build_takeover(self):
         return Takeover(
             partition=self._partition,
-            timers=self._shell.timers,
-            owner=self._shell.settings.instance,
+            timers=self._daemon.timers,
+            owner=self._daemon.settings.instance,
             on_loaded=self._on_loaded,
             on_fenced=lambda: self.lose("fenced"),
         )
@@ -66,8 +66,8 @@
     def _build_pump(self):
         return AppendPump(
             partition=self._partition,
-            timers=self._shell.timers,
-            metrics=self._shell.metrics,
+            timers=self._daemon.timers,
+            metrics=self._daemon.metrics,
             last_sequence=self._takeover.sequence,
             may_write=self._ownership.is_certain,
             on_lost=self.lose,
@@ -75,18 +75,18 @@
 
     def _build_advisers(self):
         return Advisers(
-            client=self._shell.advice,
-            timers=self._shell.timers,
-            metrics=self._shell.metrics,
-            instance=self._shell.settings.instance,
-            turn=self.cell_index / max(1, self._shell.layout.cells),
+            client=self._daemon.advice,
+            timers=self._daemon.timers,
+            metrics=self._daemon.metrics,
+            instance=self._daemon.settings.instance,
+            turn=self.cell_index / max(1, self._daemon.layout.cells),
             on_answer=self._on_advice,
         )
 
     @property
     def metrics(self):
         """Return where counts and times go."""
-        return self._shell.metrics
+        return self._daemon.metrics
 
     @property
     def is_serving(self):
@@ -121,13 +121,13 @@
         self._pump.end()
         if self._turns is not None:
             self._turns.end()
-        self._shell.metrics.count("ownership", "lost")
+        self._daemon.metrics.count("ownership", "lost")
         self._log("ownership_lost").info("{}", reason)
 
     def lose(self, reason):
         """Give the cell up, since it is certainly another's."""
         self.end(reason)
-        self._shell.owned_cells.on_lost(self)
+        self._daemon.owned_cells.on_lost(self)
 
     def _log(self, event):
         return logger.bind(event=event, cell=self.cell_index, epoch=self.epoch)
@@ -155,8 +155,9 @@
     def _on_loaded(self, records):
         if self._ended:
             return
-        if self._shell.configuration is None or not self._shell.worker_list.is_complete:
-            self._shell.timers.after(INPUTS_AGAIN_MS, lambda: self._on_loaded(records))
+        daemon = self._daemon
+        if daemon.configuration is None or not daemon.worker_list.is_complete:
+            daemon.timers.after(INPUTS_AGAIN_MS, lambda: self._on_loaded(records))
             return
         self._serve(records)
 
@@ -168,17 +169,17 @@
             ownership=self._ownership,
             pump=self._pump,
             performer=self._performer,
-            timers=self._shell.timers,
+            timers=self._daemon.timers,
         )
         self._requests = RequestHandler(
             intake=cell.intake,
             ownership=self._ownership,
             pump=self._pump,
-            metrics=self._shell.metrics,
+            metrics=self._daemon.metrics,
         )
-        cell.roster.update(self._shell.worker_list.entries.values(), now_ms=now_ms)
-        self._shell.metrics.count("ownership", "gained")
-        self._shell.metrics.observe("takeover", now_ms - self._began_ms)
+        cell.roster.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
+        self._daemon.metrics.count("ownership", "gained")
+        self._daemon.metrics.observe("takeover", now_ms - self._began_ms)
         self._log("ownership_gained").bind(
             records=len(records),
             jobs=len(cell.context.jobs),
@@ -186,17 +187,17 @@
             after_ms=round(now_ms - self._began_ms),
         ).info("serving the cell")
         self.on_links()
-        self._shell.owned_cells.on_serving()
+        self._daemon.owned_cells.on_serving()
         self._turns.turn()
 
     def _load_cell(self, records, now_ms):
         cell = Cell(
             cell=self.cell_index,
             epoch=self.epoch,
-            cell_count=self._shell.layout.cells,
-            bounds=self._shell.settings.bounds,
-            configuration=self._shell.configuration,
-            membership_ms=self._shell.membership.ttl_ms,
+            cell_count=self._daemon.layout.cells,
+            bounds=self._daemon.settings.bounds,
+            configuration=self._daemon.configuration,
+            membership_ms=self._daemon.membership.ttl_ms,
             now_ms=now_ms,
         )
         cell.load(records, epoch_ms=time.time() * 1000.0, now_ms=now_ms)
@@ -215,7 +216,7 @@
     def on_workers(self):
         """Take the platform's list of workers."""
         if self._is_live:
-            entries = self._shell.worker_list.entries.values()
+            entries = self._daemon.worker_list.entries.values()
             self.cell.roster.update(entries, now_ms=steady_ms())
             self.settle()
 
@@ -228,7 +229,7 @@
     def on_links(self):
         """Take the links to other instances that are open now."""
         if self._is_live:
-            self._advisers.update(self._shell.links.incoming)
+            self._advisers.update(self._daemon.links.incoming)
 
     def on_advice_reply(self, reply):
         """Take another instance's answer to a question of this cell."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_routes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_routes.py
@@ -6,22 +6,22 @@
 class OwnerRoutes:
     """Find a cell's owner; have the directory look again where none is reached."""
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
 
     def local_owner(self, cell):
         """Return the owner on this instance, None unless it serves the cell."""
-        owner = self._shell.owners.get(cell)
+        owner = self._daemon.owners.get(cell)
         return owner if owner is not None and owner.is_serving else None
 
     def link_to(self, cell):
         """Return a link to the instance that owns a cell, None if none is known."""
-        directory = self._shell.directory
+        directory = self._daemon.directory
         address = directory.owner_of(cell)
-        if address is None or address == self._shell.settings.peer:
+        if address is None or address == self._daemon.settings.peer:
             directory.refresh()
             return None
-        link = self._shell.links.to(address)
+        link = self._daemon.links.to(address)
         if link is None:
             directory.forget(cell, address)
         return link
@@ -29,6 +29,6 @@
     def forget(self, cell, link):
         """Take note that no owner of a cell was reached on a link, None for here."""
         if link is None:
-            self._shell.directory.refresh()
+            self._daemon.directory.refresh()
         else:
-            self._shell.directory.forget(cell, link.address)
+            self._daemon.directory.forget(cell, link.address)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
@@ -29,10 +29,10 @@
     hear most of their peers.
     """
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
         self._not_before_ms = {}
-        shell.timers.every(CHECK_MS, self._check)
+        daemon.timers.every(CHECK_MS, self._check)
 
     def on_heartbeat(self, link, message):
         """Take out an owner that says that it has lost the store."""
@@ -40,12 +40,12 @@
             self._take_out(link.listener_address, "lost the store")
 
     def _check(self):
-        shell = self._shell
-        for cell in range(shell.layout.cells):
-            address = shell.directory.owner_of(cell)
-            if address is None or address == shell.settings.peer:
+        daemon = self._daemon
+        for cell in range(daemon.layout.cells):
+            address = daemon.directory.owner_of(cell)
+            if address is None or address == daemon.settings.peer:
                 continue
-            if shell.links.is_silent(address, SILENT_MS):
+            if daemon.links.is_silent(address, SILENT_MS):
                 self._take_out(address, "silent")
 
     def _take_out(self, address, reason):
@@ -55,14 +55,14 @@
         if not self._may_judge():
             return
         self._not_before_ms[address] = now_ms + PAUSE_MS
-        self._shell.metrics.count("owners_taken_out", reason)
+        self._daemon.metrics.count("owners_taken_out", reason)
         line = logger.bind(event="owner_taken_out", peer=str(address), reason=reason)
         line.info("the owner at {} is replaced: {}", address, reason)
-        self._shell.directory.remove_dead(address)
+        self._daemon.directory.remove_dead(address)
         for delay_ms in HURRY_AFTER_MS:
-            self._shell.timers.after(delay_ms, self._shell.membership.hurry)
+            self._daemon.timers.after(delay_ms, self._daemon.membership.hurry)
 
     def _may_judge(self):
-        if self._shell.is_stopping or not self._shell.membership.is_well:
+        if self._daemon.is_stopping or not self._daemon.membership.is_well:
             return False
-        return self._shell.links.heard_share(SILENT_MS) >= LEAST_HEARD_SHARE
+        return self._daemon.links.heard_share(SILENT_MS) >= LEAST_HEARD_SHARE
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -29,25 +29,25 @@
 class PeerDesk:
     """Send heartbeats, keep links to owners, and hand messages on."""
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
         self._member_links = set()
         self._owned_by_link = {}
         self._without_store = set()
         self._neighbours_due_ms = 0.0
-        self._owner_watch = OwnerWatch(shell=shell)
-        shell.timers.every(OWNER_BEAT_MS, self._beat_as_owner)
+        self._owner_watch = OwnerWatch(daemon=daemon)
+        daemon.timers.every(OWNER_BEAT_MS, self._beat_as_owner)
 
     def send_heartbeats(self):
         """Tell the peers which cells are owned here."""
         message = self._heartbeat()
-        for link in self._shell.links.all:
+        for link in self._daemon.links.all:
             link.send(message)
         self._keep_links()
 
     def _beat_as_owner(self):
         """Tell the members of the group, who would follow, that the owner lives."""
-        if not self._shell.owners or self._shell.is_stopping:
+        if not self._daemon.owners or self._daemon.is_stopping:
             return
         message = self._heartbeat()
         for link in list(self._member_links):  # one that breaks leaves the set
@@ -56,56 +56,56 @@
     def _heartbeat(self):
         owned = [
             OwnedCell(cell=cell, epoch=owner.epoch)
-            for cell, owner in self._shell.owners.items()
+            for cell, owner in self._daemon.owners.items()
             if owner.is_serving
         ]
-        current = self._shell.configuration
-        membership = self._shell.membership
+        current = self._daemon.configuration
+        membership = self._daemon.membership
         return Heartbeat(
             owned=owned,
             config_version=current.version if current is not None else 0,
-            leaving=self._shell.is_stopping,
+            leaving=self._daemon.is_stopping,
             in_group=membership.in_group,
             store_lost=membership.store_lost,
         )
 
     def _keep_links(self):
         """Keep a link to each owner, so that it can ask us for advice."""
-        for cell in range(self._shell.layout.cells):
-            if cell in self._shell.owners:
+        for cell in range(self._daemon.layout.cells):
+            if cell in self._daemon.owners:
                 continue
-            address = self._shell.directory.owner_of(cell)
-            if address is None or address == self._shell.settings.peer:
-                self._shell.directory.refresh()
+            address = self._daemon.directory.owner_of(cell)
+            if address is None or address == self._daemon.settings.peer:
+                self._daemon.directory.refresh()
             else:
-                self._shell.links.to(address)
+                self._daemon.links.to(address)
         self._keep_neighbours()
 
     def _keep_neighbours(self):
         """Keep links to a few members, drawn by hash, so that they differ."""
-        own = self._shell.settings.peer
-        others = self._shell.directory.members - {own}
+        own = self._daemon.settings.peer
+        others = self._daemon.directory.members - {own}
         if len(others) < NEIGHBOURS and steady_ms() >= self._neighbours_due_ms:
             self._neighbours_due_ms = steady_ms() + FIND_NEIGHBOURS_MS
-            self._shell.directory.refresh()
+            self._daemon.directory.refresh()
         ranked = sorted(
             others, key=lambda other: xxhash.xxh32_intdigest(f"{own}|{other}".encode())
         )
         for address in ranked[:NEIGHBOURS]:
-            self._shell.links.to(address)
+            self._daemon.links.to(address)
 
     def on_message(self, link, message):
         """Hand a peer's message on."""
         if isinstance(message, Heartbeat):
             self._on_heartbeat(link, message)
         elif isinstance(message, CallerRequest):
-            self._shell.gateway.on_caller_request(link, message)
+            self._daemon.gateway.on_caller_request(link, message)
         elif isinstance(message, CallerReply):
-            self._shell.gateway.on_caller_reply(message)
+            self._daemon.gateway.on_caller_reply(message)
         elif isinstance(message, AdviceRequest):
             self._advise(link, message)
         elif isinstance(message, AdviceReply):
-            for owner in self._shell.owners.values():
+            for owner in self._daemon.owners.values():
                 owner.on_advice_reply(message)
         else:
             self._on_links_changed()
@@ -122,13 +122,13 @@
             self._without_store.discard(address)
         if message.in_group:
             self._member_links.add(link)
-        self._shell.owned_cells.on_peer_owns(message.owned)
-        self._shell.gateway.on_heartbeat(link, message)
+        self._daemon.owned_cells.on_peer_owns(message.owned)
+        self._daemon.gateway.on_heartbeat(link, message)
         self._owner_watch.on_heartbeat(link, message)
         owned = {owned.cell for owned in message.owned}
         if message.leaving or self._owned_by_link.get(link, set()) - owned:
             # A cell was given up: the next join brings it to its new owner.
-            self._shell.membership.hurry()
+            self._daemon.membership.hurry()
         self._owned_by_link[link] = owned
 
     def _advise(self, link, message):
@@ -146,7 +146,7 @@
                 )
             )
 
-        self._shell.advice.ask(
+        self._daemon.advice.ask(
             step_name=message.step,
             worker_ids=message.workers,
             patience_ms=message.patience_ms,
@@ -157,19 +157,19 @@
         """Route around a link that broke."""
         self._member_links.discard(link)
         self._owned_by_link.pop(link, None)
-        self._shell.gateway.on_link_broken(link)
+        self._daemon.gateway.on_link_broken(link)
         if link.was_refused:
-            self._shell.directory.remove_dead(link.address)
+            self._daemon.directory.remove_dead(link.address)
         if link.address is not None:
-            for cell in range(self._shell.layout.cells):
-                if self._shell.directory.owner_of(cell) == link.address:
-                    self._shell.directory.forget(cell, link.address)
-        self._shell.membership.hurry()
+            for cell in range(self._daemon.layout.cells):
+                if self._daemon.directory.owner_of(cell) == link.address:
+                    self._daemon.directory.forget(cell, link.address)
+        self._daemon.membership.hurry()
         if link.connected and link.address is not None:
             # If the process is gone, the new connection is refused at once.
-            self._shell.links.to(link.address)
+            self._daemon.links.to(link.address)
         self._on_links_changed()
 
     def _on_links_changed(self):
-        for owner in self._shell.owners.values():
+        for owner in self._daemon.owners.values():
             owner.on_links()
--- a/packages/thymefork-daemon/src/thymefork_daemon/readiness.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/readiness.py
@@ -14,18 +14,22 @@
 class Readiness:
     """Tell whether requests can be decided from here, and since when they can't."""
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
         self._unheard_since_ms = 0.0
 
     def check(self):
         """Return whether callers are welcome; note since when owners are not heard."""
-        shell = self._shell
-        if shell.configuration is None or shell.is_stopping or not shell.layout.cells:
+        daemon = self._daemon
+        if (
+            daemon.configuration is None
+            or daemon.is_stopping
+            or not daemon.layout.cells
+        ):
             return False
-        if shell.settings.orders_by_heartbeat:
+        if daemon.settings.orders_by_heartbeat:
             return False
-        cells = range(shell.layout.cells)
+        cells = range(daemon.layout.cells)
         if not all(self._hears_owner(cell) for cell in cells):
             self._unheard_since_ms = self._unheard_since_ms or steady_ms()
             return False
@@ -40,18 +44,18 @@
         does not reach the store either; without owners anywhere, that would answer.
         """
         self.check()
-        if self._shell.reads_store or not self._unheard_since_ms:
+        if self._daemon.reads_store or not self._unheard_since_ms:
             return False
         return steady_ms() - self._unheard_since_ms > OUT_OF_ROTATION_MS
 
     def _hears_owner(self, cell):
-        owner = self._shell.owners.get(cell)
+        owner = self._daemon.owners.get(cell)
         if owner is not None and owner.is_serving:
             return True
-        address = self._shell.directory.owner_of(cell)
+        address = self._daemon.directory.owner_of(cell)
         if address is None:
             return False
-        return self._shell.links.hears(address, OWNER_SILENCE_MS)
+        return self._daemon.links.hears(address, OWNER_SILENCE_MS)
 
     def _owner_has_store(self, cell):
         """Tell whether a cell's owner can accept anything.
@@ -59,6 +63,6 @@
         An owner that is cut off with its hall goes on telling states; the hall's
         callers are led to other halls' instances once none in theirs is ready.
         """
-        if cell in self._shell.owners:
-            return not self._shell.membership.store_lost
-        return self._shell.peers.has_store(self._shell.directory.owner_of(cell))
+        if cell in self._daemon.owners:
+            return not self._daemon.membership.store_lost
+        return self._daemon.peers.has_store(self._daemon.directory.owner_of(cell))
--- a/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
@@ -18,8 +18,8 @@
 class Shutdown:
     """Stop an instance without cutting anything off."""
 
-    def __init__(self, *, shell):
-        self._shell = shell
+    def __init__(self, *, daemon):
+        self._daemon = daemon
         self._began_ms = 0.0
 
     @property
@@ -32,32 +32,32 @@
         if self.has_begun:
             return
         self._began_ms = steady_ms()
-        owns = sorted(self._shell.owners)
+        owns = sorted(self._daemon.owners)
         logger.bind(event="stopping", owns=owns).info("asked to stop")
-        self._shell.front.server.drain()
+        self._daemon.front.server.drain()
         self._leave()
 
     def _leave(self):
-        if any(owner.has_pending_append for owner in self._shell.owners.values()):
+        if any(owner.has_pending_append for owner in self._daemon.owners.values()):
             if steady_ms() - self._began_ms < STOP_MARGIN_MS:
-                self._shell.timers.after(LEAVE_AGAIN_MS, self._leave)
+                self._daemon.timers.after(LEAVE_AGAIN_MS, self._leave)
                 return
-        for owner in self._shell.owners.values():
+        for owner in self._daemon.owners.values():
             owner.end("this instance stops")
-        self._shell.owners.clear()
-        self._shell.membership.leave(self._on_left)
+        self._daemon.owners.clear()
+        self._daemon.membership.leave(self._on_left)
 
     def _on_left(self, answer):
-        self._shell.peers.send_heartbeats()
-        self._shell.directory.refresh()
+        self._daemon.peers.send_heartbeats()
+        self._daemon.directory.refresh()
 
     def is_over(self):
         """Tell whether everything is answered, or the time for it has passed."""
         if not self.has_begun:
             return False
-        shell, spent_ms = self._shell, steady_ms() - self._began_ms
-        busy = shell.front.server.open_requests or shell.gateway.open_requests
-        over = spent_ms > shell.settings.stop_grace_ms - STOP_MARGIN_MS
+        daemon, spent_ms = self._daemon, steady_ms() - self._began_ms
+        busy = daemon.front.server.open_requests or daemon.gateway.open_requests
+        over = spent_ms > daemon.settings.stop_grace_ms - STOP_MARGIN_MS
         if over or (spent_ms > STOP_AT_LEAST_MS and not busy):
             logger.bind(event="stopped", open_requests=busy).info("stopped")
             return True
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -39,7 +39,7 @@
 
 
 @pytest.fixture
-def shell(timers):
+def daemon(timers):
     known = {0: None}
     link = FakeLink()
     links = {OWNER: link, SUCCESSOR: FakeLink(SUCCESSOR)}
@@ -64,61 +64,61 @@
     )
 
 
-def ask(shell, timers, kind="submit"):
-    gateway, replies = Gateway(shell=shell), []
+def ask(daemon, timers, kind="submit"):
+    gateway, replies = Gateway(daemon=daemon), []
     gateway.request(kind, "q", JOB, b"", timers.now_ms + 2_500, replies.append)
     return gateway, replies
 
 
-def test_without_an_owner_it_is_refused_soon(shell, timers):
-    _, replies = ask(shell, timers)
+def test_without_an_owner_it_is_refused_soon(daemon, timers):
+    _, replies = ask(daemon, timers)
     timers.run(600)
     assert replies[0].outcome is fx.Outcome.REFUSED
 
 
-def test_the_own_instance_may_have_taken_it(shell, timers):
+def test_the_own_instance_may_have_taken_it(daemon, timers):
     # Seen in trouble-3 of cab-bogota: refused at its time-out, stored and run later.
-    shell.owners[0] = FakeOwner()
-    _, replies = ask(shell, timers)
+    daemon.owners[0] = FakeOwner()
+    _, replies = ask(daemon, timers)
     timers.run(3_000)
     assert replies[0].outcome is fx.Outcome.IN_DOUBT
 
 
-def test_an_owner_that_is_gone_may_have_taken_it(shell, timers):
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
-    assert shell.link.sent
-    gateway.on_link_broken(shell.link)
+def test_an_owner_that_is_gone_may_have_taken_it(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
+    assert daemon.link.sent
+    gateway.on_link_broken(daemon.link)
     timers.run(1_500)  # a successor may yet serve: a 504 could not be repeated
     assert not replies
     timers.run(200)
     assert replies[0].outcome is fx.Outcome.IN_DOUBT
 
 
-def test_an_instance_that_is_no_owner_has_not_taken_it(shell, timers):
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
+def test_an_instance_that_is_no_owner_has_not_taken_it(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
     reply = fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER)
-    gateway._on_reply(shell.link.sent[0].call_id, reply)
+    gateway._on_reply(daemon.link.sent[0].call_id, reply)
     timers.run(1_000)
     assert replies[0].outcome is fx.Outcome.REFUSED
 
 
-def test_a_successor_gets_what_its_predecessor_did_not_answer(shell, timers):
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
-    gateway.on_link_broken(shell.link)
-    shell.owners[0] = FakeOwner()
+def test_a_successor_gets_what_its_predecessor_did_not_answer(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
+    gateway.on_link_broken(daemon.link)
+    daemon.owners[0] = FakeOwner()
     timers.run(200)
-    shell.owners[0].requests[0](fx.Reply(request_id=None, outcome=fx.Outcome.ACCEPTED))
+    daemon.owners[0].requests[0](fx.Reply(request_id=None, outcome=fx.Outcome.ACCEPTED))
     assert replies[0].outcome is fx.Outcome.ACCEPTED
 
 
-def test_the_count_of_a_queue_adds_up_over_the_cells(shell, timers):
-    shell.layout.cells = 2
-    shell.owners = {0: FakeOwner(), 1: FakeOwner()}
-    _, replies = ask(shell, timers, kind="count")
-    for number, owner in enumerate(shell.owners.values()):
+def test_the_count_of_a_queue_adds_up_over_the_cells(daemon, timers):
+    daemon.layout.cells = 2
+    daemon.owners = {0: FakeOwner(), 1: FakeOwner()}
+    _, replies = ask(daemon, timers, kind="count")
+    for number, owner in enumerate(daemon.owners.values()):
         owner.requests[0](
             fx.Reply(request_id=None, outcome=fx.Outcome.COUNTED, count=number + 2)
         )
@@ -130,44 +130,44 @@
     return Heartbeat(owned=owned, config_version=1, leaving=False)
 
 
-def test_a_request_goes_on_to_the_new_owner_once_that_is_heard(shell, timers):
+def test_a_request_goes_on_to_the_new_owner_once_that_is_heard(daemon, timers):
     """From cab-bogota-grown, trouble-3: 24 requests waited on a dead owner's link."""
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
-    gateway.on_heartbeat(shell.successor, heartbeat_of_successor())
-    (request,) = shell.successor.sent
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
+    gateway.on_heartbeat(daemon.successor, heartbeat_of_successor())
+    (request,) = daemon.successor.sent
     reply = fx.Reply(request_id=None, outcome=fx.Outcome.ACCEPTED)
     gateway._on_reply(request.call_id, reply)
     assert replies[0].outcome is fx.Outcome.ACCEPTED
 
 
-def test_a_refusal_of_the_old_owner_does_not_count_any_more(shell, timers):
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
-    gateway.on_heartbeat(shell.successor, heartbeat_of_successor())
+def test_a_refusal_of_the_old_owner_does_not_count_any_more(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
+    gateway.on_heartbeat(daemon.successor, heartbeat_of_successor())
     reply = fx.Reply(request_id=None, outcome=fx.Outcome.REFUSED)
-    gateway._on_reply(shell.link.sent[0].call_id, reply)
+    gateway._on_reply(daemon.link.sent[0].call_id, reply)
     assert not replies
 
 
-def test_a_heartbeat_of_the_same_owner_repeats_nothing(shell, timers):
-    shell.directory.known[0] = SUCCESSOR
-    gateway, _ = ask(shell, timers)
-    gateway.on_heartbeat(shell.successor, heartbeat_of_successor())
-    assert len(shell.successor.sent) == 1
+def test_a_heartbeat_of_the_same_owner_repeats_nothing(daemon, timers):
+    daemon.directory.known[0] = SUCCESSOR
+    gateway, _ = ask(daemon, timers)
+    gateway.on_heartbeat(daemon.successor, heartbeat_of_successor())
+    assert len(daemon.successor.sent) == 1
 
 
-def test_an_instance_that_is_cut_off_refuses_at_once(shell, timers):
-    shell.readiness.is_cut_off = True
-    _, replies = ask(shell, timers)
+def test_an_instance_that_is_cut_off_refuses_at_once(daemon, timers):
+    daemon.readiness.is_cut_off = True
+    _, replies = ask(daemon, timers)
     timers.run(10)
     assert replies[0].outcome is fx.Outcome.REFUSED
 
 
-def test_a_request_in_doubt_waits_for_the_successor_all_the_same(shell, timers):
-    shell.directory.known[0] = OWNER
-    gateway, replies = ask(shell, timers)
-    shell.readiness.is_cut_off = True
-    gateway.on_link_broken(shell.link)
+def test_a_request_in_doubt_waits_for_the_successor_all_the_same(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, replies = ask(daemon, timers)
+    daemon.readiness.is_cut_off = True
+    gateway.on_link_broken(daemon.link)
     timers.run(1_000)
     assert not replies
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -18,10 +18,10 @@
 
 
 @pytest.fixture
-def shell(timers):
+def daemon(timers):
     heard_ms = {OWNER: timers.now_ms}
     removed, hurried = [], []
-    shell = SimpleNamespace(
+    daemon = SimpleNamespace(
         layout=SimpleNamespace(cells=1),
         settings=SimpleNamespace(peer=Address(host="10.0.0.1", port=7000)),
         directory=SimpleNamespace(
@@ -29,7 +29,7 @@
         ),
         links=SimpleNamespace(
             is_silent=lambda address, ms: timers.now_ms - heard_ms[address] >= ms,
-            heard_share=lambda ms: shell.share,
+            heard_share=lambda ms: daemon.share,
         ),
         membership=SimpleNamespace(is_well=True, hurry=lambda: hurried.append(1)),
         hurried=hurried,
@@ -40,47 +40,47 @@
         removed=removed,
         share=0.9,
     )
-    shell.watch = OwnerWatch(shell=shell)
-    return shell
+    daemon.watch = OwnerWatch(daemon=daemon)
+    return daemon
 
 
-def test_a_silent_owner_is_taken_out_once(shell, timers):
+def test_a_silent_owner_is_taken_out_once(daemon, timers):
     timers.run(400)
-    assert not shell.removed
+    assert not daemon.removed
     timers.run(100)
-    assert shell.removed == [OWNER]
+    assert daemon.removed == [OWNER]
     timers.run(500)
-    assert shell.removed == [OWNER]
-    assert len(shell.hurried) == 2
+    assert daemon.removed == [OWNER]
+    assert len(daemon.hurried) == 2
 
 
-def test_an_owner_that_is_heard_is_let_be(shell, timers):
+def test_an_owner_that_is_heard_is_let_be(daemon, timers):
     for _ in range(20):
-        shell.heard_ms[OWNER] = timers.now_ms
+        daemon.heard_ms[OWNER] = timers.now_ms
         timers.run(100)
-    assert not shell.removed
+    assert not daemon.removed
 
 
-def test_an_instance_that_is_cut_off_itself_judges_nobody(shell, timers):
-    shell.share = 0.3
+def test_an_instance_that_is_cut_off_itself_judges_nobody(daemon, timers):
+    daemon.share = 0.3
     timers.run(2_000)
-    assert not shell.removed
+    assert not daemon.removed
 
 
-def test_an_instance_without_the_store_judges_nobody(shell, timers):
-    shell.membership.is_well = False
+def test_an_instance_without_the_store_judges_nobody(daemon, timers):
+    daemon.membership.is_well = False
     timers.run(2_000)
-    assert not shell.removed
+    assert not daemon.removed
 
 
 @pytest.mark.parametrize("lost, owns", [(True, True), (True, False), (False, True)])
-def test_an_owner_that_has_lost_the_store_is_taken_out(shell, lost, owns):
+def test_an_owner_that_has_lost_the_store_is_taken_out(daemon, lost, owns):
     owned = [OwnedCell(cell=0, epoch=1)] if owns else []
     message = Heartbeat(
         owned=owned, config_version=1, leaving=False, in_group=True, store_lost=lost
     )
-    shell.watch.on_heartbeat(SimpleNamespace(listener_address=OWNER), message)
-    assert shell.removed == ([OWNER] if lost and owns else [])
+    daemon.watch.on_heartbeat(SimpleNamespace(listener_address=OWNER), message)
+    assert daemon.removed == ([OWNER] if lost and owns else [])
 
 
 def test_a_members_link_that_breaks_under_a_beat_stops_no_other(timers):
@@ -93,7 +93,7 @@
             desk.on_link_broken(self)
 
     links = [BreakingLink() for _ in range(3)]
-    shell = SimpleNamespace(
+    daemon = SimpleNamespace(
         timers=timers,
         owners={0: SimpleNamespace(is_serving=True, epoch=1, on_links=lambda: None)},
         configuration=None,
@@ -103,7 +103,7 @@
         gateway=SimpleNamespace(on_link_broken=lambda link: None),
         metrics=FakeMetrics(),
     )
-    desk = PeerDesk(shell=shell)
+    desk = PeerDesk(daemon=daemon)
     for link in links:
         link.was_refused = link.connected = False
         link.address = None
@@ -117,7 +117,7 @@
     own = Address(host="10.0.0.1", port=7000)
     others = {Address(host=f"10.0.0.{n}", port=7000) for n in range(2, 9)}
     opened = set()
-    shell = SimpleNamespace(
+    daemon = SimpleNamespace(
         timers=timers,
         owners={},
         configuration=None,
@@ -129,5 +129,5 @@
         membership=SimpleNamespace(in_group=True, store_lost=False),
         metrics=FakeMetrics(),
     )
-    PeerDesk(shell=shell).send_heartbeats()
+    PeerDesk(daemon=daemon).send_heartbeats()
     assert len(opened) == 3 and opened < others
