Test a cell's turns on a clock of their own

The turn loop had no test but the soak. Twelve cases tell when events share a turn, what lingers, what follows an append, and that an ended loop does nothing.

--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -0,0 +1,187 @@
+"""Turns of a cell: events come together, records wait for others, effects run."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon.owner import turn_loop
+from thymefork_daemon.owner.turn_loop import (
+    LINGER_MS,
+    STORE_AGAIN_MS,
+    TURN_MS,
+    TurnLoop,
+)
+
+CLOCKED = (turn_loop,)
+FAR_MS = 1_000.0
+
+
+class FakeJournal:
+    def __init__(self):
+        self.waiting = []
+        self.is_urgent = False
+
+    @property
+    def is_empty(self):
+        return not self.waiting
+
+    def take(self, now_ms):
+        batch, self.waiting = SimpleNamespace(effects=self.waiting), []
+        return batch
+
+
+class FakeCell:
+    def __init__(self):
+        self.context = SimpleNamespace(store_is_away=None)
+        self.journal = FakeJournal()
+        self.effects = []
+        self.turns_ms = []
+        self.stored = []
+        self.not_stored = []
+
+    def turn(self, now_ms):
+        self.turns_ms.append(now_ms)
+        return now_ms + FAR_MS
+
+    def take_effects(self):
+        effects, self.effects = self.effects, []
+        return effects
+
+    def on_stored(self, batch):
+        self.stored.append(batch)
+
+    def on_not_stored(self, batch, *, now_ms):
+        self.not_stored.append(batch)
+
+
+class FakePump:
+    is_busy = False
+    store_is_away = False
+
+    def __init__(self):
+        self.sent = []
+        self.cleared = 0
+
+    def send(self, batch, on_stored, on_not_stored):
+        self.sent.append((batch, on_stored, on_not_stored))
+
+    def clear_failure(self):
+        self.cleared += 1
+
+
+@pytest.fixture
+def parts(timers):
+    cell, pump, performed = FakeCell(), FakePump(), []
+    ownership = SimpleNamespace(is_renewed=lambda: True)
+    loop = TurnLoop(
+        cell=cell,
+        ownership=ownership,
+        pump=pump,
+        performer=SimpleNamespace(perform=performed.extend),
+        timers=timers,
+    )
+    loop.turn()
+    return SimpleNamespace(
+        loop=loop, cell=cell, pump=pump, performed=performed, ownership=ownership
+    )
+
+
+def test_events_that_come_together_share_a_turn(parts, timers):
+    parts.cell.effects = ["first"]
+    parts.loop.settle()
+    timers.run(TURN_MS / 2)
+    parts.cell.effects = ["second"]
+    parts.loop.settle()
+    assert parts.performed == ["first", "second"]
+    assert len(parts.cell.turns_ms) == 1
+    timers.run(TURN_MS / 2)
+    assert len(parts.cell.turns_ms) == 2
+    timers.run(TURN_MS)
+    assert len(parts.cell.turns_ms) == 2
+
+
+def test_without_events_the_next_turn_comes_when_the_cell_wants_it(parts, timers):
+    timers.run(FAR_MS - 1)
+    assert len(parts.cell.turns_ms) == 1
+    timers.run(1)
+    assert len(parts.cell.turns_ms) == 2
+
+
+def test_records_that_nobody_waits_for_wait_for_others(parts, timers):
+    parts.cell.journal.waiting = ["an end"]
+    parts.loop.settle()
+    timers.run(TURN_MS + LINGER_MS - 1)
+    assert not parts.pump.sent
+    timers.run(1)
+    assert len(parts.pump.sent) == 1
+
+
+@pytest.mark.parametrize("reason", ["is_urgent", "store_is_away"])
+def test_other_records_are_stored_at_the_next_turn(parts, timers, reason):
+    parts.cell.journal.waiting = ["a job"]
+    parts.cell.journal.is_urgent = reason == "is_urgent"
+    parts.pump.store_is_away = reason == "store_is_away"
+    parts.loop.settle()
+    timers.run(TURN_MS)
+    assert len(parts.pump.sent) == 1
+
+
+def test_one_append_at_a_time(parts, timers):
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
+    parts.pump.is_busy = True
+    parts.loop.settle()
+    timers.run(TURN_MS)
+    assert not parts.pump.sent
+
+
+def test_what_follows_an_append_happens_once_it_is_stored(parts, timers):
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a reply"], True
+    parts.loop.settle()
+    timers.run(TURN_MS)
+    batch, on_stored, _ = parts.pump.sent[0]
+    assert not parts.performed
+    on_stored(batch)
+    assert parts.cell.stored == [batch] and parts.performed == ["a reply"]
+
+
+def test_after_an_append_that_was_turned_away_the_next_one_waits(parts, timers):
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
+    parts.loop.settle()
+    timers.run(TURN_MS)
+    batch, _, on_not_stored = parts.pump.sent[0]
+    on_not_stored(batch)
+    assert parts.cell.not_stored == [batch]
+    parts.cell.journal.waiting = ["another job"]
+    parts.loop.settle()
+    timers.run(STORE_AGAIN_MS - 1)
+    assert len(parts.pump.sent) == 1
+    timers.run(1 + TURN_MS)
+    assert len(parts.pump.sent) == 2 and not parts.pump.cleared
+
+
+def test_the_next_request_finds_out_whether_the_store_is_back(parts, timers):
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
+    parts.loop.settle()
+    timers.run(TURN_MS)
+    batch, _, on_not_stored = parts.pump.sent[0]
+    on_not_stored(batch)
+    timers.run(STORE_AGAIN_MS)
+    assert parts.pump.cleared == 1
+
+
+@pytest.mark.parametrize("renewed", [True, False])
+def test_the_cell_knows_whether_the_store_is_away(parts, timers, renewed):
+    parts.ownership.is_renewed = lambda: renewed
+    parts.loop.turn()
+    assert parts.cell.context.store_is_away is not renewed
+
+
+def test_an_ended_loop_takes_no_turn_and_performs_nothing(parts, timers):
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
+    parts.cell.effects = ["an order"]
+    parts.loop.end()
+    parts.loop.settle()
+    parts.loop.turn()
+    timers.run(2 * FAR_MS)
+    assert len(parts.cell.turns_ms) == 1
+    assert not parts.pump.sent and not parts.performed
