Give requests to an ownership of a cell, not to an address

Cause: a request counted as given once it had gone to an address, or to an owner on this instance. One that its ownership's end took along was lost where the same instance owned the cell next; a cell that came back to this instance, or came here from a peer whose link stayed open, had nothing to look for such requests at all. A link that broke as a request was sent on it armed the next try, and the wait for the reply, armed after it, took its place. In each case the caller waited to its deadline. Ruled out: that the owner answers what it drops as it loses a cell; it may be frozen or cut off, so the instance that holds the caller has to look. Repeats do no harm: a submit under the same id is the same job (`Intake.submit`), a cancel done before is answered as unknown, which callers get as 410, and a repeat has a new number, so that a late answer to the first is passed over. Change: a pending request knows its holder (cell, address, epoch); a later ownership that is heard gets it, also at the same address, and ten times a second own cells are looked at. An epoch that was not heard before the request went out is taken from the first word of that address. The wait for a reply is armed before the request is sent. Open: where the holder was read from the store and lost and regained the cell before its first word was heard here (250 ms at most), the request still waits to its deadline. Two guards are new: answered once, and what a peer was asked before the cell came here.

--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -11,6 +11,7 @@
 from .count_of_cells import CountOfCells
 from .owner_routes import OwnerRoutes
 from .pending_request import PendingRequest
+from .request_holder import RequestHolder
 
 __all__ = ["Gateway"]
 
@@ -22,6 +23,9 @@
 # it again. It waits for the successor, which serves 0.7 s after a loss of power and at
 # most 1.5 s after it, where the membership has to lapse.
 FIND_SUCCESSOR_MS = 1_600.0
+# The own cells are looked at this often for requests that another ownership had: a
+# twentieth of the shortest objective. Other owners' words come every 100 to 250 ms.
+OWN_CELLS_MS = 100.0
 # When no owner is known, callers are told to come back after a takeover's time.
 NO_OWNER_RETRY_MS = 1_000
 
@@ -37,6 +41,7 @@
         self._routes = OwnerRoutes(shell=shell)
         self._numbers = count(1)
         self._pending = {}
+        shell.timers.every(OWN_CELLS_MS, self._send_to_own_cells)
 
     def request(self, kind, queue, job_id, data, deadline_ms, respond):
         """Have a request decided by the owner of its cell."""
@@ -96,9 +101,14 @@
         else:
             self._await_owner(call_id, pending)
 
+    # The wait is armed before a request is sent: a link that breaks under it, and an
+    # owner that is none any more, arm the next try from within.
+
     def _ask_here(self, call_id, pending, owner):
         pending.link = None
+        pending.holder = self._routes.holder_here(pending.cell, owner)
         pending.tries += 1
+        self._await_reply(call_id, pending)
         owner.request(
             pending.kind,
             pending.queue,
@@ -106,13 +116,13 @@
             pending.data,
             lambda reply: self._on_reply(call_id, reply),
         )
-        self._await_reply(call_id, pending)
 
     def _ask_on(self, call_id, pending, link):
         pending.link = link
+        pending.holder = self._routes.holder_on(pending.cell, link)
         pending.tries += 1
-        link.send(request_message(call_id, pending))
         self._await_reply(call_id, pending)
+        link.send(request_message(call_id, pending))
 
     def _await_reply(self, call_id, pending):
         left_ms = pending.deadline_ms - steady_ms()
@@ -152,6 +162,7 @@
             return
         if reply.outcome == fx.Outcome.NOT_OWNER:
             pending.tries -= 1
+            pending.holder = None
             self._routes.forget(pending.cell, pending.link)
             self._try_soon(call_id, pending)
             return
@@ -204,7 +215,7 @@
         for call_id, pending in list(self._pending.items()):
             if pending.link is link:
                 self._routes.forget(pending.cell, link)
-                pending.link = None
+                pending.link = pending.holder = None
                 pending.find_until_ms = self._find_until(pending)
                 self._try_soon(call_id, pending)
 
@@ -223,16 +234,27 @@
             return
         for owned in message.owned:
             if self._shell.directory.heard(owned.cell, address, owned.epoch):
-                self._send_to_successor(owned.cell, address)
-
-    def _send_to_successor(self, cell, address):
+                owner = RequestHolder(
+                    cell=owned.cell, address=address, epoch=owned.epoch
+                )
+                self._send_to_successor(owner)
+
+    def _send_to_own_cells(self):
+        """Send what waits for a cell that is owned here anew; no peer tells of it."""
+        for cell in list(self._shell.owners):
+            owner = self._routes.local_owner(cell)
+            if owner is not None:
+                self._send_to_successor(self._routes.holder_here(cell, owner))
+
+    def _send_to_successor(self, owner):
         """Send what waits for a cell to its new owner, without waiting further.
 
         The requests get new numbers: what the old owner may still answer is out of
         date, and a refusal of its own might not be true any more.
         """
         for call_id, pending in list(self._pending.items()):
-            if pending.cell != cell or self._is_with(pending, address):
+            pending.note_epoch(owner)
+            if not pending.belongs_to(owner):
                 continue
             if self._pending.pop(call_id, None) is None:
                 continue  # a link that broke meanwhile has ended it
@@ -240,9 +262,3 @@
             self._pending[new_id] = pending
             self._shell.metrics.count("retries", "owner_changed")
             self._try(new_id)
-
-    def _is_with(self, pending, address):
-        """Tell whether a request is already with an owner, here or at an address."""
-        if pending.link is not None:
-            return pending.link.address == address
-        return self._routes.local_owner(pending.cell) is not None
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
@@ -27,6 +27,7 @@
         self._on_member_removed = on_removed
         self._owners = {}
         self._epochs = {}
+        self._heard_from = {}
         self._members = {}
         self._removed = set()
         self._dead = {}
@@ -38,6 +39,13 @@
         """Return the address of a cell's owner, or None while it is not known."""
         return self._owners.get(self._partition_of(cell))
 
+    def epoch_of(self, cell):
+        """Return the epoch that a cell's owner has told, or None if it has not."""
+        partition = self._partition_of(cell)
+        if self._heard_from.get(partition) != self._owners.get(partition):
+            return None  # the owner was read from the store, and told nothing yet
+        return self._epochs.get(partition)
+
     def forget(self, cell, address):
         """Drop an owner that has not answered, and look for its successor."""
         partition = self._partition_of(cell)
@@ -51,6 +59,7 @@
         if epoch < self._epochs.get(partition, -1):
             return False
         self._epochs[partition] = epoch
+        self._heard_from[partition] = address
         if self._owners.get(partition) != address:
             self._owners[partition] = address
             self._on_change()
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_routes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_routes.py
@@ -1,5 +1,7 @@
 """Where the owners of cells are reached: on this instance or by a link."""
 
+from .request_holder import RequestHolder
+
 __all__ = ["OwnerRoutes"]
 
 
@@ -26,6 +28,16 @@
             directory.forget(cell, address)
         return link
 
+    def holder_here(self, cell, owner):
+        """Return what a request to an owner on this instance is given to."""
+        own = self._shell.settings.peer
+        return RequestHolder(cell=cell, address=own, epoch=owner.epoch)
+
+    def holder_on(self, cell, link):
+        """Return what a request that is sent on a link is given to."""
+        epoch = self._shell.directory.epoch_of(cell)
+        return RequestHolder(cell=cell, address=link.address, epoch=epoch)
+
     def forget(self, cell, link):
         """Take note that no owner of a cell was reached on a link, None for here."""
         if link is None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -239,3 +239,25 @@
     ask(shell, timers)
     timers.run(2_000)
     assert len(owner.requests) == 1
+
+
+def test_a_request_that_was_sent_again_is_answered_once(shell, timers):
+    shell.directory.known[0] = OWNER
+    gateway, replies = ask(shell, timers, kind="cancel")
+    for epoch in (1, 2):
+        gateway.on_heartbeat(shell.link, heartbeat(epoch))
+    reply = fx.Reply(request_id=None, outcome=fx.Outcome.ACCEPTED)
+    for message in shell.link.sent:
+        gateway._on_reply(message.call_id, reply)
+        gateway._on_reply(message.call_id, reply)
+    timers.run(3_000)
+    assert [reply.outcome for reply in replies] == [fx.Outcome.ACCEPTED]
+
+
+def test_a_cell_that_comes_here_brings_what_its_former_owner_was_asked(shell, timers):
+    shell.directory.known[0] = OWNER
+    gateway, _ = ask(shell, timers)
+    gateway.on_heartbeat(shell.link, heartbeat(epoch=0))
+    shell.owners[0] = FakeOwner()
+    timers.run(500)
+    assert len(shell.owners[0].requests) == 1
