--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
@@ -55,7 +55,9 @@
 
 
 class FakeStore:
-    """Record calls; the test answers them."""
+    """Record calls; the test answers them. A leave has its answer, or none, at once."""
+
+    leave_answer = None
 
     def __init__(self):
         self.appends = []
@@ -74,7 +76,7 @@
 
     def leave(self, *, group, member_id, on_done):
         self.left.append(member_id)
-        on_done(None)
+        on_done(self.leave_answer)
 
 
 def use_clock(monkeypatch, timers, *modules):
