Tests that fail: what is armed only after a listener has returned

Cause: the next join, the next reading of the workers' list and the next one of the configuration are armed after the listener was told what came. One exception in a listener ends joining or following for the life of the process, and what the listener failed to take is not told again until something changes. A guard passes already: a version in force does not give way to an older one, and each newer one is told once.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
@@ -54,6 +54,20 @@
         pass
 
 
+class FailingOnce:
+    """Fail as a listener once, then keep what is told."""
+
+    def __init__(self):
+        self.failures = 0
+        self.told = []
+
+    def __call__(self, *news):
+        if not self.failures:
+            self.failures += 1
+            raise RuntimeError("a listener failed")
+        self.told += news or [None]
+
+
 class FakeStore:
     """Record calls; the test answers them. A leave has its answer, or none, at once."""
 
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_configuration_watch.py
@@ -0,0 +1,67 @@
+"""The operators' configuration, followed whatever becomes of those who are told."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon import configuration_watch as watch_module
+from thymefork_daemon.configuration_watch import ConfigurationWatch
+from thymefork_machines.store import NewestResult, ReadResult, StoreRecord
+
+from .fakes import FailingOnce
+
+CLOCKED = ()
+
+
+class FakeReader:
+    def __init__(self):
+        self.calls = []
+
+    def newest(self, *, topic, on_result):
+        self.calls.append(on_result)
+
+    def read(self, *, topic, offset, wait_ms, on_result):
+        self.calls.append(on_result)
+
+
+@pytest.fixture
+def reader(monkeypatch):
+    decode = lambda value: SimpleNamespace(version=int(value), queues=())
+    monkeypatch.setattr(watch_module, "decode_configuration", decode)
+    return FakeReader()
+
+
+def version(number):
+    return StoreRecord(key="config", value=str(number).encode())
+
+
+def newest(number):
+    return NewestResult(records=(version(number),), next_key="", end_offset=1)
+
+
+def follow(reader, timers, listener):
+    watch = ConfigurationWatch(store=reader, timers=timers, on_change=listener)
+    watch.start()
+    return watch
+
+
+def test_the_configuration_is_followed_on_though_a_listener_failed(reader, timers):
+    listener = FailingOnce()
+    watch = follow(reader, timers, listener)
+    with pytest.raises(RuntimeError):  # the pool logs it, with its trace
+        reader.calls.pop()(newest(1))
+    reader.calls.pop()(ReadResult(records=(), next_offset=1))
+    assert [found.version for found in listener.told] == [1]
+    reader.calls.pop()(ReadResult(records=(version(2),), next_offset=2))
+    assert [found.version for found in listener.told] == [1, 2]
+    assert watch.current.version == 2 and len(reader.calls) == 1
+
+
+def test_a_version_in_force_does_not_give_way_to_an_older_one(reader, timers):
+    told = []
+    watch = follow(reader, timers, told.append)
+    reader.calls.pop()(newest(2))
+    records = (version(1), version(3), version(2))
+    reader.calls.pop()(ReadResult(records=records, next_offset=4))
+    assert watch.current.version == 3
+    assert [found.version for found in told] == [2, 3]
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -10,7 +10,7 @@
 from thymefork_machines.store import JoinResult, MemberRow, PartitionRow
 from thymefork_net import Address
 
-from .fakes import FakeStore
+from .fakes import FailingOnce, FakeStore
 
 CLOCKED = (owner_directory,)
 
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def make(store, timers):
-    def make(speed_cores=1.0, missing_ms=0.0):
+    def make(speed_cores=1.0, missing_ms=0.0, on_change=lambda: None):
         settings = SimpleNamespace(
             instance="edge-1",
             peer=PEER,
@@ -36,7 +36,7 @@
             timers=timers,
             settings=settings,
             life="1",
-            on_change=lambda: None,
+            on_change=on_change,
             owner_missing_ms=lambda: missing_ms,
         )
 
@@ -132,6 +132,22 @@
     assert membership.epochs == {7: 6}
 
 
+def test_a_member_joins_on_though_a_listener_failed(make, store, timers):
+    listener = FailingOnce()
+    membership = make(on_change=listener)
+    membership.start()
+    with pytest.raises(RuntimeError):  # the pool logs it, with its trace
+        deal(store, 3, 7)
+    joins = len(store.joins)
+    timers.run(300)
+    assert len(store.joins) > joins
+    deal(store, 3, 7)
+    assert membership.holds(7, 3) and len(listener.told) == 1
+    timers.run(300)
+    deal(store, 3, 7)
+    assert len(listener.told) == 1
+
+
 @pytest.fixture
 def directory(store, timers):
     return OwnerDirectory(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -9,6 +9,8 @@
 from thymefork_daemon.worker_list_watch import WorkerListWatch
 from thymefork_machines.store import NewestResult, ReadResult, StoreRecord
 
+from .fakes import FailingOnce
+
 CLOCKED = (watch_module,)
 
 
@@ -71,3 +73,20 @@
     scene.timers.run(400)
     scene.reader.answer(ReadResult(records=(entry("c", "m-1"),), next_offset=10))
     assert set(scene.watch.entries) == {"b", "c"}
+
+
+def test_the_list_is_read_on_though_a_listener_failed(timers):
+    reader, listener = FakeReader(), FailingOnce()
+    watch = WorkerListWatch(store=reader, timers=timers, on_change=listener)
+    watch.want(True)
+    result = NewestResult(records=(entry("a"),), next_key="", end_offset=1)
+    with pytest.raises(RuntimeError):  # the pool logs it, with its trace
+        reader.answer(result)
+    timers.run(500)
+    reader.answer(ReadResult(records=(), next_offset=1))
+    assert set(watch.entries) == {"a"} and len(listener.told) == 1
+    timers.run(500)
+    reader.answer(ReadResult(records=(), next_offset=1))
+    assert len(listener.told) == 1
+    timers.run(500)
+    assert len(reader.calls) == 1
