Arm the next join and the next reading before a listener is told

Cause: joins, the list of workers and the configuration went on only once a listener had returned. One exception in it ended them for the life of the process: the membership lapsed with the hedges sent by then, or the instance decided by an old list or an old configuration. Besides, what the listener had failed to take was not told again. Ruled out: catching the failure in each module; the pool of connections and the timers log it already, with its trace, as answer_handler_failed and timer_failed, and metrics are not at hand here. Change: the next call is armed first; what changed is owed to the listener (`OwedNews`) and told again with the next answer if the listener failed. Of several versions of the configuration in one answer, only the one that is in force after it is told.

--- a/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
@@ -5,6 +5,8 @@
 from thymefork_core.exceptions import ConfigError
 from thymefork_machines import decode_configuration
 
+from .owed_news import OwedNews
+
 __all__ = ["ConfigurationWatch"]
 
 TOPIC = "keyed.op"
@@ -23,7 +25,7 @@
         self.is_answered = False
         self._store = store
         self._timers = timers
-        self._on_change = on_change
+        self._news = OwedNews(listener=on_change)
 
     def start(self):
         """Read the newest records, then follow."""
@@ -42,6 +44,7 @@
             self._timers.after(AGAIN_MS, self._read_newest)
             return
         self._follow(result.end_offset)
+        self._news.tell(self.current)
 
     def _follow(self, offset):
         self._store.read(
@@ -61,6 +64,7 @@
         else:
             self._take(result.records)
             self._follow(result.next_offset)
+            self._news.tell(self.current)
 
     def _take(self, records):
         for record in records:
@@ -76,4 +80,4 @@
             self.current = found
             line = logger.bind(event="configuration_in_force", version=found.version)
             line.info("{} queues", len(found.queues))
-            self._on_change(found)
+            self._news.owe()
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -4,6 +4,8 @@
 
 from thymefork_net import Address, steady_ms
 
+from .owed_news import OwedNews
+
 __all__ = ["CELLS_TOPIC", "GROUP", "Membership", "address_of_member"]
 
 GROUP = "cells"
@@ -67,7 +69,7 @@
         self._join_timer = 0
         self._store = store
         self._timers = timers
-        self._on_change = on_change
+        self._news = OwedNews(listener=on_change)
         self._left = False
         self._answering = True
 
@@ -164,6 +166,7 @@
             # A second join with the new generation completes a change of hands.
             next_ms = 1.0
         self._join_after(next_ms)
+        self._news.tell()
 
     def _period_ms(self):
         self._joined_ms = self._joined_ms or steady_ms()
@@ -187,7 +190,7 @@
         }
         if epochs != self.epochs:
             self.epochs = epochs
-            self._on_change()
+            self._news.owe()
 
     def _rejoin_if_stuck(self, blocked):
         """Make the generation rise where a partition can't be taken under this one.
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -6,6 +6,8 @@
 from thymefork_machines import decode_worker
 from thymefork_net import steady_ms
 
+from .owed_news import OwedNews
+
 __all__ = ["WorkerListWatch"]
 
 TOPIC = "keyed.servers"
@@ -27,7 +29,7 @@
         self.is_complete = False
         self._store = store
         self._timers = timers
-        self._on_change = on_change
+        self._news = OwedNews(listener=on_change)
         self._wanted = False
         self._running = False
         self._answered_ms = steady_ms()
@@ -86,7 +88,8 @@
         entries = self._kept | self._listed
         if entries != self.entries:
             self.entries = entries
-            self._on_change()
+            self._news.owe()
+        self._news.tell()
 
     def _read_newest(self, found, after, offset):
         self._store.newest(
@@ -109,8 +112,8 @@
             return
         before, self._listed = self._listed, found
         self.is_complete = True
-        self._settle(before)
         self._again(lambda: self._follow(offset))
+        self._settle(before)
 
     def _follow(self, offset):
         self._store.read(
@@ -130,8 +133,8 @@
         before = dict(self._listed)
         for record in result.records:
             self._take(self._listed, record)
-        self._settle(before)
         self._again(lambda: self._follow(result.next_offset))
+        self._settle(before)
 
     @staticmethod
     def _take(entries, record):
