Tests that fail: a takeover that fails while it loads the cell

Cause, as suspected: the takeover counts as ended before the records are loaded. Where loading raises, the failure is logged by whoever brought the records, and the owner stays: it does not serve, nothing tries again, and joins go on renewing its membership.

--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -0,0 +1,97 @@
+"""An owner that can't serve its cell gives it up."""
+
+from types import SimpleNamespace
+
+import pytest
+from loguru import logger
+
+from thymefork_daemon.owned_cells import OwnedCells
+from thymefork_daemon.owner import cell_owner as cell_owner_module
+
+from .fakes import FakeMetrics
+from .test_takeover import PartitionStore
+
+CLOCKED = (cell_owner_module,)
+
+
+class PooledStore(PartitionStore):
+    """Log what fails in whoever takes an answer, as the pool of connections does."""
+
+    def newest(self, *, on_result, **fields):
+        super().newest(on_result=logger.catch(on_result), **fields)
+
+
+@pytest.fixture
+def shell(timers):
+    given_up = []
+    shell = SimpleNamespace(
+        layout=SimpleNamespace(cells=1, partition_of=lambda cell: 7),
+        membership=SimpleNamespace(
+            epochs={7: 3},
+            ttl_ms=1_000.0,
+            holds=lambda partition, epoch, grace_ms=0.0: True,
+            store_lost=False,
+            give_up=lambda partition, epoch: given_up.append((partition, epoch)),
+        ),
+        given_up=given_up,
+        settings=SimpleNamespace(instance="edge-1", bounds=None),
+        configuration=SimpleNamespace(version=1, queues={}),
+        worker_list=SimpleNamespace(
+            is_complete=True, entries={}, want=lambda wanted: None
+        ),
+        links=SimpleNamespace(incoming=[]),
+        peers=SimpleNamespace(send_heartbeats=lambda: None),
+        store=PooledStore(),
+        workers=None,
+        advice=None,
+        is_stopping=False,
+        timers=timers,
+        metrics=FakeMetrics(),
+    )
+    shell.owned_cells = OwnedCells(shell=shell)
+    shell.owners = shell.owned_cells.owners
+    return shell
+
+
+@pytest.fixture
+def lines():
+    """Return the log's records, as the fixture's sink takes them."""
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record))
+    yield lines
+    logger.remove(sink)
+
+
+def test_a_cell_that_loads_is_served(shell):
+    shell.owned_cells.update()
+    assert shell.owners[0].is_serving and not shell.given_up
+
+
+def test_a_cell_that_can_t_be_loaded_is_given_up(shell, lines):
+    shell.store.partition.put("jaa", b"not a job")
+    shell.owned_cells.update()
+    assert shell.given_up == [(7, 3)] and not shell.owners
+    assert ("ownership", "lost") in shell.metrics.counts
+    (failure,) = [
+        line for line in lines if line["extra"].get("event") == "takeover_failed"
+    ]
+    assert failure["exception"] is not None
+
+
+def test_a_cell_that_can_t_be_loaded_once_the_inputs_came_is_given_up(shell, timers):
+    shell.worker_list.is_complete = False
+    shell.store.partition.put("jaa", b"not a job")
+    shell.owned_cells.update()
+    assert not shell.given_up
+    shell.worker_list.is_complete = True
+    timers.run(100)
+    assert shell.given_up == [(7, 3)]
+
+
+def test_a_later_epoch_takes_over_what_could_not_be_loaded(shell):
+    shell.store.partition.put("jaa", b"not a job")
+    shell.owned_cells.update()
+    shell.store.partition.put("jaa", b"")
+    shell.membership.epochs = {7: 5}
+    shell.owned_cells.update()
+    assert shell.owners[0].epoch == 5 and shell.owners[0].is_serving
