Give a cell up whose takeover fails

Cause: a takeover that failed as its records were loaded left an owner that never served, while joins went on renewing its membership: the cell had no owner anywhere until this process ended. Ruled out: trying the same records here again; the next takeover reads them anew, under a later epoch, and here or elsewhere as the group deals. Change: the failure is logged with its trace (takeover_failed), counted (ownership{takeover_failed}) and ends the ownership; the membership drops the epoch, and leaves and joins anew where the group goes on dealing the cell to it (there before). The first turn comes after that: a turn that fails is no failed takeover. Tests: their stand-in of the settings had no bounds, so that the first turn failed unnoticed in the two guards; it has them now, and the guards assert the same. Open: a record that no instance can load makes the cell go round among them, a takeover about every second, each with an error line.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -160,7 +160,19 @@
         if self._shell.configuration is None or not self._shell.worker_list.is_complete:
             self._shell.timers.after(INPUTS_AGAIN_MS, lambda: self._on_loaded(records))
             return
-        self._serve(records)
+        try:
+            self._serve(records)
+        except Exception:
+            self._on_takeover_failed()
+        else:
+            self._turns.turn()
+
+    def _on_takeover_failed(self):
+        """Let another instance take the cell, rather than hold it unserved for ever."""
+        self._shell.metrics.count("ownership", "takeover_failed")
+        line = self._log("takeover_failed").opt(exception=True)
+        line.error("the cell can't be served here")
+        self.lose("its takeover failed")
 
     def _serve(self, records):
         now_ms = steady_ms()
@@ -189,7 +201,6 @@
         ).info("serving the cell")
         self.on_links()
         self._shell.owned_cells.on_serving()
-        self._turns.turn()
 
     def _load_cell(self, records, now_ms):
         cell = Cell(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -5,13 +5,17 @@
 import pytest
 from loguru import logger
 
+from thymefork_cells.specs import Bounds
 from thymefork_daemon.owned_cells import OwnedCells
-from thymefork_daemon.owner import cell_owner as cell_owner_module
+from thymefork_daemon.owner import (
+    cell_owner as cell_owner_module,
+    turn_loop as turn_loop_module,
+)
 
 from .fakes import FakeMetrics
 from .test_takeover import PartitionStore
 
-CLOCKED = (cell_owner_module,)
+CLOCKED = (cell_owner_module, turn_loop_module)
 
 
 class PooledStore(PartitionStore):
@@ -34,7 +38,7 @@
             give_up=lambda partition, epoch: given_up.append((partition, epoch)),
         ),
         given_up=given_up,
-        settings=SimpleNamespace(instance="edge-1", bounds=None),
+        settings=SimpleNamespace(instance="edge-1", bounds=Bounds()),
         configuration=SimpleNamespace(version=1, queues={}),
         worker_list=SimpleNamespace(
             is_complete=True, entries={}, want=lambda wanted: None
