--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -70,9 +70,7 @@
     "standstill_stops": _returning(
         f"{_CELLS}/watch.py", "def _stands_still(self, run):", "False"
     ),
-    "pacing": _returning(
-        f"{_CELLS}/watch.py", "def _pace_neighbours(self, worker, serving):", "None"
-    ),
+    "pacing": _returning(f"{_CELLS}/pacing.py", "def check(self, now_ms):", "None"),
     "learned_times": _returning(
         f"{_CELLS}/images.py", "def learn(self, image, took_ms):", "None"
     ),
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -159,7 +159,19 @@
         if daemon.configuration is None or not daemon.worker_list.is_complete:
             daemon.timers.after(INPUTS_AGAIN_MS, lambda: self._on_loaded(records))
             return
-        self._serve(records)
+        try:
+            self._serve(records)
+        except Exception:
+            self._on_takeover_failed()
+        else:
+            self._turns.turn()
+
+    def _on_takeover_failed(self):
+        """Let another instance take the cell, rather than hold it unserved for ever."""
+        self._daemon.metrics.count("ownership", "takeover_failed")
+        line = self._log("takeover_failed").opt(exception=True)
+        line.error("the cell can't be served here")
+        self.lose("its takeover failed")
 
     def _serve(self, records):
         now_ms = steady_ms()
@@ -188,7 +200,6 @@
         ).info("serving the cell")
         self.on_links()
         self._daemon.owned_cells.on_serving()
-        self._turns.turn()
 
     def _load_cell(self, records, now_ms):
         cell = Cell(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
@@ -54,8 +54,24 @@
         pass
 
 
+class FailingOnce:
+    """Fail as a listener once, then keep what is told."""
+
+    def __init__(self):
+        self.failures = 0
+        self.told = []
+
+    def __call__(self, *news):
+        if not self.failures:
+            self.failures += 1
+            raise RuntimeError("a listener failed")
+        self.told += news or [None]
+
+
 class FakeStore:
-    """Record calls; the test answers them."""
+    """Record calls; the test answers them. A leave has its answer, or none, at once."""
+
+    leave_answer = None
 
     def __init__(self):
         self.appends = []
@@ -74,7 +90,7 @@
 
     def leave(self, *, group, member_id, on_done):
         self.left.append(member_id)
-        on_done(None)
+        on_done(self.leave_answer)
 
 
 def use_clock(monkeypatch, timers, *modules):
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -0,0 +1,101 @@
+"""An owner that can't serve its cell gives it up."""
+
+from types import SimpleNamespace
+
+import pytest
+from loguru import logger
+
+from thymefork_cells.specs import Bounds
+from thymefork_daemon.owned_cells import OwnedCells
+from thymefork_daemon.owner import (
+    cell_owner as cell_owner_module,
+    turn_loop as turn_loop_module,
+)
+
+from .fakes import FakeMetrics
+from .test_takeover import PartitionStore
+
+CLOCKED = (cell_owner_module, turn_loop_module)
+
+
+class PooledStore(PartitionStore):
+    """Log what fails in whoever takes an answer, as the pool of connections does."""
+
+    def newest(self, *, on_result, **fields):
+        super().newest(on_result=logger.catch(on_result), **fields)
+
+
+@pytest.fixture
+def daemon(timers):
+    given_up = []
+    daemon = SimpleNamespace(
+        layout=SimpleNamespace(cells=1, partition_of=lambda cell: 7),
+        membership=SimpleNamespace(
+            epochs={7: 3},
+            ttl_ms=1_000.0,
+            holds=lambda partition, epoch, grace_ms=0.0: True,
+            store_lost=False,
+            give_up=lambda partition, epoch: given_up.append((partition, epoch)),
+        ),
+        given_up=given_up,
+        settings=SimpleNamespace(instance="edge-1", bounds=Bounds()),
+        configuration=SimpleNamespace(version=1, queues={}),
+        worker_list=SimpleNamespace(
+            is_complete=True, entries={}, want=lambda wanted: None
+        ),
+        links=SimpleNamespace(incoming=[]),
+        peers=SimpleNamespace(send_heartbeats=lambda: None),
+        store=PooledStore(),
+        workers=None,
+        advice=None,
+        is_stopping=False,
+        timers=timers,
+        metrics=FakeMetrics(),
+    )
+    daemon.owned_cells = OwnedCells(daemon=daemon)
+    daemon.owners = daemon.owned_cells.owners
+    return daemon
+
+
+@pytest.fixture
+def lines():
+    """Return the log's records, as the fixture's sink takes them."""
+    lines = []
+    sink = logger.add(lambda message: lines.append(message.record))
+    yield lines
+    logger.remove(sink)
+
+
+def test_a_cell_that_loads_is_served(daemon):
+    daemon.owned_cells.update()
+    assert daemon.owners[0].is_serving and not daemon.given_up
+
+
+def test_a_cell_that_can_t_be_loaded_is_given_up(daemon, lines):
+    daemon.store.partition.put("jaa", b"not a job")
+    daemon.owned_cells.update()
+    assert daemon.given_up == [(7, 3)] and not daemon.owners
+    assert ("ownership", "lost") in daemon.metrics.counts
+    (failure,) = [
+        line for line in lines if line["extra"].get("event") == "takeover_failed"
+    ]
+    assert failure["exception"] is not None
+
+
+def test_a_cell_that_can_t_be_loaded_once_the_inputs_came_is_given_up(daemon, timers):
+    daemon.worker_list.is_complete = False
+    daemon.store.partition.put("jaa", b"not a job")
+    daemon.owned_cells.update()
+    assert not daemon.given_up
+    daemon.worker_list.is_complete = True
+    timers.run(100)
+    assert daemon.given_up == [(7, 3)]
+
+
+def test_a_later_epoch_takes_over_what_could_not_be_loaded(daemon):
+    daemon.store.partition.put("jaa", b"not a job")
+    daemon.owned_cells.update()
+    daemon.store.partition.put("jaa", b"")
+    daemon.membership.epochs = {7: 5}
+    daemon.owned_cells.update()
+    assert daemon.owners[0].epoch == 5 and daemon.owners[0].is_serving
