--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -107,6 +107,19 @@
     assert len(parts.cell.turns_ms) == 2
 
 
+def test_a_turn_that_fails_is_followed_by_another(parts, timers):
+    def fail(now_ms):
+        parts.cell.turn = FakeCell.turn.__get__(parts.cell)
+        raise ArithmeticError
+
+    parts.cell.turn = fail
+    parts.loop.settle()
+    with pytest.raises(ArithmeticError):
+        timers.run(TURN_MS)
+    timers.run(FAR_MS)
+    assert len(parts.cell.turns_ms) >= 2
+
+
 def test_records_that_nobody_waits_for_wait_for_others(parts, timers):
     parts.cell.journal.waiting = ["an end"]
     parts.loop.settle()
