Let a turn follow one that failed

Cause: a cell's next turn was armed after the last one had succeeded. Change: one that fails is followed by another 100 ms later; its error goes on, logged.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
@@ -9,6 +9,9 @@
 # Events that come within this time are decided on together: planning looks over all
 # live steps and workers, and an order takes 2 to 4 ms to be answered anyway.
 TURN_MS = 4.0
+# After a turn that failed, the next one follows this soon: as often as a cell looks its
+# runs over anyway.
+FAILED_TURN_AGAIN_MS = 100.0
 # Records that nobody waits for are held this long for others to go along: an append is
 # priced by the call. Meanwhile a worker whose ends are not stored yet is not looked at,
 # so that a further end there is heard up to this much later; a short job has 500 ms to
@@ -51,19 +54,30 @@
         self._schedule(min(self._turn_due_ms, steady_ms() + TURN_MS))
 
     def turn(self):
-        """Let the cell decide, store what it has to and do what it wants."""
+        """Let the cell decide, store what it has to and do what it wants.
+
+        Looks, leases and stops depend on turns, so one that fails is followed by
+        another all the same; its error goes on to the timers, which log it.
+        """
         if self._ended:
             return
         now_ms = steady_ms()
         self._turn_timer = 0
+        try:
+            due_ms = self._decide(now_ms)
+        except Exception:
+            self._schedule(now_ms + FAILED_TURN_AGAIN_MS)
+            raise
+        self._schedule(due_ms)
+
+    def _decide(self, now_ms):
         self._cell.context.store_is_away = not self._ownership.is_renewed()
         due_ms = self._cell.turn(now_ms)
         self._perform_effects()
         if self._lingers(now_ms):
-            due_ms = min(due_ms, self._lingers_since_ms + LINGER_MS)
-        else:
-            self._store()
-        self._schedule(due_ms)
+            return min(due_ms, self._lingers_since_ms + LINGER_MS)
+        self._store()
+        return due_ms
 
     def _perform_effects(self):
         self._performer.perform(self._cell.take_effects())
