Tests that fail: answers of the advice service that reach the wrong owner

Cause: each owner's Advisers count call ids from 1, an instance hands every answer to all owners it has, and an answer names no step. Two cells of one instance, or a cell that was lost and regained, take each other's answers; their steps then deny their own workers for up to 5 s. What nobody waits for leaves no trace either. The tests' `make` takes the answers' taker and the instance too, and its own client takes calls where None did; the tests that were there are unchanged.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -21,22 +21,41 @@
         self.sent.append(message)
 
 
-def make(timers, links, turn):
+class OwnClient:
+    """Take this instance's own calls and leave them unanswered."""
+
+    def ask(self, *, step_name, worker_ids, patience_ms, done):
+        pass
+
+
+def make(timers, links, turn, on_answer=lambda *answer: None, instance="edge-own"):
     advisers = Advisers(
-        client=None,
+        client=OwnClient(),
         timers=timers,
         metrics=FakeMetrics(),
-        instance="edge-own",
+        instance=instance,
         turn=turn,
-        on_answer=lambda *answer: None,
+        on_answer=on_answer,
     )
     advisers.update(links)
     return advisers
 
 
-def long_call():
-    step = SimpleNamespace(name="s", job=SimpleNamespace(is_live=True))
-    return AskAdvice(step=step, worker_ids=("w",), cost_ms=900.0, priority=1)
+def long_call(name="s", cost_ms=900.0):
+    step = SimpleNamespace(name=name, job=SimpleNamespace(is_live=True))
+    return AskAdvice(step=step, worker_ids=("w",), cost_ms=cost_ms, priority=1)
+
+
+def note_steps(names):
+    """Return a taker of answers that notes which steps they are for."""
+    return lambda step, *answer: names.append(step.name)
+
+
+def reply_to(message):
+    ticket = SimpleNamespace(worker_id="w", ticket="t")
+    return SimpleNamespace(
+        call_id=message.call_id, answered=True, tickets=[ticket], valid_ms=2_000
+    )
 
 
 def test_two_owners_begin_with_different_instances(timers):
@@ -81,3 +100,30 @@
                 advisers.ask(long_call())
     asked = [message.step for link in links for message in link.sent]
     assert "late" in asked
+
+
+def test_an_answer_is_taken_by_the_owner_that_asked(timers):
+    """From a review: one instance owns two cells, and each answer goes to both."""
+    link = FakeLink("edge-0")
+    taken = {"one": [], "two": []}
+    owners = {
+        name: make(timers, [link], 0.0, note_steps(steps), "edge-9")
+        for name, steps in taken.items()
+    }
+    for name, advisers in owners.items():
+        advisers.ask(long_call(f"step-of-{name}"))
+    first, _ = link.sent
+    for advisers in owners.values():
+        advisers.on_reply(reply_to(first))
+    assert taken == {"one": ["step-of-one"], "two": []}
+
+
+def test_an_answer_to_a_former_ownership_is_not_taken_by_the_next(timers):
+    """From a review: the cell was lost and regained, and call ids began anew."""
+    link, answers = FakeLink("edge-0"), []
+    former = make(timers, [link], 0.0, instance="edge-9")
+    former.ask(long_call("former"))
+    following = make(timers, [link], 0.0, lambda *row: answers.append(row), "edge-9")
+    following.ask(long_call("following"))
+    following.on_reply(reply_to(link.sent[0]))
+    assert not answers
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -0,0 +1,51 @@
+"""Messages of other instances, handed on to whom they are for."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon import peer_desk as peer_desk_module
+from thymefork_daemon.peer_desk import PeerDesk
+from thymefork_net.peers import AdviceReply
+
+from .fakes import FakeMetrics
+
+CLOCKED = (peer_desk_module,)
+
+
+class FakeOwner:
+    """Take the answers to its own calls, as an owner of a cell does."""
+
+    def __init__(self, *, asked):
+        self._asked = asked
+        self.taken = []
+
+    def on_advice_reply(self, reply):
+        if reply.call_id not in self._asked:
+            return False
+        self.taken.append(reply.call_id)
+        return True
+
+
+@pytest.fixture
+def shell(timers):
+    owners = {0: FakeOwner(asked={7}), 1: FakeOwner(asked={8})}
+    return SimpleNamespace(timers=timers, metrics=FakeMetrics(), owners=owners)
+
+
+def reply(call_id):
+    return AdviceReply(call_id=call_id, answered=True, tickets=[], valid_ms=2_000)
+
+
+def test_an_answer_that_no_owner_waits_for_is_counted_once(shell):
+    """From a review: such answers were dropped, or taken by others, unseen."""
+    desk = PeerDesk(shell=shell)
+    desk.on_message(None, reply(9))
+    assert shell.metrics.counts == [("odd_answers", "advice_not_awaited")]
+
+
+def test_an_answer_reaches_the_owner_that_asked(shell):
+    desk = PeerDesk(shell=shell)
+    desk.on_message(None, reply(8))
+    assert (shell.owners[0].taken, shell.owners[1].taken) == ([], [8])
+    assert not shell.metrics.counts
