Hand an advice answer only to the owner that asked

Cause: see the failing tests: call ids counted from 1 in each ownership, so that an answer fitted a call of another cell or of a former ownership. Ruled out: a field for the cell or the step in the answer; it would change the wire of peers, and versions run side by side while a system is brought to a new one. Change: call ids are drawn from one counter of the process, which begins at a random number; the owner tells whether it had asked, and an answer that none waits for is counted as `odd_answers`. The owners are gone through on a copy, since an answer that is taken may lose a cell.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -1,6 +1,7 @@
 """Calls to the advice service, spread over the instances."""
 
 import heapq
+import random
 from itertools import count
 
 from attrs import define
@@ -25,6 +26,12 @@
 PRIORITY_STEP_MS = 1_000.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
+# Calls are numbered across all owners of this process, from a number of its own: an
+# answer names nothing but its call, and must not fit one of another cell, of a former
+# ownership or of a former life. The wire's numbers end at 2 to the 63rd; half of them
+# are left to count on.
+MOST_FIRST_CALL_ID = 2**62
+_CALL_IDS = count(random.SystemRandom().randrange(1, MOST_FIRST_CALL_ID))
 
 
 @define(kw_only=True, eq=False)
@@ -79,14 +86,15 @@
         self._dispatch()
 
     def on_reply(self, reply):
-        """Take another instance's answer."""
+        """Take another instance's answer; tell whether it is to a call from here."""
         adviser = self._by_call.pop(reply.call_id, None)
         if adviser is None or adviser.call_id != reply.call_id:
-            return
+            return False
         tickets = None
         if reply.answered:
             tickets = {row.worker_id: row.ticket for row in reply.tickets}
         self._finish(adviser, tickets, reply.valid_ms)
+        return True
 
     def _dispatch(self):
         kept = []
@@ -122,7 +130,7 @@
         return None
 
     def _send(self, adviser, effect):
-        call_id = next(self._numbers)
+        call_id = next(_CALL_IDS)
         adviser.effect, adviser.call_id = effect, call_id
         patience_ms = effect.cost_ms * PATIENCE_FACTOR + PATIENCE_SLACK_MS
         if adviser.link is None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -233,8 +233,8 @@
             self._advisers.update(self._shell.links.incoming)
 
     def on_advice_reply(self, reply):
-        """Take another instance's answer to a question of this cell."""
-        self._advisers.on_reply(reply)
+        """Take another instance's answer; tell whether this cell had asked."""
+        return self._advisers.on_reply(reply)
 
     def _on_advice(self, step, worker_ids, tickets, valid_ms):
         if self._is_live:
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -105,8 +105,7 @@
         elif isinstance(message, AdviceRequest):
             self._advise(link, message)
         elif isinstance(message, AdviceReply):
-            for owner in self._shell.owners.values():
-                owner.on_advice_reply(message)
+            self._on_advice_reply(message)
         else:
             self._on_links_changed()
 
@@ -153,6 +152,13 @@
             done=answer,
         )
 
+    def _on_advice_reply(self, message):
+        """Hand an answer to the owner that asked; count one that came too late."""
+        # Taking an answer may lose the cell, and so change the owners.
+        owners = list(self._shell.owners.values())
+        if not any(owner.on_advice_reply(message) for owner in owners):
+            self._shell.metrics.count("odd_answers", "advice_not_awaited")
+
     def on_link_broken(self, link):
         """Route around a link that broke."""
         self._member_links.discard(link)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -19,6 +19,7 @@
     "ownership": "Changes of a cell's owner seen here, by kind.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
+    "odd_answers": "Answers that nobody waited for or could read, by kind.",
     "log_lines_left_out": "Log lines that were not written, by event.",
 }
 HISTOGRAMS = {
