Tests that fail: advice calls while links break

Cause: Advisers fail an adviser before they forget it, so that what waits goes out on the link that just broke; where that send breaks another link, `update` comes again from within and deletes what the outer one is about to delete. Calls that were put aside meanwhile are put back without another look at who has become free. The last of the three was found while the other two were written.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -24,13 +24,23 @@
 class OwnClient:
     """Take this instance's own calls and leave them unanswered."""
 
+    def __init__(self):
+        self.asked = []
+
     def ask(self, *, step_name, worker_ids, patience_ms, done):
-        pass
+        self.asked.append(step_name)
 
 
-def make(timers, links, turn, on_answer=lambda *answer: None, instance="edge-own"):
+def make(
+    timers,
+    links,
+    turn,
+    on_answer=lambda *answer: None,
+    instance="edge-own",
+    client=None,
+):
     advisers = Advisers(
-        client=OwnClient(),
+        client=client or OwnClient(),
         timers=timers,
         metrics=FakeMetrics(),
         instance=instance,
@@ -127,3 +137,41 @@
     following.ask(long_call("following"))
     following.on_reply(reply_to(link.sent[0]))
     assert not answers
+
+
+def test_what_waits_does_not_go_to_the_link_that_just_broke(timers):
+    """From a review: an adviser was failed, and so free, before it was forgotten."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for name in "abc":  # two of the four instances take long calls: the third waits
+        advisers.ask(long_call(name))
+    links[0].sent.clear()
+    advisers.update(links[1:])
+    assert answered == ["a"]
+    assert not links[0].sent
+
+
+def test_a_link_that_breaks_while_what_waited_is_sent(timers):
+    """From a review: `update` came again from within and met what it had deleted."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for name in "abcde":  # one for each instance, and one that waits
+        advisers.ask(long_call(name, cost_ms=100.0))
+    newcomer = FakeLink("edge-3")
+    newcomer.send = lambda message: advisers.update([])
+    advisers.update([*links[1:], newcomer])
+    assert sorted(answered) == ["b", "c", "d", "e"]  # the own instance works on a
+
+
+def test_a_long_call_goes_out_though_all_links_break_under_a_short_one(timers):
+    """From a review: what had been put aside was put back without another look."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    client = OwnClient()
+    advisers = make(timers, links, 0.25, client=client)
+    for name in ("long-1", "long-2", "long-3"):  # edge-1 and edge-2 take long calls
+        advisers.ask(long_call(name))
+    links[0].send = lambda message: advisers.update([])
+    advisers.ask(long_call("short", cost_ms=100.0))
+    assert client.asked == ["long-3"]
