Send no advice call on a broken link, and look at all that waits

Cause: see the failing tests: an adviser that was failed was free before it was forgotten, and a link that broke under a send came back into the middle of `update` and of the handing out of calls. Ruled out: marking advisers as broken and deleting them later; the mark would have to be heeded wherever an adviser is chosen. Change: all instances that are gone are forgotten before the first of their calls is failed. Calls are handed out by the outermost call only; one that comes from within has it look again at all that waits, and what was put aside is kept though a send raises.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -63,6 +63,8 @@
         self._waiting = []
         self._numbers = count(1)
         self._by_call = {}
+        self._dispatching = False
+        self._looks_again = False
 
     def update(self, links):
         """Take the links to the other instances that are open now."""
@@ -71,12 +73,19 @@
             adviser = self._advisers.setdefault(name, _Adviser(name=name))
             if adviser.name != self._own_name:
                 adviser.link = link
-        for name, adviser in list(self._advisers.items()):
-            if name != self._own_name and name not in names:
-                self._fail(adviser)
-                del self._advisers[name]
+        self._drop({*self._advisers} - {*names, self._own_name})
         self._dispatch()
 
+    def _drop(self, names):
+        """Forget instances; all of them before the first call there is failed.
+
+        What waits would go out on a broken link otherwise. A call that is failed may
+        lead to others, and a link that breaks under those comes back to here.
+        """
+        gone = [self._advisers.pop(name) for name in sorted(names)]
+        for adviser in gone:
+            self._fail(adviser)
+
     def ask(self, effect):
         """Queue a call."""
         now_ms = steady_ms()
@@ -97,22 +106,41 @@
         return True
 
     def _dispatch(self):
+        """Send what waits to whoever is free.
+
+        A send may break a link and come back to here. The outer call then looks again
+        at all that waits: it holds what it has put aside.
+        """
+        self._looks_again = True
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._looks_again:
+                self._looks_again = False
+                self._dispatch_waiting()
+        finally:
+            self._dispatching = False
+
+    def _dispatch_waiting(self):
         kept = []
-        while self._waiting:
-            row = heapq.heappop(self._waiting)
-            effect = row[3]
-            if not effect.step.job.is_live:
-                continue
-            adviser = self._free_adviser(effect)
-            if adviser is None:
-                kept.append(row)
-                if effect.cost_ms <= LONG_CALL_MS:
-                    break
-                continue
-            self._metrics.observe("advice", steady_ms() - row[2], kind="queued")
-            self._send(adviser, effect)
-        for row in kept:
-            heapq.heappush(self._waiting, row)
+        try:
+            while self._waiting:
+                row = heapq.heappop(self._waiting)
+                effect = row[3]
+                if not effect.step.job.is_live:
+                    continue
+                adviser = self._free_adviser(effect)
+                if adviser is None:
+                    kept.append(row)
+                    if effect.cost_ms <= LONG_CALL_MS:
+                        break
+                    continue
+                self._metrics.observe("advice", steady_ms() - row[2], kind="queued")
+                self._send(adviser, effect)
+        finally:
+            for row in kept:
+                heapq.heappush(self._waiting, row)
 
     def _free_adviser(self, effect):
         now_ms = steady_ms()
