--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -175,3 +175,20 @@
     links[0].send = lambda message: advisers.update([])
     advisers.ask(long_call("short", cost_ms=100.0))
     assert client.asked == ["long-3"]
+
+
+def test_what_waits_goes_out_once_a_pause_is_over(timers):
+    """From a review: nobody looked again, and the step was never asked for."""
+    links = [FakeLink(name) for name in NAMES]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for number in range(7):  # as many as there are instances for long calls
+        advisers.ask(long_call(f"s{number}"))
+    timers.run(3_500)  # none is answered, and all seven are paused
+    assert len(answered) == 7
+    for link in links:
+        link.sent.clear()
+    advisers.ask(long_call("again"))
+    assert not any(link.sent for link in links)
+    timers.run(1_500)
+    assert [row.step for link in links for row in link.sent] == ["again"]
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -0,0 +1,55 @@
+"""One cell's owner, and what is left of it once it has ended."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon.owner import CellOwner, advisers as advisers_module
+
+from .fakes import FakeMetrics, FakeStore
+from .test_advisers import FakeLink, OwnClient, long_call, reply_to
+
+CLOCKED = (advisers_module,)
+
+
+@pytest.fixture
+def shell(timers):
+    return SimpleNamespace(
+        store=FakeStore(),
+        timers=timers,
+        metrics=FakeMetrics(),
+        advice=OwnClient(),
+        workers=None,
+        membership=None,
+        settings=SimpleNamespace(instance="edge-9"),
+        layout=SimpleNamespace(cells=1, partition_of=lambda cell: cell),
+    )
+
+
+@pytest.fixture
+def asking(shell):
+    """Return an owner with one call under way at another instance and one waiting."""
+    owner = CellOwner(cell=0, epoch=1, shell=shell)
+    link = FakeLink("edge-0")
+    owner._advisers.update([link])
+    owner._advisers.ask(long_call("under way"))
+    owner._advisers.ask(long_call("waiting"))
+    assert [message.step for message in link.sent] == ["under way"]
+    return owner, link
+
+
+def test_an_ended_owner_makes_no_more_advice_calls(asking, timers):
+    """From a review: they went out before those of the cell's next owner."""
+    owner, link = asking
+    owner.end("the test says so")
+    owner.on_advice_reply(reply_to(link.sent[0]))
+    timers.run(10_000)
+    assert [message.step for message in link.sent] == ["under way"]
+
+
+def test_an_ended_owner_waits_for_no_answer(asking, timers):
+    owner, link = asking
+    owner.end("the test says so")
+    timers.run(10_000)
+    assert [message.step for message in link.sent] == ["under way"]
+    assert not [row for row in owner.metrics.counts if row[0] == "retries"]
