Look at what waits for advice after each pause, and end it with the ownership

Cause: see the failing tests: a pause ended without an event, and the Advisers of an ended owner were never told of its end. Ruled out: a clock that looks at what waits again and again; the end of a pause is the only moment at which an instance becomes free without an event. Change: a timer at the end of each pause hands out what waits.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -65,6 +65,7 @@
         self._by_call = {}
         self._dispatching = False
         self._looks_again = False
+        self._ended = False
 
     def update(self, links):
         """Take the links to the other instances that are open now."""
@@ -86,8 +87,19 @@
         for adviser in gone:
             self._fail(adviser)
 
+    def end(self):
+        """Make no more calls and wait for none: they are the next owner's to make."""
+        self._ended = True
+        self._waiting.clear()
+        self._by_call.clear()
+        for adviser in self._advisers.values():
+            adviser.effect = None
+            self._timers.cancel(adviser.timer_id)
+
     def ask(self, effect):
         """Queue a call."""
+        if self._ended:
+            return
         now_ms = steady_ms()
         due_ms = now_ms + effect.priority * PRIORITY_STEP_MS
         row = (due_ms, next(self._numbers), now_ms, effect)
@@ -125,7 +137,7 @@
     def _dispatch_waiting(self):
         kept = []
         try:
-            while self._waiting:
+            while self._waiting and not self._ended:
                 row = heapq.heappop(self._waiting)
                 effect = row[3]
                 if not effect.step.job.is_live:
@@ -193,6 +205,9 @@
         if adviser.call_id == call_id and adviser.effect is not None:
             self._by_call.pop(call_id, None)
             adviser.paused_until_ms = steady_ms() + PAUSE_MS
+            # The end of a pause is an event of its own: where all that may take a call
+            # are paused, no answer comes that would have anybody look at what waits.
+            self._timers.at(adviser.paused_until_ms, self._dispatch)
             self._metrics.count("retries", "adviser_silent")
             self._finish(adviser, None, 0)
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -121,6 +121,7 @@
         self._ended = True
         self._takeover.abandon()
         self._pump.end()
+        self._advisers.end()
         if self._turns is not None:
             self._turns.end()
         self._shell.metrics.count("ownership", "lost")
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -192,3 +192,16 @@
     assert not any(link.sent for link in links)
     timers.run(1_500)
     assert [row.step for link in links for row in link.sent] == ["again"]
+
+
+def test_what_was_put_aside_is_not_sent_after_an_end_from_within(timers):
+    """A link that breaks under a send may lose the cell."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    client = OwnClient()
+    advisers = make(timers, links, 0.25, client=client)
+    for name in ("long-1", "long-2", "long-3"):  # edge-1 and edge-2 take long calls
+        advisers.ask(long_call(name))
+    links[0].send = lambda message: advisers.end()
+    advisers.ask(long_call("short", cost_ms=100.0))
+    advisers.update([])
+    assert not client.asked
