Give each order and look an outcome, also where its answer can't be read

Cause: see the failing tests: reading the body raised before anybody was told. Ruled out: taking such an answer for silence in every case. The status tells whether an order was done: 200 says so, and 400, 409, 421, 429 and 503 that it was not. A start would be looked for, and its hall doubted, though it is known to run. Change: an order's outcome follows its status; without a readable body it has no reason (409 is `rejected`) and no clock, and a stop without a clock is asked for again as before. A listing that can't be read is a look without an answer: the lease that it renewed may hold. Both are logged (`answer_unreadable`) and counted (`odd_answers`). An order that was done may be answered without a body; that is neither.

--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -92,7 +92,11 @@
             pool=self._pool(8, distrusts_idle=True),
             address=settings.store.address,
         )
-        self.workers = WorkerClient(order_pool=self._pool(3), look_pool=self._pool(2))
+        self.workers = WorkerClient(
+            order_pool=self._pool(3),
+            look_pool=self._pool(2),
+            on_unreadable=lambda kind: self.metrics.count("odd_answers", kind),
+        )
         self.advice = AdviceClient(pool=self._pool(2), address=settings.advice)
 
     def _pool(self, most_per_address, *, distrusts_idle=False):
