Tests that fail: calls that are no longer wanted cost connections

Cause: the pool takes or opens a connection before it asks whether a call is still wanted, and closes it where it isn't, though nothing was sent on it. In an outage each stop that is owed opens and closes a connection every 60 ms; calls that wait for the same address wait for a new one each time.

--- a/packages/thymefork-net/src/thymefork_net/tests/test_http.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_http.py
@@ -70,6 +70,44 @@
     assert not served[1]
 
 
+def test_unwanted_calls_leave_connections_alone(loop, address, served):
+    """From a review: in an outage each owed stop cost a connection every 60 ms."""
+    pool = HttpPool(sockets=loop.sockets, timers=loop.timers, most_per_address=1)
+    unwanted, answers = [], []
+    for _ in range(3):
+        pool.send(call(address, unwanted, still_wanted=lambda: False))
+    loop.until(lambda: len(unwanted) == 3)
+    assert pool.connects == 0
+    for number in (1, 2):
+        pool.send(call(address, answers, still_wanted=lambda: True))
+        loop.until(lambda number=number: len(served[1]) == number)
+        served[1][-1].answer(200, b"ok")
+        loop.until(lambda number=number: len(answers) == number)
+        pool.send(call(address, unwanted, still_wanted=lambda: False))
+    loop.until(lambda: len(unwanted) == 5)
+    assert pool.connects == 1
+    assert not any(answer.status or answer.sent for answer in unwanted)
+
+
+def test_a_call_behind_one_that_became_unwanted_is_sent(loop, address, served):
+    pool = HttpPool(sockets=loop.sockets, timers=loop.timers, most_per_address=1)
+    first, unwanted, last = [], [], []
+    wanted = [True]
+    pool.send(call(address, first))
+    for _ in range(2):
+        pool.send(call(address, unwanted, still_wanted=lambda: bool(wanted)))
+    pool.send(call(address, last))
+    loop.until(lambda: served[1])
+    wanted.clear()
+    served[1][0].answer(200, b"ok")
+    loop.until(lambda: len(served[1]) == 2)
+    served[1][1].answer(200, b"ok")
+    loop.until(lambda: last)
+    assert first[0].status == last[0].status == 200
+    assert len(unwanted) == 2 and not any(answer.sent for answer in unwanted)
+    assert pool.connects == 1
+
+
 def test_a_dead_port_fails_unsent(loop, address):
     pool = HttpPool(sockets=loop.sockets, timers=loop.timers, most_per_address=1)
     answers = []
