Drop a call that is no longer wanted before it takes a connection

Cause: see the failing tests: the pool asked only once a connection was there. Ruled out: keeping a connection on which nothing was ever sent. Its server may give it up as a request that does not come, and answer the next order on it with that. Change: a call that is unwanted as it is sent, or as its wait ends, fails unsent and leaves the connections as they are; the next one that waits is placed. The question is still asked again right before the first byte leaves; a call that becomes unwanted while its connection comes about closes it as before. Only orders to workers and looks at them ask it, and a call could fail within its sending before, on an idle connection.

--- a/packages/thymefork-net/src/thymefork_net/http/pool.py
+++ b/packages/thymefork-net/src/thymefork_net/http/pool.py
@@ -43,6 +43,14 @@
         self._place(call)
 
     def _place(self, call):
+        """Give a call a connection or let it wait; tell whether it went either way.
+
+        One that is unwanted already goes neither: a connection that nothing was sent on
+        is as good as before, and an outage would open and close one for each repeat.
+        """
+        if call.still_wanted is not None and not call.still_wanted():
+            self._end_unwanted(call)
+            return False
         idle = self._idle.get(call.address)
         if idle and call.wants_new_connection:
             self._close(idle[0])
@@ -53,6 +61,7 @@
             self._connect(call)
         else:
             self._waiting.setdefault(call.address, deque()).append(call)
+        return True
 
     def _connect(self, call):
         connection = ClientConnection(
@@ -81,12 +90,12 @@
         self._end(call, answer)
 
     def on_unwanted(self, connection):
-        """Drop a call that must not be sent any more; keep the connection."""
+        """Drop a call that became unwanted while its connection came about."""
         call = connection.call
         connection.call = None
         self._close(connection)
         self._next(connection.address)
-        self._end(call, HttpAnswer(status=0, sent=False, error="no longer wanted"))
+        self._end_unwanted(call)
 
     def on_broken(self, connection, reason, *, sent):
         """Fail the call of a connection that broke."""
@@ -113,6 +122,9 @@
             if connection.idle_since_ms < since_ms:
                 self._close(connection)
 
+    def _end_unwanted(self, call):
+        self._end(call, HttpAnswer(status=0, sent=False, error="no longer wanted"))
+
     def _end(self, call, answer):
         self._timers.cancel(call.timer_id)
         try:
@@ -122,9 +134,11 @@
             line.error("{} {} at {}", call.method, call.target, call.address)
 
     def _next(self, address):
+        """Place the first call that waits and is still wanted."""
         waiting = self._waiting.get(address)
-        if waiting:
-            self._place(waiting.popleft())
+        while waiting:
+            if self._place(waiting.popleft()):
+                return
 
     def _close(self, connection):
         idle = self._idle.get(connection.address, [])
