--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -6,7 +6,7 @@
 
 from thymefork_daemon import peer_desk as peer_desk_module
 from thymefork_daemon.peer_desk import PeerDesk
-from thymefork_net.peers import AdviceReply
+from thymefork_net.peers import AdviceReply, Hello
 
 from .fakes import FakeMetrics
 
@@ -49,3 +49,14 @@
     desk.on_message(None, reply(8))
     assert (shell.owners[0].taken, shell.owners[1].taken) == ([], [8])
     assert not shell.metrics.counts
+
+
+def test_all_owners_hear_of_links_though_one_is_lost_by_it(shell):
+    """As with answers: what follows from a broken link may lose a cell."""
+    told = []
+    for cell in (0, 1, 2):
+        shell.owners[cell] = SimpleNamespace(
+            on_links=lambda cell=cell: told.append(cell) or shell.owners.pop(cell)
+        )
+    PeerDesk(shell=shell).on_message(None, Hello(instance="edge-0"))
+    assert told == [0, 1, 2]
