Tell owners of links on a copy of them

Cause: see the failing test: what follows from a broken link may lose a cell, which takes its owner out of the mapping that is gone through; the owners behind it were then not told, and went on asking instances that were gone. Ruled out: nothing; the other places that tell all owners differ in that none of what they do there was seen to lose a cell. Change: the owners are gone through on a copy.

--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -177,5 +177,5 @@
         self._on_links_changed()
 
     def _on_links_changed(self):
-        for owner in self._shell.owners.values():
+        for owner in list(self._shell.owners.values()):  # one that is lost leaves it
             owner.on_links()
