--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -1,6 +1,7 @@
 """Calls to the advice service, spread over the instances."""
 
 import heapq
+import random
 from itertools import count
 
 from attrs import define
@@ -25,6 +26,12 @@
 PRIORITY_STEP_MS = 1_000.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
+# Calls are numbered across all owners of this process, from a number of its own: an
+# answer names nothing but its call, and must not fit one of another cell, of a former
+# ownership or of a former life. The wire's numbers end at 2 to the 63rd; half of them
+# are left to count on.
+MOST_FIRST_CALL_ID = 2**62
+_CALL_IDS = count(random.SystemRandom().randrange(1, MOST_FIRST_CALL_ID))
 
 
 @define(kw_only=True, eq=False)
@@ -56,6 +63,9 @@
         self._waiting = []
         self._numbers = count(1)
         self._by_call = {}
+        self._dispatching = False
+        self._looks_again = False
+        self._ended = False
 
     def update(self, links):
         """Take the links to the other instances that are open now."""
@@ -64,14 +74,32 @@
             adviser = self._advisers.setdefault(name, _Adviser(name=name))
             if adviser.name != self._own_name:
                 adviser.link = link
-        for name, adviser in list(self._advisers.items()):
-            if name != self._own_name and name not in names:
-                self._fail(adviser)
-                del self._advisers[name]
+        self._drop({*self._advisers} - {*names, self._own_name})
         self._dispatch()
 
+    def _drop(self, names):
+        """Forget instances; all of them before the first call there is failed.
+
+        What waits would go out on a broken link otherwise. A call that is failed may
+        lead to others, and a link that breaks under those comes back to here.
+        """
+        gone = [self._advisers.pop(name) for name in sorted(names)]
+        for adviser in gone:
+            self._fail(adviser)
+
+    def end(self):
+        """Make no more calls and wait for none: they are the next owner's to make."""
+        self._ended = True
+        self._waiting.clear()
+        self._by_call.clear()
+        for adviser in self._advisers.values():
+            adviser.effect = None
+            self._timers.cancel(adviser.timer_id)
+
     def ask(self, effect):
         """Queue a call."""
+        if self._ended:
+            return
         now_ms = steady_ms()
         due_ms = now_ms + effect.priority * PRIORITY_STEP_MS
         row = (due_ms, next(self._numbers), now_ms, effect)
@@ -79,32 +107,52 @@
         self._dispatch()
 
     def on_reply(self, reply):
-        """Take another instance's answer."""
+        """Take another instance's answer; tell whether it is to a call from here."""
         adviser = self._by_call.pop(reply.call_id, None)
         if adviser is None or adviser.call_id != reply.call_id:
-            return
+            return False
         tickets = None
         if reply.answered:
             tickets = {row.worker_id: row.ticket for row in reply.tickets}
         self._finish(adviser, tickets, reply.valid_ms)
+        return True
 
     def _dispatch(self):
+        """Send what waits to whoever is free.
+
+        A send may break a link and come back to here. The outer call then looks again
+        at all that waits: it holds what it has put aside.
+        """
+        self._looks_again = True
+        if self._dispatching:
+            return
+        self._dispatching = True
+        try:
+            while self._looks_again:
+                self._looks_again = False
+                self._dispatch_waiting()
+        finally:
+            self._dispatching = False
+
+    def _dispatch_waiting(self):
         kept = []
-        while self._waiting:
-            row = heapq.heappop(self._waiting)
-            effect = row[3]
-            if not effect.step.job.is_live:
-                continue
-            adviser = self._free_adviser(effect)
-            if adviser is None:
-                kept.append(row)
-                if effect.cost_ms <= LONG_CALL_MS:
-                    break
-                continue
-            self._metrics.observe("advice", steady_ms() - row[2], kind="queued")
-            self._send(adviser, effect)
-        for row in kept:
-            heapq.heappush(self._waiting, row)
+        try:
+            while self._waiting and not self._ended:
+                row = heapq.heappop(self._waiting)
+                effect = row[3]
+                if not effect.step.job.is_live:
+                    continue
+                adviser = self._free_adviser(effect)
+                if adviser is None:
+                    kept.append(row)
+                    if effect.cost_ms <= LONG_CALL_MS:
+                        break
+                    continue
+                self._metrics.observe("advice", steady_ms() - row[2], kind="queued")
+                self._send(adviser, effect)
+        finally:
+            for row in kept:
+                heapq.heappush(self._waiting, row)
 
     def _free_adviser(self, effect):
         now_ms = steady_ms()
@@ -122,7 +170,7 @@
         return None
 
     def _send(self, adviser, effect):
-        call_id = next(self._numbers)
+        call_id = next(_CALL_IDS)
         adviser.effect, adviser.call_id = effect, call_id
         patience_ms = effect.cost_ms * PATIENCE_FACTOR + PATIENCE_SLACK_MS
         if adviser.link is None:
@@ -157,6 +205,9 @@
         if adviser.call_id == call_id and adviser.effect is not None:
             self._by_call.pop(call_id, None)
             adviser.paused_until_ms = steady_ms() + PAUSE_MS
+            # The end of a pause is an event of its own: where all that may take a call
+            # are paused, no answer comes that would have anybody look at what waits.
+            self._timers.at(adviser.paused_until_ms, self._dispatch)
             self._metrics.count("retries", "adviser_silent")
             self._finish(adviser, None, 0)
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -119,6 +119,7 @@
         self._ended = True
         self._takeover.abandon()
         self._pump.end()
+        self._advisers.end()
         if self._turns is not None:
             self._turns.end()
         self._daemon.metrics.count("ownership", "lost")
@@ -243,8 +244,8 @@
             self._advisers.update(self._daemon.links.incoming)
 
     def on_advice_reply(self, reply):
-        """Take another instance's answer to a question of this cell."""
-        self._advisers.on_reply(reply)
+        """Take another instance's answer; tell whether this cell had asked."""
+        return self._advisers.on_reply(reply)
 
     def _on_advice(self, step, worker_ids, tickets, valid_ms):
         if self._is_live:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -21,22 +21,51 @@
         self.sent.append(message)
 
 
-def make(timers, links, turn):
+class OwnClient:
+    """Take this instance's own calls and leave them unanswered."""
+
+    def __init__(self):
+        self.asked = []
+
+    def ask(self, *, step_name, worker_ids, patience_ms, done):
+        self.asked.append(step_name)
+
+
+def make(
+    timers,
+    links,
+    turn,
+    on_answer=lambda *answer: None,
+    instance="edge-own",
+    client=None,
+):
     advisers = Advisers(
-        client=None,
+        client=client or OwnClient(),
         timers=timers,
         metrics=FakeMetrics(),
-        instance="edge-own",
+        instance=instance,
         turn=turn,
-        on_answer=lambda *answer: None,
+        on_answer=on_answer,
     )
     advisers.update(links)
     return advisers
 
 
-def long_call():
-    step = SimpleNamespace(name="s", job=SimpleNamespace(is_live=True))
-    return AskAdvice(step=step, worker_ids=("w",), cost_ms=900.0, priority=1)
+def long_call(name="s", cost_ms=900.0):
+    step = SimpleNamespace(name=name, job=SimpleNamespace(is_live=True))
+    return AskAdvice(step=step, worker_ids=("w",), cost_ms=cost_ms, priority=1)
+
+
+def note_steps(names):
+    """Return a taker of answers that notes which steps they are for."""
+    return lambda step, *answer: names.append(step.name)
+
+
+def reply_to(message):
+    ticket = SimpleNamespace(worker_id="w", ticket="t")
+    return SimpleNamespace(
+        call_id=message.call_id, answered=True, tickets=[ticket], valid_ms=2_000
+    )
 
 
 def test_two_owners_begin_with_different_instances(timers):
@@ -81,3 +110,98 @@
                 advisers.ask(long_call())
     asked = [message.step for link in links for message in link.sent]
     assert "late" in asked
+
+
+def test_an_answer_is_taken_by_the_owner_that_asked(timers):
+    """From a review: one instance owns two cells, and each answer goes to both."""
+    link = FakeLink("edge-0")
+    taken = {"one": [], "two": []}
+    owners = {
+        name: make(timers, [link], 0.0, note_steps(steps), "edge-9")
+        for name, steps in taken.items()
+    }
+    for name, advisers in owners.items():
+        advisers.ask(long_call(f"step-of-{name}"))
+    first, _ = link.sent
+    for advisers in owners.values():
+        advisers.on_reply(reply_to(first))
+    assert taken == {"one": ["step-of-one"], "two": []}
+
+
+def test_an_answer_to_a_former_ownership_is_not_taken_by_the_next(timers):
+    """From a review: the cell was lost and regained, and call ids began anew."""
+    link, answers = FakeLink("edge-0"), []
+    former = make(timers, [link], 0.0, instance="edge-9")
+    former.ask(long_call("former"))
+    following = make(timers, [link], 0.0, lambda *row: answers.append(row), "edge-9")
+    following.ask(long_call("following"))
+    following.on_reply(reply_to(link.sent[0]))
+    assert not answers
+
+
+def test_what_waits_does_not_go_to_the_link_that_just_broke(timers):
+    """From a review: an adviser was failed, and so free, before it was forgotten."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for name in "abc":  # two of the four instances take long calls: the third waits
+        advisers.ask(long_call(name))
+    links[0].sent.clear()
+    advisers.update(links[1:])
+    assert answered == ["a"]
+    assert not links[0].sent
+
+
+def test_a_link_that_breaks_while_what_waited_is_sent(timers):
+    """From a review: `update` came again from within and met what it had deleted."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for name in "abcde":  # one for each instance, and one that waits
+        advisers.ask(long_call(name, cost_ms=100.0))
+    newcomer = FakeLink("edge-3")
+    newcomer.send = lambda message: advisers.update([])
+    advisers.update([*links[1:], newcomer])
+    assert sorted(answered) == ["b", "c", "d", "e"]  # the own instance works on a
+
+
+def test_a_long_call_goes_out_though_all_links_break_under_a_short_one(timers):
+    """From a review: what had been put aside was put back without another look."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    client = OwnClient()
+    advisers = make(timers, links, 0.25, client=client)
+    for name in ("long-1", "long-2", "long-3"):  # edge-1 and edge-2 take long calls
+        advisers.ask(long_call(name))
+    links[0].send = lambda message: advisers.update([])
+    advisers.ask(long_call("short", cost_ms=100.0))
+    assert client.asked == ["long-3"]
+
+
+def test_what_waits_goes_out_once_a_pause_is_over(timers):
+    """From a review: nobody looked again, and the step was never asked for."""
+    links = [FakeLink(name) for name in NAMES]
+    answered = []
+    advisers = make(timers, links, 0.0, note_steps(answered))
+    for number in range(7):  # as many as there are instances for long calls
+        advisers.ask(long_call(f"s{number}"))
+    timers.run(3_500)  # none is answered, and all seven are paused
+    assert len(answered) == 7
+    for link in links:
+        link.sent.clear()
+    advisers.ask(long_call("again"))
+    assert not any(link.sent for link in links)
+    timers.run(1_500)
+    assert [row.step for link in links for row in link.sent] == ["again"]
+
+
+def test_what_was_put_aside_is_not_sent_after_an_end_from_within(timers):
+    """A link that breaks under a send may lose the cell."""
+    links = [FakeLink("edge-0"), FakeLink("edge-1"), FakeLink("edge-2")]
+    client = OwnClient()
+    advisers = make(timers, links, 0.25, client=client)
+    for name in ("long-1", "long-2", "long-3"):  # edge-1 and edge-2 take long calls
+        advisers.ask(long_call(name))
+    links[0].send = lambda message: advisers.end()
+    advisers.ask(long_call("short", cost_ms=100.0))
+    advisers.update([])
+    assert not client.asked
