--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -43,6 +43,7 @@
 
     `lose` decides which orders get no answer and are not carried out, `mute` which
     starts are carried out and get none, `drop` which stops vanish without any outcome.
+    `blur` decides which starts get an answer without the worker's clock.
     `late_ms` tells how much later an order without an answer is carried out, or 0.
     An order to a worker whose address is not known goes nowhere, as in the daemon.
     """
@@ -103,6 +104,7 @@
         self.lose = lambda effect: False
         self.mute = lambda effect: False
         self.drop = lambda effect: False
+        self.blur = lambda effect: False
         self.late_ms = lambda effect: 0.0
         self.replies = {}
         self.notes = []
@@ -249,6 +251,8 @@
         else:
             yield self.env.timeout(ORDER_MS)
             answer = worker.start(*start, self.now)
+            if self.blur(effect):
+                answer = OrderAnswer(refusal=answer.refusal)
             if self.mute(effect):
                 yield self.env.timeout(SILENCE_MS)
                 answer = OrderAnswer(refusal=Refusal.SILENCE)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -262,6 +262,20 @@
     assert harness.job(JOB).shown_state is JobState.SUCCEEDED
 
 
+def test_a_run_that_vanishes_after_an_answer_without_a_clock_is_started_again(
+    make_harness,
+):
+    harness = make_harness(workers=1)
+    harness.blur, blurred = first_start()
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(400)
+    assert blurred
+    harness.workers["w0"].running.clear()
+    harness.run(4_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    assert len(harness.starts_of(f"{JOB}.0.0.0")) == 2
+
+
 def test_an_unanswered_start_is_made_elsewhere_soon_after(harness):
     harness.lose, lost = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
