A test that fails: the last answer is lost in the turn in which its instance leaves

Steps that want an answer of each work now also show the replies that held none; what they ask for is unchanged.

--- a/scenarios/conftest.py
+++ b/scenarios/conftest.py
@@ -75,6 +75,11 @@
             for answer in reply.document["answers"]
         ]
 
+    def unanswered(self):
+        """Return every reply to a submission that holds no answers."""
+        replies = [done.result() for done in self.answers]
+        return [reply for reply in replies if reply.status != 200]
+
     def kind(self, kind):
         """Return the fields of a kind of work that the steps name."""
         return {
--- a/scenarios/planned_stop.feature
+++ b/scenarios/planned_stop.feature
@@ -40,6 +40,14 @@
     And every work is answered done
     And no task ever ran twice at a time
 
+  Scenario: The last answer is given in the turn in which its instance leaves
+    Given 1 halls with 2 instances and 2 workers
+    When 4 task works of 9000 ms due in 5000 ms are sent to instance 1
+    And all works have started
+    And instance 1 is told to stop
+    Then instance 1 has left with code 0 within 15000 ms
+    And every work is answered unknown for running_at_deadline
+
   Scenario: The log is down when the stop is asked for
     Given 1 halls with 2 instances and 2 workers
     When the log goes out
--- a/scenarios/steps_answers.py
+++ b/scenarios/steps_answers.py
@@ -1,5 +1,7 @@
 """Steps that send works, and hold the answers against the workers' journals."""
 
+import time
+
 from pytest_bdd import parsers, then, when
 
 from thymefork_standin.http import wait_until
@@ -15,6 +17,21 @@
     b.submit(n, specs)
 
 
+@when(
+    parsers.parse(
+        "{count:d} task works of {run_ms:d} ms due in {span_ms:d} ms are sent to"
+        " instance {n:d}"
+    )
+)
+def send_works_due(b, count, run_ms, span_ms, n):
+    deadline_ms = time.time_ns() // 1_000_000 + span_ms
+    specs = [
+        b.cluster.spec(run_ms=run_ms, deadline_ms=deadline_ms) for _ in range(count)
+    ]
+    b.specs += specs
+    b.submit(n, specs)
+
+
 @when(
     parsers.parse("a job of {count:d} tasks of {run_ms:d} ms is sent to instance {n:d}")
 )
@@ -43,7 +60,20 @@
     answers = b.all_answers()
     done = {a["work_id"] for a in answers if a["outcome"] == "done"}
     missing = [s["work_id"] for s in b.specs if s["work_id"] not in done]
-    assert not missing, [a for a in answers if a["work_id"] in missing]
+    told = [a for a in answers if a["work_id"] in missing]
+    assert not missing, (missing, told, b.unanswered())
+
+
+@then(parsers.parse("every work is answered {outcome} for {reason}"))
+def all_answered(b, outcome, reason):
+    answers = b.all_answers()
+    told = {
+        a["work_id"]
+        for a in answers
+        if (a["outcome"], a["reason"]) == (outcome, reason)
+    }
+    missing = [s["work_id"] for s in b.specs if s["work_id"] not in told]
+    assert not missing, (missing, answers, b.unanswered())
 
 
 @then("every answer is true")
