End an instance that leaves only once its last answers are with their callers

Cause: the node asks for its exit once nothing is open, and nothing is open any more as soon as it has given its last answer. That answer is then an event in the queue of the daemon (`response`, then `write`), or bytes in the server's buffer; the daemon stopped its event loop at once, and a stopped loop asks no socket any more whether it takes bytes. An answer of the same tick was always lost, one of a moment before by chance. Ruled out: the node (it had given the answer, and nothing was open), the caller of the scenario (its connection was closed by the instance 0.6 s after the stop; its patience is 40 s), and load as the cause: the test fails without any chance in it. Change: the exit goes to `Leaving`, which lets the queue turn until what was given is in the sockets' buffers, and ends the process when these are empty; the node asks again at each tick. Not part of it: replies to peers, which are written to their sockets as they are given.

--- a/packages/thymefork-entry/src/thymefork_entry/brain.py
+++ b/packages/thymefork-entry/src/thymefork_entry/brain.py
@@ -13,7 +13,7 @@
 TICK_S = 0.1
 _LOG_READER = "log-reader"
 _LOG_WRITER, _LINKS, _WORKERS = "log-writer", "links", "workers"
-_FRONT, _DAEMON = "front", "daemon"
+_FRONT, _LEAVING = "front", "leaving"
 
 _CHANNELS = {
     fx.Append: _LOG_WRITER,
@@ -29,7 +29,7 @@
     fx.ReplyLookup: _FRONT,
     fx.ReplyApplied: _FRONT,
     fx.ReplyReport: _FRONT,
-    fx.Exit: _DAEMON,
+    fx.Exit: _LEAVING,
 }
 
 
--- a/packages/thymefork-entry/src/thymefork_entry/daemon.py
+++ b/packages/thymefork-entry/src/thymefork_entry/daemon.py
@@ -22,6 +22,7 @@
 
 from .brain import Brain
 from .front_door import FrontDoor
+from .leaving import Leaving
 from .links import Links
 from .metrics import Metrics
 
@@ -46,6 +47,7 @@
         self.metrics = Metrics(place=settings.statsd, prefix=prefix)
         self.brain = Brain(settings, self.metrics).register(self)
         self.front = FrontDoor(settings, self.metrics, self.brain.node).register(self)
+        self.leaving = Leaving(self.front, self._end).register(self)
         self.links = Links(
             settings.peers, settings.name, settings.peer_message_bytes, self.metrics
         ).register(self)
@@ -118,9 +120,9 @@
         line = logger.bind(step=getattr(fevent, "name", ""), trace="".join(trace))
         line.error("{}: {}", kind.__name__, error)
 
-    @handler("perform")
-    def _on_perform(self, effect):
-        logger.info("planned stop is complete")
+    def _end(self, all_sent):
+        if not all_sent:
+            self.exit_code = EXIT_CUT_SHORT
         self.stop()
 
 
--- a/packages/thymefork-entry/src/thymefork_entry/front_door.py
+++ b/packages/thymefork-entry/src/thymefork_entry/front_door.py
@@ -58,6 +58,12 @@
         self._by_sock = {}
         self._streaming = set()
         self._ids = count(1)
+        self.given = 0
+
+    @property
+    def has_unsent(self):
+        """Tell whether a caller waits for its answer or for bytes of it."""
+        return bool(self._open) or self.server.has_unsent
 
     # Requests ----------------------------------------------------------------
 
@@ -226,6 +232,7 @@
             return
         sock = answer.request.sock
         self._by_sock.pop(sock, None)
+        self.given += 1
         answer.status = status
         answer.headers["Content-Type"] = content_type
         answer.close = answer.close or self.guard.must_close(sock)
@@ -264,6 +271,7 @@
             return
         sock = answer.request.sock
         self._by_sock.pop(sock, None)
+        self.given += 1
         self.server.http._clients.pop(sock, None)
         if complete:
             self.fire(write(sock, _END_OF_STREAM), "web")
--- a/packages/thymefork-entry/src/thymefork_entry/http_server.py
+++ b/packages/thymefork-entry/src/thymefork_entry/http_server.py
@@ -10,6 +10,11 @@
 class HttpServer(BaseServer):
     """Listen for callers without a banner."""
 
+    @property
+    def has_unsent(self):
+        """Tell whether bytes wait for a caller's socket."""
+        return any(self.server._buffers.values())
+
     @handler("write", priority=100)
     def _drop_for_closed(self, event, sock, data):
         """Drop output for a caller whose socket was closed while the event waited.
