--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -384,6 +384,10 @@
         self.after(0, arrive)
         self.after(max(1, min(took_ms, left_ms)) + self._delay(), answer)
 
+    @_perform.register
+    def _exit(self, effect: fx.Exit, name):
+        self.kill(name)
+
     @_perform.register
     def _reply(self, effect: fx.ReplyAnswers, name):
         for answer in effect.answers:
