Let an instance that leaves stay until its hall has heard so

Cause: an instance left as soon as it owned nothing and nothing was open, 0.1 to 0.3 s after its stop on virtual time; its peers heard that it leaves with its next heartbeat, up to 0.6 s after the stop, if it still sent one. Until then they passed lookups on to it; what was under way when it ended, or came later, was lost, and answered `unknown` at its deadline. Ruled out: that the peer sends such a lookup again. It may have been carried out, and the loss is the leaving instance's to avoid. Change: an instance that begins to leave sends its heartbeat in its next tick, and exits once each instance of its hall that it hears has echoed that one or a later one, or a lease has passed: one that has heard nothing for a lease passes nothing on. A peer's echo comes on the same link behind all that it passed on before it knew. Other halls pass lookups on as well and are not waited for: they hear heartbeats by turns, which takes seconds. That part is open.

--- a/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
+++ b/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
@@ -47,6 +47,10 @@
         self._echo = {}
         self._told = {}
 
+    def hurry(self):
+        """Tell the peers at the next tick what can't wait."""
+        self._due_mono_ms = 0
+
     def tick(self):
         """Send what is due."""
         ctx = self.ctx
--- a/packages/thymefork-core/src/thymefork_core/node/node.py
+++ b/packages/thymefork-core/src/thymefork_core/node/node.py
@@ -72,6 +72,7 @@
         self.executor.workers.open_at = self.router
         self._was_down = True
         self._last_tick_mono_ms = now.mono_ms
+        self._leaving_since_mono_ms = now.mono_ms
 
     def handle(self, message, now: Instant):
         """Take a message at a moment and return the effects in order."""
@@ -139,6 +140,8 @@
     def _stop(self, message: m.StopSignal):
         if not self.ctx.leaving:
             self.ctx.leaving = True
+            self._leaving_since_mono_ms = self.ctx.now.mono_ms
+            self.heartbeats.hurry()
             self.ctx.note("planned stop begins", step="stop")
 
     def _leave_if_empty(self):
@@ -150,9 +153,26 @@
             not busy
             and not self._has_unwritten()
             and not ctx.ledger.owned_by(ctx.incarnation)
+            and self._peers_know()
         ):
             ctx.emit(Exit())
 
+    def _peers_know(self):
+        """Tell whether the hall's peers have heard that this instance leaves.
+
+        A peer's echo comes behind all that it passed on here before it knew. One that
+        hears nothing passes nothing on after a lease.
+        """
+        ctx, since_ms = self.ctx, self._leaving_since_mono_ms
+        if ctx.now.mono_ms - since_ms > ctx.limits.lease_ms:
+            return True
+        peers = ctx.members.live(ctx.now.mono_ms, hall=ctx.hall)
+        return all(
+            ctx.silence.has_echoed(peer.name, since_ms)
+            for peer in peers
+            if peer.name != ctx.name
+        )
+
     # Log ---------------------------------------------------------------------
 
     @_handle.register
--- a/packages/thymefork-core/src/thymefork_core/ownership/silence.py
+++ b/packages/thymefork-core/src/thymefork_core/ownership/silence.py
@@ -38,6 +38,10 @@
         before_ms = self._link_echoed.get(instance, sent_mono_ms)
         self._link_echoed[instance] = max(before_ms, sent_mono_ms)
 
+    def has_echoed(self, instance, since_mono_ms):
+        """Tell whether an instance has heard a heartbeat that was sent later."""
+        return self._link_echoed.get(instance, -1) > since_mono_ms
+
     def refused(self, instance, mono_ms):
         """Note that an instance's machine answered that no process listens."""
         self._refused[instance] = mono_ms
