--- a/packages/thymefork-net/src/thymefork_net/tests/test_http.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_http.py
@@ -189,6 +189,18 @@
     loop.until(lambda: server.open_connections == 0)
 
 
+def test_a_request_is_open_until_its_whole_answer_was_taken(loop, address, served):
+    """A process that stops ends once none is open, and what is unsent is lost."""
+    server, requests = served
+    body = b"x" * 8_000_000  # more than both sockets' buffers hold
+    with raw(loop, address, b"GET / HTTP/1.1\r\nHost: h\r\n\r\n") as sock:
+        loop.until(lambda: requests)
+        requests[0].answer(200, body)
+        assert server.open_requests == 1
+        assert read_some(loop, sock, body).endswith(body)
+        loop.until(lambda: not server.open_requests)
+
+
 def test_a_slow_head_is_answered_408(loop, address, served):
     served[0].limits = ServerLimits(header_timeout_ms=100)
     sock = raw(loop, address, b"GET /a HTTP/1.1\r\nHost:")
