Count a request as open until its whole answer was taken

Cause: an answer counted as given once it was written into the connection's buffer; a process that stops could end with the rest unsent. Measured: the case listed as known red passes (8 MB to a peer that reads late); net and daemon, all passed.

--- a/packages/thymefork-net/src/thymefork_net/http/server_connection.py
+++ b/packages/thymefork-net/src/thymefork_net/http/server_connection.py
@@ -46,8 +46,12 @@
 
     @property
     def open_requests(self):
-        """Return how many requests wait for their answers."""
-        return len(self._pending)
+        """Return how many requests wait for their answers, or for the last byte.
+
+        A process that stops ends once none is open, and what its socket has not taken
+        by then is lost.
+        """
+        return len(self._pending) + bool(self._out)
 
     # Reading -----------------------------------------------------------------
 
