--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -160,9 +160,10 @@
     def on_not_stored(self, batch, *, now_ms):
         """Refuse the new jobs of an append that the store has certainly not done."""
         new_jobs = {job.job_id for job in batch.new_jobs}
-        keeps = self.intake.withdraw(batch.new_jobs, now_ms=now_ms)
-        batch.effects = [effect for effect in batch.effects if keeps(effect)]
-        self.journal.filter_effects(keeps)
+        self.intake.withdraw(batch.new_jobs, now_ms=now_ms)
+        replies = batch.take_replies(new_jobs) + self.journal.take_replies(new_jobs)
+        for reply in replies:
+            self.intake.refuse(reply)
         batch.shown = [row for row in batch.shown if row[0].job_id not in new_jobs]
         self.journal.forget(new_jobs)
         self.journal.put_back(batch)
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -61,31 +61,19 @@
         return job
 
     def withdraw(self, jobs, *, now_ms):
-        """Refuse jobs that were certainly not stored.
-
-        Return a function that refuses the callers who wait for one of them, and tells
-        of each effect whether it stands.
-        """
+        """Forget jobs that were certainly not stored."""
         for job in jobs:
             for run in job.runs:
                 self._lifecycle.release(run, now_ms=now_ms)
             del self._context.jobs[job.job_id]
             self._context.live_jobs.pop(job.job_id, None)
             self._context.note("job_withdrawn", job=job.job_id, reason="not stored")
-        withdrawn = {job.job_id for job in jobs}
-
-        def keeps(effect):
-            if not isinstance(effect, Reply) or effect.job_id not in withdrawn:
-                return True
-            self._refuse(effect.request_id)
-            return False
-
-        return keeps
 
-    def _refuse(self, request_id):
+    def refuse(self, reply):
+        """Refuse a request instead of the reply that its job's record was to bring."""
         self._context.count("refusals", "store_away")
         self._lifecycle.reply(
-            request_id, Outcome.REFUSED, retry_after_ms=STORE_AWAY_RETRY_MS
+            reply.request_id, Outcome.REFUSED, retry_after_ms=STORE_AWAY_RETRY_MS
         )
 
     def _objective_ms(self, job):
--- a/packages/thymefork-cells/src/thymefork_cells/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/journal.py
@@ -5,7 +5,7 @@
 from attrs import define, field, frozen
 
 from .codec import JOB_KEY, PROGRESS_KEY, encode_progress, store_job
-from .effects import EndsStored
+from .effects import EndsStored, Reply
 from .state import JobState
 
 __all__ = ["Batch", "Journal"]
@@ -33,6 +33,12 @@
         self.records.append((key, value))
         self.size_bytes += len(key) + len(value) + 5
 
+    def take_replies(self, job_ids):
+        """Return the replies that were to tell of some jobs, and drop them."""
+        taken = [effect for effect in self.effects if _tells_of(effect, job_ids)]
+        self.effects = [effect for effect in self.effects if effect not in taken]
+        return taken
+
 
 @frozen(kw_only=True, eq=False)
 class _Change:
@@ -96,9 +102,11 @@
         self.is_urgent = self.is_urgent or not isinstance(effect, EndsStored)
         self._held.append(_Held(effect=effect, number=self._last_number))
 
-    def filter_effects(self, keeps):
-        """Drop the effects that wait and that `keeps` returns False for."""
-        self._held = [held for held in self._held if keeps(held.effect)]
+    def take_replies(self, job_ids):
+        """Return the replies that wait to tell of some jobs, and drop them."""
+        taken = [row for row in self._held if _tells_of(row.effect, job_ids)]
+        self._held = [row for row in self._held if row not in taken]
+        return [row.effect for row in taken]
 
     def forget(self, job_ids):
         """Drop what waits of jobs that were withdrawn."""
@@ -151,3 +159,7 @@
         first_left = next(iter(self._changes.values())).number
         batch.effects = [row.effect for row in self._held if row.number < first_left]
         self._held = [row for row in self._held if row.number >= first_left]
+
+
+def _tells_of(effect, job_ids):
+    return isinstance(effect, Reply) and effect.job_id in job_ids
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -159,11 +159,20 @@
     def note_overdue_stops(self, now_ms):
         """Tell once of each run that is still there long after its stop was due."""
         owed_before_ms = now_ms - STOP_OVERDUE_MS - self._context.bounds.stop_timeout_ms
-        for worker in self._context.workers.values():
-            for run in worker.runs.values():
-                if 0.0 < run.stop_owed_ms < owed_before_ms and not run.stop_is_overdue:
-                    run.stop_is_overdue = True
-                    self._note_overdue(run, now_ms)
+        for run in self._runs_to_stop():
+            if run.stop_owed_ms < owed_before_ms and not run.stop_is_overdue:
+                run.stop_is_overdue = True
+                self._note_overdue(run, now_ms)
+
+    def _runs_to_stop(self):
+        """Return the runs that are there though their stop is owed or was answered."""
+        answered = [
+            worker.runs[key]
+            for worker in self._context.workers.values()
+            for key in worker.stopped
+            if key in worker.runs
+        ]
+        return [*self._context.owed_stops, *answered]
 
     def _note_overdue(self, run, now_ms):
         worker = run.worker
