Have small instances step in at once where none is large; judge no owner too soon

(2) At the end of an outage of the store the first members that regained it heard the owner say for 0.1 s more that it had not, and took it out: three owners in two seconds.

Change: large instances say once, beside the number of cells, that they take part; without them three small ones join, each after its own share of 1.2 s. A member that has just regained the store judges nobody for 0.4 s. Tests on the patterns: 3, 18 and 97 instances that return at once, with and without large ones; a member after an outage. The test of small instances moved from test_membership to test_standby.

--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -25,6 +25,7 @@
 from .readiness import Readiness
 from .settings_watch import SettingsWatch
 from .shutdown import Shutdown
+from .standby import LARGE_CORES, Standby
 from .telling import Metrics
 from .worker_list_watch import WorkerListWatch
 
@@ -119,6 +120,7 @@
             timers=self.timers,
             most_cells=self.settings.store.partitions,
             worker_list=self.worker_list,
+            is_large=self._is_large,
             on_known=self.owned_cells.update,
         )
         self.membership = Membership(
@@ -127,7 +129,6 @@
             settings=self.settings,
             life=self._life,
             on_change=self.owned_cells.update,
-            owner_missing_ms=lambda: self.directory.missing_ms(),
         )
         self.directory = OwnerDirectory(
             store=self.store,
@@ -137,12 +138,23 @@
             on_change=self._on_owners,
             on_removed=self.membership.hurry,
         )
+        self._standby = Standby(
+            timers=self.timers,
+            membership=self.membership,
+            directory=self.directory,
+            layout=self.layout,
+        )
 
     @property
     def settings(self):
         """Return the settings in force."""
         return self._settings_watch.current
 
+    @property
+    def _is_large(self):
+        """Tell whether this instance can own cells beside its callers."""
+        return self.settings.speed_cores >= LARGE_CORES
+
     @property
     def configuration(self):
         """Return the configuration in force, or None before it was read."""
@@ -174,7 +186,10 @@
         self._configuration_watch.start()
         self.directory.refresh()
         self.layout.start()
-        self.membership.start()
+        if self._is_large:
+            self.membership.start()
+        else:
+            self._standby.start()
 
     @handler("signal", channel="*", priority=100)
     def _on_signal(self, event, number, *args):
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -9,7 +9,9 @@
 __all__ = ["Layout"]
 
 TOPIC = "keyed.layout"
-KEY = "cells"
+CELLS_KEY = "cells"
+# Says that large instances take part, whom small ones wait for after a loss of all.
+LARGE_KEY = "large"
 # One Python process decides for 176 workers at 0.40 of a core (measured in
 # docs/CAPACITY.md). Wide steps want as many workers in one cell as that allows: a
 # policy's few workers, with a bound a worker, may not be found in a smaller one.
@@ -20,10 +22,15 @@
 
 
 class Layout:
-    """Read the number of cells, or be the one instance that writes it."""
+    """Read the number of cells, or be the one instance that writes it.
 
-    def __init__(self, *, store, timers, most_cells, worker_list, on_known):
+    `has_large` tells whether a large instance has ever been there.
+    """
+
+    def __init__(self, *, store, timers, most_cells, worker_list, is_large, on_known):
         self.cells = 0
+        self.has_large = is_large
+        self._is_large = is_large
         self._store = store
         self._timers = timers
         self._most_cells = most_cells
@@ -52,10 +59,14 @@
         if result is None:
             self._again()
             return
-        for record in result.records:
-            if record.key == KEY and record.value:
-                self._found(orjson.loads(record.value)["cells"])
-                return
+        values = {record.key: record.value for record in result.records}
+        if self._is_large and not values.get(LARGE_KEY):
+            self._announce_large()
+            return
+        self.has_large = bool(values.get(LARGE_KEY))
+        if values.get(CELLS_KEY):
+            self._found(orjson.loads(values[CELLS_KEY])["cells"])
+            return
         settled = steady_ms() - self._began_ms > SETTLE_MS
         self._worker_list.want(True)
         if settled and self._worker_list.entries:
@@ -63,13 +74,22 @@
         else:
             self._again()
 
+    def _announce_large(self):
+        """Write, once for the life of the system, that large instances take part."""
+        self._store.append(
+            topic=TOPIC,
+            partition=0,
+            records=[(LARGE_KEY, b"true")],
+            on_result=lambda result: self._again(),
+        )
+
     def _propose(self, end_offset):
         count = len(self._worker_list.entries)
         cells = max(1, min(self._most_cells, round(count / WORKERS_PER_CELL)))
         self._store.append(
             topic=TOPIC,
             partition=0,
-            records=[(KEY, orjson.dumps({"cells": cells}))],
+            records=[(CELLS_KEY, orjson.dumps({"cells": cells}))],
             expected_end=end_offset,
             on_result=self._on_proposed,
         )
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -28,12 +28,11 @@
 # A partition that was dealt under a generation already used is waited for this long:
 # two joins, within which a stale answer is put right.
 STUCK_MS = 600.0
-# Owning a cell of 176 workers takes up to 0.4 of a core; smaller instances carry
-# callers and advice, and own cells only while there is no large one.
-LARGE_CORES = 0.8
-# After a loss of all instances the large ones are back within about three seconds.
-STANDBY_AFTER_MS = 4_000.0
-STANDBY_CHECK_MS = 500.0
+# The store is away for all instances or for some. One whose joins were not answered
+# until a moment ago can't tell which, and judges no owner for this long, within which
+# the others' next joins and the beat that tells of them come: two hedged joins. Judged
+# at once, an owner was taken out after each outage that was over for it as well.
+SETTLED_MS = 400.0
 
 
 def address_of_member(member_id):
@@ -49,20 +48,18 @@
     clock, so it never outlasts what the store grants.
     """
 
-    def __init__(self, *, store, timers, settings, life, on_change, owner_missing_ms):
+    def __init__(self, *, store, timers, settings, life, on_change):
         peer = settings.peer
         self.member_id = f"{settings.instance}|{peer.host}|{peer.port}|{life}"
         self.ttl_ms = float(settings.store.shortest_membership_ms)
         self.generation = 0
         self.epochs = {}
         self.valid_until_ms = 0.0
-        self._is_large = settings.speed_cores >= LARGE_CORES
-        self._owner_missing_ms = owner_missing_ms
-        self._joined_once = False
         self._asked_ms = 0.0
         self._answered_ms = 0.0
         self._joined_ms = 0.0
         self._renewed_ms = 0.0
+        self._regained_ms = 0.0
         self._round_trip_ms = 0.0
         self._refused = {}
         self._blocked_since_ms = 0.0
@@ -74,22 +71,8 @@
         self._answering = True
 
     def start(self):
-        """Join, and go on joining; a small instance only steps in for large ones."""
-        if self._is_large:
-            self._join()
-        else:
-            self._timers.every(STANDBY_CHECK_MS, self._step_in)
-
-    def _step_in(self):
-        """Join once no one owns the cells for too long, though the store answers."""
-        if self._left or self._joined_once:
-            return
-        missing_ms = self._owner_missing_ms()
-        if missing_ms > STANDBY_AFTER_MS:
-            line = logger.bind(event="standby_joins", missing_ms=round(missing_ms))
-            line.info("no large instance owns the cells")
-            self._joined_once = True
-            self._join()
+        """Join, and go on joining."""
+        self._join()
 
     @property
     def in_group(self):
@@ -106,9 +89,11 @@
 
     @property
     def is_well(self):
-        """Tell whether the store answers this instance, and quickly."""
+        """Tell whether the store answers this instance, quickly and for a while."""
         if not self.in_group or self.store_lost:
             return False
+        if steady_ms() - self._regained_ms < SETTLED_MS:
+            return False
         return self._round_trip_ms < SLOW_JOIN_MS
 
     def hurry(self):
@@ -155,6 +140,8 @@
             self._join_after(JOIN_AGAIN_MS)
             return
         self._note(answering=True)
+        if self.store_lost:
+            self._regained_ms = steady_ms()
         self._renewed_ms = max(self._renewed_ms, sent_ms)
         self._round_trip_ms = steady_ms() - sent_ms
         next_ms = max(1.0, sent_ms + self._period_ms() - steady_ms())
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
@@ -14,7 +14,10 @@
 
 
 class OwnerDirectory:
-    """Know the owners' addresses; ask the store only while one is missing."""
+    """Know the owners' addresses; ask the store only while one is missing.
+
+    `member_count` is how many members were listed last, None before the first reading.
+    """
 
     def __init__(self, *, store, timers, own_id, partition_of, on_change, on_removed):
         self._partition_of = partition_of
@@ -30,7 +33,7 @@
         self._asking = False
         self._ask_timer = 0
         self._asked_ms = 0.0
-        self._nobody_since_ms = 0.0
+        self.member_count = None
 
     def owner_of(self, cell):
         """Return the address of a cell's owner, or None while it is not known."""
@@ -67,10 +70,6 @@
         """Return the addresses of the members that were read last."""
         return {address_of_member(member) for member in self._members.values()}
 
-    def missing_ms(self):
-        """Return for how long the store has told that the group has no member."""
-        return steady_ms() - self._nobody_since_ms if self._nobody_since_ms else 0.0
-
     def refresh(self):
         """Read the group's members, at most once a period."""
         if self._asking:
@@ -87,10 +86,8 @@
         self._asking = False
         rows = rows and [row for row in rows if row.member_id]
         self._members = {}
-        if rows:
-            self._nobody_since_ms = 0.0
-        elif rows is not None and not self._nobody_since_ms:
-            self._nobody_since_ms = steady_ms()
+        if rows is not None:
+            self.member_count = len({row.member_id for row in rows})
         for row in rows or ():
             if row.topic == CELLS_TOPIC:
                 self._members[row.partition] = row.member_id
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -0,0 +1,92 @@
+"""What is agreed once for the life of the system."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon import layout as layout_module
+from thymefork_daemon.layout import Layout
+from thymefork_machines.store import (
+    AppendOutcome,
+    AppendResult,
+    NewestResult,
+    StoreRecord,
+)
+
+CLOCKED = (layout_module,)
+
+
+class LayoutStore:
+    """Keep the newest value of each key; `is_away` leaves calls without an answer."""
+
+    def __init__(self):
+        self.values = {}
+        self.is_away = False
+
+    def newest(self, *, topic, on_result):
+        records = tuple(StoreRecord(key=k, value=v) for k, v in self.values.items())
+        result = NewestResult(records=records, next_key="", end_offset=0)
+        on_result(None if self.is_away else result)
+
+    def append(self, *, topic, partition, records, on_result, expected_end=None):
+        if self.is_away:
+            on_result(AppendResult(outcome=AppendOutcome.UNKNOWN))
+            return
+        self.values.update(records)
+        on_result(AppendResult(outcome=AppendOutcome.STORED))
+
+
+@pytest.fixture
+def store():
+    return LayoutStore()
+
+
+@pytest.fixture
+def start(store, timers):
+    def start(*, is_large):
+        layout = Layout(
+            store=store,
+            timers=timers,
+            most_cells=8,
+            worker_list=SimpleNamespace(
+                entries=dict.fromkeys(range(45)), want=lambda wanted: None
+            ),
+            is_large=is_large,
+            on_known=lambda: None,
+        )
+        layout.start()
+        return layout
+
+    return start
+
+
+def test_small_instances_alone_agree_on_the_cells(start, timers):
+    layout = start(is_large=False)
+    timers.run(5_000)
+    assert layout.cells == 1 and not layout.has_large
+
+
+def test_a_small_instance_knows_that_large_ones_take_part(start, timers):
+    start(is_large=True)
+    small = start(is_large=False)
+    timers.run(5_000)
+    assert small.cells == 1 and small.has_large
+
+
+def test_a_large_instance_says_so_once_the_store_is_back(start, store, timers):
+    store.is_away = True
+    large = start(is_large=True)
+    timers.run(5_000)
+    assert not large.cells
+    store.is_away = False
+    timers.run(1_000)
+    assert large.cells == 1
+    assert "large" in store.values
+
+
+def test_a_large_instance_that_comes_later_says_so_too(start, store, timers):
+    start(is_large=False)
+    timers.run(5_000)
+    start(is_large=True)
+    timers.run(500)
+    assert start(is_large=False).has_large
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -24,11 +24,10 @@
 
 @pytest.fixture
 def make(store, timers):
-    def make(speed_cores=1.0, missing_ms=0.0, on_change=lambda: None):
+    def make(on_change=lambda: None):
         settings = SimpleNamespace(
             instance="edge-1",
             peer=PEER,
-            speed_cores=speed_cores,
             store=SimpleNamespace(shortest_membership_ms=1_000),
         )
         return Membership(
@@ -37,7 +36,6 @@
             settings=settings,
             life="1",
             on_change=on_change,
-            owner_missing_ms=lambda: missing_ms,
         )
 
     return make
@@ -95,15 +93,6 @@
     assert membership.epochs == {7: 4}
 
 
-def test_a_small_instance_steps_in_only_for_missing_ones(make, store, timers):
-    make(speed_cores=0.5).start()
-    timers.run(10_000)
-    assert not store.joins
-    make(speed_cores=0.5, missing_ms=5_000.0).start()
-    timers.run(600)
-    assert store.joins
-
-
 def test_a_late_answer_to_an_earlier_join_changes_nothing(make, store, timers):
     membership = make()
     membership.start()
@@ -216,6 +205,34 @@
     assert membership.store_lost
 
 
+def answer_joins(store, timers, answered, for_ms):
+    """Answer each further join at once for a while; return how many are answered."""
+    for _ in range(for_ms // 10):
+        for join in range(answered, len(store.joins)):
+            deal(store, 1, join=join)
+            answered += 1
+        timers.run(10)
+    return answered
+
+
+def test_nobody_judges_others_right_after_an_outage(make, store, timers):
+    """From cab-bogota-large, trouble-3 at a small size.
+
+    The first members that regained the store heard the owner say, for 0.1 s more, that
+    it had not, took it out, and the next owner too.
+    """
+    membership = make()
+    membership.start()
+    deal(store, 1)
+    timers.run(1_500)
+    joins = answer_joins(store, timers, len(store.joins) - 1, 20)
+    assert not membership.store_lost and not membership.is_well
+    joins = answer_joins(store, timers, joins, 350)
+    assert not membership.is_well
+    answer_joins(store, timers, joins, 50)
+    assert membership.is_well
+
+
 def test_a_slow_store_makes_nobody_judge_others(make, store, timers):
     membership = make()
     membership.start()
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_standby.py
@@ -0,0 +1,103 @@
+"""Small instances that join the group in place of members that are missing.
+
+The load is a loss of all instances at once: each of them comes back within 0.3 s of the
+others, reads the same and would act at the same moment.
+"""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon import owner_directory, standby as standby_module
+from thymefork_daemon.membership import CELLS_TOPIC
+from thymefork_daemon.owner_directory import OwnerDirectory
+from thymefork_daemon.standby import Standby
+from thymefork_machines.store import MemberRow
+
+from .fakes import FakeStore
+
+CLOCKED = (owner_directory, standby_module)
+
+
+@pytest.fixture(autouse=True, params=[1, 2, 3])
+def same_shares_every_run(request):
+    random.seed(request.param)
+
+
+class SmallInstances:
+    """Any number of small instances that read one group."""
+
+    def __init__(self, timers, *, count, has_large):
+        self.joined = []
+        self.members = []
+        self._stores = []
+        self._timers = timers
+        layout = SimpleNamespace(cells=1, has_large=has_large)
+        for number in range(count):
+            store = FakeStore()
+            directory = OwnerDirectory(
+                store=store,
+                timers=timers,
+                own_id=self._member_id(number),
+                partition_of=lambda cell: 7,
+                on_change=lambda: None,
+                on_removed=lambda: None,
+            )
+            membership = SimpleNamespace(start=lambda number=number: self._join(number))
+            Standby(
+                timers=timers, membership=membership, directory=directory, layout=layout
+            ).start()
+            directory.refresh()
+            self._stores.append(store)
+
+    @staticmethod
+    def _member_id(number):
+        return f"small-{number}|10.0.1.{number}|7000|1"
+
+    def _join(self, number):
+        self.joined.append(self._timers.now_ms)
+        self.members.append(self._member_id(number))
+
+    def run(self, for_ms):
+        for _ in range(for_ms // 10):
+            rows = tuple(
+                MemberRow(topic=CELLS_TOPIC, partition=partition, member_id=member_id)
+                for partition, member_id in enumerate(self.members)
+            )
+            for store in self._stores:
+                while store.owner_calls:
+                    store.owner_calls.pop(0)(rows)
+            self._timers.run(10)
+
+
+@pytest.mark.parametrize("count", [3, 18, 97])
+def test_where_none_is_large_a_few_small_ones_join_at_once(timers, count):
+    """From cab-bogota-large, trouble-1 at a small size: nobody joined for 4.5 s."""
+    instances = SmallInstances(timers, count=count, has_large=False)
+    began_ms = timers.now_ms
+    instances.run(5_000)
+    assert 3 <= len(instances.joined) <= max(3, count // 2)
+    assert instances.joined[0] - began_ms <= standby_module.SPREAD_MS + 300
+
+
+def test_small_ones_leave_large_ones_time_to_return(timers):
+    instances = SmallInstances(timers, count=18, has_large=True)
+    instances.run(4_000)
+    assert not instances.joined
+    instances.run(1_500)
+    assert 1 <= len(instances.joined) <= 9
+
+
+def test_small_ones_stay_out_while_a_large_one_is_there(timers):
+    instances = SmallInstances(timers, count=18, has_large=True)
+    instances.members.append("large|10.0.2.1|7000|1")
+    instances.run(20_000)
+    assert not instances.joined
+
+
+def test_small_ones_stay_out_while_enough_small_ones_are_there(timers):
+    instances = SmallInstances(timers, count=18, has_large=False)
+    instances.members += [f"other-{n}|10.0.2.{n}|7000|1" for n in range(3)]
+    instances.run(20_000)
+    assert not instances.joined
