Ask for advice about the workers that a step needs, spread over all

Ruled out: lack of room (workers were a third busy) and the owner's processor.

Change: a step asks about enough workers for twice its tasks by the share that its queue's policy has allowed lately, from the hall with the most room, in an order of its own; about further ones while its tickets have no room; about twice as many after an answer that allows none. Placing looks at the workers with tickets only. Tests: the load of lookups at full size in virtual time (fail on the code before), and choices.

--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_choice.py
@@ -0,0 +1,77 @@
+"""Which workers, and how many, the advice service is asked about for a step."""
+
+import xxhash
+
+from .worker_choice import copies_in
+
+__all__ = ["AllowedShares", "choose_workers", "usable_room"]
+
+# Until a queue's policy was seen at work, it is taken to allow half of the workers.
+FIRST_SHARE = 0.5
+# Each answer counts this much: a policy's share is known after about ten of them.
+WEIGHT_OF_NEWEST = 0.1
+# A policy that has allowed nothing yet is taken to allow one worker in thirty.
+LEAST_SHARE = 0.03
+# A call covers this many times the room that is wanted, by the share learned: policies
+# differ from step to step, room is taken meanwhile, and a task that fails is started
+# elsewhere under the same tickets.
+MARGIN = 2.0
+# A call itself costs as much as ten to a hundred workers: fewer than these save little.
+FEWEST = 8
+
+
+class AllowedShares:
+    """Learn what share of the workers asked about each queue's policy allows."""
+
+    def __init__(self):
+        self._shares = {}
+
+    def of(self, queue_name):
+        """Return the share that a queue's policy usually allows, above 0 up to 1."""
+        return max(LEAST_SHARE, self._shares.get(queue_name, FIRST_SHARE))
+
+    def learn(self, queue_name, allowed, asked):
+        """Note an answer."""
+        if not asked:
+            return
+        known = self._shares.get(queue_name, FIRST_SHARE)
+        self._shares[queue_name] = known + WEIGHT_OF_NEWEST * (allowed / asked - known)
+
+
+def usable_room(spec, workers):
+    """Return how many tasks of a step some workers have room for."""
+    return sum(copies_in(worker, spec) for worker in workers)
+
+
+def choose_workers(step, workers, wanted, *, share, most):
+    """Return workers with room for the wanted tasks by the share that is allowed.
+
+    The service takes longer for each worker that it is asked about. Workers come from
+    the hall with the most room first, and within a hall in an order that differs from
+    step to step, so that steps which ask at the same time spread over all workers.
+    After an answer that allowed none, the next call asks about twice as many.
+    """
+    copies = {worker: max(1, copies_in(worker, step.spec)) for worker in workers}
+    room = {}
+    for worker, count in copies.items():
+        hall = worker.entry.hall
+        room[hall] = room.get(hall, 0) + count
+    name = step.name
+    ranked = sorted(
+        workers,
+        key=lambda worker: (
+            -room[worker.entry.hall],
+            worker.entry.hall,
+            xxhash.xxh32_intdigest(f"{name}{worker.worker_id}".encode()),
+        ),
+    )
+    wider = 2**step.denials_in_row
+    target = MARGIN * wider * wanted / share
+    fewest = FEWEST * wider
+    chosen, covered = [], 0
+    for worker in ranked[:most]:
+        if covered >= target and len(chosen) >= fewest:
+            break
+        chosen.append(worker)
+        covered += copies[worker]
+    return chosen
--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -1,5 +1,6 @@
 """When to ask the advice service about a step, and about which workers."""
 
+from .advice_choice import AllowedShares, choose_workers, usable_room
 from .effects import AskAdvice
 from .state import Ticket
 
@@ -26,6 +27,7 @@
     def __init__(self, *, context, images):
         self._context = context
         self._images = images
+        self._shares = AllowedShares()
 
     def policy(self, step):
         """Return the advice policy of a step's queue, or None."""
@@ -38,29 +40,48 @@
             return True
         return step.ticket_for(worker.worker_id, now_ms + TICKET_MARGIN_MS) is not None
 
+    def with_ticket(self, step, workers, now_ms):
+        """Return those of the workers, given by id, that a step may start on."""
+        if self.policy(step) is None:
+            return list(workers.values())
+        until_ms = now_ms + TICKET_MARGIN_MS
+        ids = [
+            key for key, ticket in step.tickets.items() if ticket.until_ms > until_ms
+        ]
+        return [workers[worker_id] for worker_id in ids if worker_id in workers]
+
     def has_ticket(self, step, worker, now_ms):
         """Tell whether a start that leaves now would be permitted."""
         if self.policy(step) is None:
             return True
         return step.ticket_for(worker.worker_id, now_ms) is not None
 
-    def plan(self, step, workers, now_ms):
-        """Ask for a step if its tickets are missing and its turn is near."""
+    def plan(self, step, workers, now_ms, *, permits):
+        """Ask for a step if its tickets are missing and its turn is near.
+
+        `workers` are given by id; `permits(step, worker, now_ms)` tells whether a
+        worker is not kept for another step.
+        """
         policy = self.policy(step)
         if policy is None or step.advice_asked or now_ms < step.advice_not_before_ms:
             return
-        if not any(not task.done and not task.runs for task in step.tasks):
+        wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
+        if not wanted:
             return
-        most_ms = policy.decision_ms + policy.per_worker_ms * len(workers)
+        asked_about = min(MOST_WORKERS, len(workers))
+        most_ms = policy.decision_ms + policy.per_worker_ms * asked_about
         if not self._is_near(step, most_ms, now_ms):
             return
         self._forget_denials(step, now_ms)
-        candidates = self._candidates(step, workers, now_ms)
-        if not candidates:
-            return
+        candidates = self._candidates(step, workers, wanted, now_ms, permits)
+        if candidates:
+            self._ask(step, policy, candidates)
+
+    def _ask(self, step, policy, candidates):
         cost_ms = policy.decision_ms + policy.per_worker_ms * len(candidates)
         step.advice_asked = True
         queue = self._context.queue(step.job)
+        self._context.count("advice_workers", queue.name, len(candidates))
         self._context.emit(
             AskAdvice(
                 step=step,
@@ -83,23 +104,30 @@
             step.asked_anew += 1
             step.denied.clear()
 
-    def _candidates(self, step, workers, now_ms):
-        """Return the workers to ask about: none while a valid ticket has room."""
-        if step.ready and step.allowed:
+    def _candidates(self, step, workers, wanted, now_ms, permits):
+        """Return the workers to ask about: none while tickets have room enough."""
+        held = self.with_ticket(step, workers, now_ms)
+        if not step.ready:
+            if held:
+                return []
+        else:
+            free = [worker for worker in held if permits(step, worker, now_ms)]
+            wanted -= usable_room(step.spec, free)
+            if wanted <= 0:
+                return []
+        known = step.denied | {worker.worker_id for worker in held}
+        fresh = [worker for key, worker in workers.items() if key not in known]
+        open_ones = [
+            worker
+            for worker in fresh
+            if worker.has_room(step.spec) and permits(step, worker, now_ms)
+        ]
+        if not open_ones and step.ready and step.allowed:
             return self._to_renew(step, workers, now_ms)
-        wanted = []
-        for worker in workers:
-            worker_id = worker.worker_id
-            if worker_id in step.denied:
-                continue
-            if step.ticket_for(worker_id, now_ms + TICKET_MARGIN_MS) is not None:
-                if worker.has_room(step.spec) or not step.ready:
-                    return []
-                continue
-            if step.allowed is not None and not worker.has_room(step.spec):
-                continue
-            wanted.append(worker)
-        return wanted[:MOST_WORKERS]
+        share = self._shares.of(step.job.queue_name)
+        return choose_workers(
+            step, open_ones or fresh, wanted, share=share, most=MOST_WORKERS
+        )
 
     def _to_renew(self, step, workers, now_ms):
         """Return the allowed workers, if too few of their tickets are about to last.
@@ -110,21 +138,19 @@
         policy = self.policy(step)
         cost_ms = policy.decision_ms + policy.per_worker_ms * len(step.allowed)
         horizon_ms = now_ms + cost_ms + TICKET_MARGIN_MS
-        known = step.allowed | step.denied
-        fresh = [worker for worker in workers if worker.worker_id not in known]
         allowed = [
-            worker
-            for worker in workers
-            if worker.worker_id in step.allowed and worker.could_hold(step.spec)
+            workers[worker_id]
+            for worker_id in sorted(step.allowed & workers.keys())
+            if workers[worker_id].could_hold(step.spec)
         ]
         lasting = [
             worker
             for worker in allowed
             if step.ticket_for(worker.worker_id, horizon_ms) is not None
         ]
-        if 2 * len(lasting) >= len(allowed) and not fresh:
+        if 2 * len(lasting) >= len(allowed):
             return []
-        return (allowed + fresh)[:MOST_WORKERS]
+        return allowed[:MOST_WORKERS]
 
     def _is_near(self, step, cost_ms, now_ms):
         if step.ready:
@@ -161,11 +187,13 @@
                 "advice_unanswered", step=step.name, workers=len(worker_ids)
             )
             return
+        self._shares.learn(step.job.queue_name, len(tickets), len(worker_ids))
         if step.allowed is None:
             step.allowed = set()
         for worker_id, text in tickets.items():
             step.allowed.add(worker_id)
             step.tickets[worker_id] = Ticket(text=text, until_ms=now_ms + valid_ms)
         step.denied.update(set(worker_ids) - set(tickets))
+        step.denials_in_row = 0 if tickets else step.denials_in_row + 1
         if not tickets:
             step.advice_not_before_ms = now_ms + ASK_AGAIN_MS
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -39,9 +39,9 @@
         """Write a log line."""
         self.effects.append(Note(event=event, level=level, fields=fields))
 
-    def count(self, name, reason):
+    def count(self, name, reason, amount=1):
         """Raise a counter."""
-        self.effects.append(Count(name=name, reason=reason))
+        self.effects.append(Count(name=name, reason=reason, amount=amount))
 
     def observe(self, name, value_ms, kind=""):
         """Put a time into a histogram."""
--- a/packages/thymefork-cells/src/thymefork_cells/effects/telling.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/telling.py
@@ -16,10 +16,11 @@
 
 @frozen(kw_only=True, eq=False)
 class Count:
-    """Raise a counter by one."""
+    """Raise a counter."""
 
     name: str
     reason: str
+    amount: int = 1
 
 
 @frozen(kw_only=True, eq=False)
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -27,19 +27,23 @@
         steps = self._steps_in_order(now_ms)
 
         def workers_of(step):
-            workers = by_service.get(self._context.service_of(step.job), ())
+            workers = by_service.get(self._context.service_of(step.job), {})
             if not step.spec.required_label:
                 return workers
-            return [worker for worker in workers if fits_labels(step, worker)]
+            return {
+                worker_id: worker
+                for worker_id, worker in workers.items()
+                if fits_labels(step, worker)
+            }
 
-        self._reservations.review(steps, workers_of, now_ms)
+        self._reservations.review(steps, lambda step: workers_of(step).values(), now_ms)
         for step in steps:
             workers = workers_of(step)
             if step.ready:
                 self._place(step, workers, now_ms)
                 if now_ms - max(step.ready_ms, step.wait_noted_ms) > NOTE_WAIT_MS:
-                    self._note_wait(step, workers, now_ms)
-            self._advice.plan(step, workers, now_ms)
+                    self._note_wait(step, workers.values(), now_ms)
+            self._advice.plan(step, workers, now_ms, permits=self._reservations.permits)
 
     def _note_wait(self, step, workers, now_ms):
         """Log why a step's tasks have not been started for a while."""
@@ -83,7 +87,8 @@
             if worker.slow_until_ms > now_ms:
                 continue
             if worker.health.takes_work(now_ms):
-                services.setdefault(worker.entry.service, []).append(worker)
+                by_id = services.setdefault(worker.entry.service, {})
+                by_id[worker.worker_id] = worker
         return services
 
     def _steps_in_order(self, now_ms):
@@ -129,9 +134,7 @@
                 self._place_gang(step, workers, now_ms)
             return
         counts = step.per_worker() if step.spec.most_per_worker else None
-        permitted = [
-            worker for worker in workers if self._is_permitted(step, worker, now_ms)
-        ]
+        permitted = self._permitted(step, workers, now_ms)
         usable = [worker for worker in permitted if worker.has_room(step.spec)]
         hall = best_hall(step.spec, usable, len(waiting))
         chosen = []
@@ -151,10 +154,13 @@
             if self._preemptor.make_room(step, permitted, missing, now_ms):
                 self._reservations.review_soon()  # what is freed is kept for the step
 
-    def _is_permitted(self, step, worker, now_ms):
-        if not self._reservations.permits(step, worker, now_ms):
-            return False
-        return self._advice.usable(step, worker, now_ms)
+    def _permitted(self, step, workers, now_ms):
+        """Return the workers that a step has a ticket for and that are not kept."""
+        return [
+            worker
+            for worker in self._advice.with_ticket(step, workers, now_ms)
+            if self._reservations.permits(step, worker, now_ms)
+        ]
 
     def _note_starts(self, step, chosen, wanted, now_ms):
         """Log one line for all tasks of a step that start together."""
@@ -175,36 +181,35 @@
 
     def _place_gang(self, step, workers, now_ms):
         run_id = max(task.run_count for task in step.tasks) + 1
-        chosen = self._gang_on_one_rack(step, workers, now_ms)
+        permitted = self._permitted(step, workers, now_ms)
+        chosen = self._gang_on_one_rack(step, permitted)
         if chosen is None:
-            chosen = self._gang_on(step, workers, now_ms)
+            chosen = self._gang_on(step, permitted)
         if chosen is None:
             return
         for task, worker in zip(step.tasks, chosen, strict=True):
             self._intend(task, worker, run_id)
         self._note_starts(step, chosen, len(chosen), now_ms)
 
-    def _gang_on_one_rack(self, step, workers, now_ms):
+    def _gang_on_one_rack(self, step, workers):
         if not step.spec.same_rack:
             return None
         racks = {}
         for worker in workers:
             racks.setdefault(worker.entry.rack, []).append(worker)
         for members in racks.values():
-            chosen = self._gang_on(step, members, now_ms)
+            chosen = self._gang_on(step, members)
             if chosen is not None:
                 return chosen
         return None
 
-    def _gang_on(self, step, workers, now_ms):
+    def _gang_on(self, step, workers):
         """Return a worker for each task, or None if not all find room."""
         spec = step.spec
         slots = []
         for worker in workers:
             if worker.health.on_probation:
                 continue
-            if not self._is_permitted(step, worker, now_ms):
-                continue
             slots += [worker] * copies_in(worker, spec)
             if len(slots) >= spec.count:
                 return slots[: spec.count]
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -217,7 +217,7 @@
         elif isinstance(effect, fx.Note):
             self.notes.append(effect)
         elif isinstance(effect, fx.Count):
-            self.counts[effect.reason] += 1
+            self.counts[effect.reason] += effect.amount
         elif isinstance(effect, fx.EndsStored):
             cell.looks.on_ends_stored(effect.worker, effect.last_end, now_ms=self.now)
         elif isinstance(effect, fx.StartRun):
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
@@ -0,0 +1,147 @@
+"""Many short steps at once under a policy, on more workers than one call may name.
+
+The pattern is desk lookups on a large deployment: 25 jobs a second of six tasks of 1 s,
+each on a quarter of a worker, 270 workers in five halls, a service that takes 30 ms and
+0.4 ms more for each worker that it is asked about, and a policy that allows 7 in 10.
+That is a third of what the workers bear, so no step has cause to wait for room. Asked
+about the first hundred workers always, all steps crowded there beside 170 idle ones.
+"""
+
+import pytest
+
+from thymefork_cells.advice_choice import AllowedShares, choose_workers
+from thymefork_cells.specs import WorkerEntry
+from thymefork_cells.state import Job, Worker
+
+from .harness import job_spec
+
+POLICY = {"decision_ms": 30.0, "per_worker_ms": 0.4, "valid_ms": 2_500.0}
+STEP = {"count": 6, "cpu_milli": 3_600, "memory_mb": 3_600, "estimated_ms": 1_000}
+WORKERS = 270
+HALLS = 5
+JOBS = 75
+JOBS_A_SECOND = 25
+
+
+def hall_of(number):
+    return f"hall-{number % HALLS}"
+
+
+@pytest.fixture
+def loaded(make_harness):
+    """Return a deployment that three seconds of lookups were handed in to."""
+    harness = make_harness(
+        workers=WORKERS, cpu_milli=16_000, advice=POLICY, hall=hall_of
+    )
+    harness.allowed = lambda step, worker_id: int(worker_id[1:]) % 10 < 7
+    for number in range(JOBS):
+        harness.submit(f"{number:016x}", job_spec(STEP))
+        harness.run(1_000 / JOBS_A_SECOND)
+    harness.run(3_000)
+    return harness
+
+
+def test_no_step_waits_for_room_beside_idle_workers(loaded):
+    waits_ms = [
+        note.fields["waited_ms"] for note in loaded.notes if note.event == "tasks_start"
+    ]
+    assert len(waits_ms) >= JOBS
+    assert max(waits_ms) < 200
+
+
+def test_a_call_names_no_more_workers_than_the_step_needs(loaded):
+    asked = [len(worker_ids) for _, worker_ids in loaded.asked]
+    assert len(asked) <= 2 * JOBS
+    assert max(asked) <= 20
+
+
+def test_steps_spread_over_all_workers(loaded):
+    """Among any hundred workers the policy allows 70."""
+    assert sum(bool(worker.starts) for worker in loaded.workers.values()) > 90
+
+
+def workers_of(*cpu_milli, hall=hall_of):
+    return [
+        Worker(
+            entry=WorkerEntry(
+                worker_id=f"w{number}",
+                machine_id=f"m{number}",
+                host="10.0.0.1",
+                port=1,
+                service="s",
+                hall=hall(number),
+                cpu_milli=cpu,
+                memory_mb=32_000,
+            )
+        )
+        for number, cpu in enumerate(cpu_milli)
+    ]
+
+
+def step_of(job_id="00000000000000aa", **fields):
+    job = Job.create(
+        job_id=job_id,
+        queue_name="q",
+        spec=job_spec(STEP | fields),
+        now_ms=0.0,
+        first_start_ms=0.0,
+    )
+    return job.steps[0]
+
+
+def test_a_step_asks_about_the_hall_with_the_most_room_first():
+    workers = workers_of(*[4_000] * 20, *[16_000] * 20, hall=lambda n: f"h{n // 20}")
+    chosen = choose_workers(step_of(), workers, 6, share=0.7, most=100)
+    assert {worker.entry.hall for worker in chosen} == {"h1"}
+
+
+@pytest.mark.parametrize("share, least", [(1.0, 8), (0.35, 9), (0.1, 30)])
+def test_a_stricter_policy_is_asked_about_more_workers(share, least):
+    workers = workers_of(*[16_000] * 270)
+    chosen = choose_workers(step_of(), workers, 6, share=share, most=100)
+    assert least <= len(chosen) <= 2 * least
+
+
+def test_after_denials_twice_as_many_are_asked_about_each_time():
+    workers = workers_of(*[16_000] * 270)
+    step = step_of()
+    asked = []
+    for step.denials_in_row in range(5):
+        chosen = choose_workers(step, workers, 6, share=0.7, most=100)
+        asked.append(len(chosen))
+    assert asked == sorted(asked)
+    assert asked[-1] == 100
+
+
+def test_steps_that_ask_at_once_ask_about_different_workers():
+    workers = workers_of(*[16_000] * 270)
+    first, second = (
+        set(map(id, choose_workers(step_of(job), workers, 6, share=0.7, most=100)))
+        for job in ("00000000000000aa", "00000000000000ab")
+    )
+    assert len(first & second) < len(first) / 2
+
+
+def test_the_share_that_a_policy_allows_is_learned():
+    shares = AllowedShares()
+    assert shares.of("q") == 0.5
+    for _ in range(60):
+        shares.learn("q", 1, 10)
+    assert shares.of("q") == pytest.approx(0.1, abs=0.01)
+    for _ in range(60):
+        shares.learn("q", 0, 10)
+    assert shares.of("q") > 0
+    assert shares.of("another") == 0.5
+
+
+def test_a_step_whose_workers_filled_up_asks_about_others(make_harness):
+    harness = make_harness(workers=40, cpu_milli=4_000, advice=POLICY)
+    harness.submit("00000000000000aa", job_spec(STEP | {"count": 1}))
+    harness.run(10)
+    (_, first), *_ = harness.asked
+    assert len(first) < 20
+    for worker_id in first:
+        harness.cell.context.workers[worker_id].free_cpu_milli = 0
+    harness.run(300)
+    ((worker_id, _, _),) = harness.starts_of("00000000000000aa.0.0.0")
+    assert worker_id not in first
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -44,7 +44,7 @@
 
     @_perform.register
     def _count(self, effect: fx.Count):
-        self._metrics.count(effect.name, effect.reason)
+        self._metrics.count(effect.name, effect.reason, effect.amount)
 
     @_perform.register
     def _observe(self, effect: fx.Observe):
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -17,6 +17,7 @@
     "requests": "Callers' requests, by kind.",
     "store_calls": "Calls to the store, by outcome.",
     "ownership": "Changes of a cell's owner seen here, by kind.",
+    "advice_workers": "Workers that the advice service was asked about, by queue.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
