Let the owner join first after an outage of the store

Cause: where memberships lapse in an outage, whoever joins first is dealt the cell.

Change: members that wait for the store, as the owner says of itself, let it join first, 0.4 s at most after their own reads are answered. Tests: a member, and who waits.

--- a/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
@@ -4,6 +4,7 @@
 
 from thymefork_core.exceptions import ConfigError
 from thymefork_machines import decode_configuration
+from thymefork_net import steady_ms
 
 from .owed_news import OwedNews
 
@@ -18,11 +19,15 @@
 
 
 class ConfigurationWatch:
-    """Follow the operators' topic; a version in force never gives way to an older."""
+    """Follow the operators' topic; a version in force never gives way to an older.
+
+    `answered_since_ms` is the steady moment since which each read was answered, None
+    while the last one was not.
+    """
 
     def __init__(self, *, store, timers, on_change):
         self.current = None
-        self.is_answered = False
+        self.answered_since_ms = None
         self._store = store
         self._timers = timers
         self._news = OwedNews(listener=on_change)
@@ -35,7 +40,7 @@
         self._store.newest(topic=TOPIC, on_result=self._on_newest)
 
     def _on_newest(self, result):
-        self.is_answered = result is not None
+        self._note_answer(result is not None)
         if result is None:
             self._timers.after(AGAIN_MS, self._read_newest)
             return
@@ -55,7 +60,7 @@
         )
 
     def _on_read(self, result, offset):
-        self.is_answered = result is not None
+        self._note_answer(result is not None)
         if result is None:
             self._timers.after(AGAIN_MS, lambda: self._follow(offset))
         elif result.history_gone:
@@ -66,6 +71,17 @@
             self._follow(result.next_offset)
             self._news.tell(self.current)
 
+    @property
+    def is_answered(self):
+        """Tell whether the last read was answered."""
+        return self.answered_since_ms is not None
+
+    def _note_answer(self, answered):
+        if not answered:
+            self.answered_since_ms = None
+        elif self.answered_since_ms is None:
+            self.answered_since_ms = steady_ms()
+
     def _take(self, records):
         for record in records:
             if record.key != KEY or not record.value:
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -21,6 +21,7 @@
 from .operators_server import OperatorsServer
 from .owned_cells import OwnedCells
 from .owner_directory import OwnerDirectory
+from .owner_first import OwnerFirst
 from .peer_desk import PeerDesk
 from .readiness import Readiness
 from .settings_watch import SettingsWatch
@@ -129,6 +130,7 @@
             settings=self.settings,
             life=self._life,
             on_change=self.owned_cells.update,
+            has_to_wait=OwnerFirst(daemon=self).waits,
         )
         self.directory = OwnerDirectory(
             store=self.store,
@@ -175,6 +177,11 @@
         """Tell whether this instance's reads of the store are answered."""
         return self._configuration_watch.is_answered
 
+    @property
+    def store_answers_since_ms(self):
+        """Return since when each read of the store was answered, None if not."""
+        return self._configuration_watch.answered_since_ms
+
     # Life --------------------------------------------------------------------
 
     @handler("started", channel="*")
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -20,6 +20,8 @@
 # A join is answered in 5 to 7 ms; one without an answer by now is sent once more, so
 # that several lost answers in a row do not end the membership.
 HEDGE_MS = 90.0
+# An instance that lets another one join first looks this often whether it has.
+WAITING_MS = 40.0
 # Without an answered join for this long, the store counts as lost to this instance: a
 # join that is due (280 ms) and two hedges of it, the second with 40 ms to spare.
 STORE_LOST_MS = 500.0
@@ -48,7 +50,7 @@
     clock, so it never outlasts what the store grants.
     """
 
-    def __init__(self, *, store, timers, settings, life, on_change):
+    def __init__(self, *, store, timers, settings, life, on_change, has_to_wait):
         peer = settings.peer
         self.member_id = f"{settings.instance}|{peer.host}|{peer.port}|{life}"
         self.ttl_ms = float(settings.store.shortest_membership_ms)
@@ -66,6 +68,7 @@
         self._join_timer = 0
         self._store = store
         self._timers = timers
+        self._has_to_wait = has_to_wait
         self._news = OwedNews(listener=on_change)
         self._left = False
         self._answering = True
@@ -109,6 +112,9 @@
         self._join_timer = 0
         if self._left:
             return
+        if self.store_lost and self._has_to_wait():
+            self._join_after(WAITING_MS)
+            return
         sent_ms = steady_ms()
         self._asked_ms = sent_ms
         self._timers.after(HEDGE_MS, lambda: self._hedge(sent_ms))
--- a/packages/thymefork-daemon/src/thymefork_daemon/readiness.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/readiness.py
@@ -30,12 +30,18 @@
         if daemon.settings.orders_by_heartbeat:
             return False
         cells = range(daemon.layout.cells)
-        if not all(self._hears_owner(cell) for cell in cells):
+        if not self.hears_owners:
             self._unheard_since_ms = self._unheard_since_ms or steady_ms()
             return False
         self._unheard_since_ms = 0.0
         return all(self._owner_has_store(cell) for cell in cells)
 
+    @property
+    def hears_owners(self):
+        """Tell whether each cell's owner is here or was heard lately."""
+        cells = range(self._daemon.layout.cells)
+        return all(self._hears_owner(cell) for cell in cells)
+
     @property
     def is_cut_off(self):
         """Tell whether the others can serve what this instance, alone, can't.
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -24,7 +24,7 @@
 
 @pytest.fixture
 def make(store, timers):
-    def make(on_change=lambda: None):
+    def make(on_change=lambda: None, has_to_wait=lambda: False):
         settings = SimpleNamespace(
             instance="edge-1",
             peer=PEER,
@@ -36,6 +36,7 @@
             settings=settings,
             life="1",
             on_change=on_change,
+            has_to_wait=has_to_wait,
         )
 
     return make
@@ -233,6 +234,23 @@
     assert membership.is_well
 
 
+def test_a_member_lets_the_owner_join_first_after_an_outage(make, store, timers):
+    """From cab-bogota-large, scale-2: the next owner had 255 workers not listed yet."""
+    waits = [True]
+    membership = make(has_to_wait=lambda: bool(waits))
+    membership.start()
+    deal(store, 1)
+    joins = answer_joins(store, timers, len(store.joins) - 1, 500)
+    timers.run(600)
+    assert membership.store_lost
+    joins = len(store.joins)
+    timers.run(3_000)
+    assert len(store.joins) == joins
+    waits.clear()
+    timers.run(50)
+    assert len(store.joins) == joins + 1
+
+
 def test_a_slow_store_makes_nobody_judge_others(make, store, timers):
     membership = make()
     membership.start()
