Ask about other workers for tasks that can't use the tickets held

(2) A task that failed was given back to the same worker where its step held no other ticket (found by a test).

Both tests fail on the code before.

--- a/packages/thymefork-cells/src/thymefork_cells/advice_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_choice.py
@@ -6,7 +6,7 @@
 
 from .worker_choice import copies_in
 
-__all__ = ["AllowedShares", "choose_workers", "has_tickets_to_wait", "usable_room"]
+__all__ = ["AllowedShares", "choose_workers", "has_tickets_to_wait"]
 
 # Until a queue's policy was seen at work, it is taken to allow half of the workers.
 FIRST_SHARE = 0.5
@@ -22,6 +22,10 @@
 # By the service's own figures a call costs as much as about seventy workers, so asking
 # about fewer than these saves little.
 FEWEST_WORKERS = 8
+# A step whose tasks have waited this long asks about twice as many, and so on: the time
+# of a call about a few workers in the slowest queues. What a few tickets can't be used
+# for is not known in full, and a task must not wait beside idle workers.
+WIDER_AFTER_MS = 500.0
 
 
 class AllowedShares:
@@ -42,11 +46,6 @@
         self._shares[queue_name] = known + WEIGHT_OF_NEWEST * (allowed / asked - known)
 
 
-def usable_room(spec, workers):
-    """Return how many tasks of a step some workers have room for."""
-    return sum(copies_in(worker, spec) for worker in workers)
-
-
 def has_tickets_to_wait(held, wanted):
     """Tell whether a step holds tickets for workers enough to wait there for room.
 
@@ -55,15 +54,16 @@
     return len(held) >= MARGIN * wanted
 
 
-def choose_workers(step, with_room, others, wanted, *, share, most):
+def choose_workers(step, with_room, others, wanted, *, share, waited_ms, most):
     """Return workers with room for the wanted tasks by the share that is allowed.
 
     The service takes longer for each worker that it is asked about. Those with room
     come first, from the hall with the most of it, and within a hall in an order that
     differs from step to step, so that steps which ask at the same time spread over all
-    workers. After an answer that allowed none, the next call asks about twice as many.
+    workers. After an answer that allowed none, and as the step waits, a call asks about
+    twice as many as the one before.
     """
-    wider = 2**step.denials_in_row
+    wider = 2 ** max(step.denials_in_row, int(waited_ms / WIDER_AFTER_MS))
     target = MARGIN * wider * wanted / share
     fewest = FEWEST_WORKERS * wider
     chosen, covered = [], 0
--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -1,11 +1,6 @@
 """When to ask the advice service about a step, and about which workers."""
 
-from .advice_choice import (
-    AllowedShares,
-    choose_workers,
-    has_tickets_to_wait,
-    usable_room,
-)
+from .advice_choice import AllowedShares, choose_workers, has_tickets_to_wait
 from .effects import AskAdvice
 from .state import Ticket
 
@@ -116,30 +111,55 @@
             step.denied.clear()
 
     def _candidates(self, step, workers, wanted, now_ms, permits):
-        """Return the workers to ask about: none while tickets have room enough."""
+        """Return the workers to ask about, none while tickets are enough.
+
+        Of a step whose turn has come, what still waits could not be placed by the
+        tickets that it holds, whatever room their workers have.
+        """
         held = self.with_ticket(step, workers, now_ms)
-        if not step.ready:
-            if held:
-                return []
-        else:
-            free = [worker for worker in held if permits(step, worker, now_ms)]
-            wanted -= usable_room(step.spec, free)
-            if wanted <= 0:
-                return []
+        if held and not step.ready:
+            return []
         known = step.denied | {worker.worker_id for worker in held}
+        is_of_use = self._judge_of_use(step)
         with_room, others = [], []
         for worker_id, worker in workers.items():
             if worker_id in known:
                 continue
             has_room = worker.has_room(step.spec) and permits(step, worker, now_ms)
-            (with_room if has_room else others).append(worker)
+            (with_room if has_room and is_of_use(worker) else others).append(worker)
         if step.ready and not with_room and has_tickets_to_wait(held, wanted):
             return self._to_renew(step, workers, now_ms)
-        share = self._shares.of(step.job.queue_name)
         return choose_workers(
-            step, with_room, others, wanted, share=share, most=MOST_WORKERS
+            step,
+            with_room,
+            others,
+            wanted,
+            share=self._shares.of(step.job.queue_name),
+            waited_ms=step.longest_wait_ms(now_ms),
+            most=MOST_WORKERS,
         )
 
+    @staticmethod
+    def _judge_of_use(step):
+        """Return what tells whether a task that waits may go to a worker with room."""
+        counts = step.per_worker() if step.spec.most_per_worker else {}
+        avoided = [task.avoided for task in step.waiting]
+        avoided_by_all = set.intersection(*avoided) if avoided else set()
+
+        def is_of_use(worker):
+            worker_id = worker.worker_id
+            if counts and counts.get(worker_id, 0) >= step.spec.most_per_worker:
+                return False
+            return worker_id not in avoided_by_all
+
+        return is_of_use
+
+    def may_find_others(self, step, workers):
+        """Tell whether there are workers that a step was not asked about yet."""
+        if self.policy(step) is None:
+            return False
+        return not step.denied | step.tickets.keys() >= workers.keys()
+
     def _to_renew(self, step, workers, now_ms):
         """Return the allowed workers, if too few of their tickets are about to last.
 
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -141,7 +141,11 @@
         usable = [worker for worker in permitted if worker.has_room(step.spec)]
         hall = best_hall(step.spec, usable, len(waiting))
         ranking = WorkerRanking(
-            spec=step.spec, workers=usable, hall=hall, counts=counts
+            spec=step.spec,
+            workers=usable,
+            hall=hall,
+            counts=counts,
+            may_find_others=self._advice.may_find_others(step, workers),
         )
         chosen = []
         for task in waiting:
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -59,6 +59,13 @@
             self._waiting = [task for task in self.tasks if task.is_waiting]
         return self._waiting
 
+    def longest_wait_ms(self, now_ms):
+        """Return for how long a task has waited since its turn or its last run."""
+        if not self.ready:
+            return 0.0
+        since_ms = [max(self.ready_ms, task.lost_ms) for task in self.waiting]
+        return now_ms - min(since_ms, default=now_ms)
+
     def touch(self):
         """Note that a task was started, lost a run or ended."""
         self._waiting = None
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
@@ -89,10 +89,12 @@
     return job.steps[0]
 
 
-def choose(step, workers, wanted, **fields):
+def choose(step, workers, wanted, waited_ms=0.0, **fields):
     with_room = [worker for worker in workers if worker.has_room(step.spec)]
     others = [worker for worker in workers if not worker.has_room(step.spec)]
-    return choose_workers(step, with_room, others, wanted, **fields)
+    return choose_workers(
+        step, with_room, others, wanted, waited_ms=waited_ms, **fields
+    )
 
 
 def test_a_step_asks_about_the_hall_with_the_most_room_first():
@@ -183,3 +185,69 @@
     harness.run(1_000)
     started = [harness.starts_of(f"00000000000000aa.0.0.{n}") for n in range(12)]
     assert sum(bool(starts) for starts in started) == 12
+
+
+def start_lasting(harness):
+    """Run four lasting tasks, one a worker; let a new owner go on with them."""
+    step = {"count": 4, "cpu_milli": 2_000, "most_per_worker": 1, "long_running": True}
+    harness.submit("00000000000000aa", job_spec(step))
+    harness.run(1_500)
+    harness.take_over()
+    harness.run(500)
+    return {
+        key[0]: worker for worker in harness.workers.values() for key in worker.running
+    }
+
+
+def test_a_task_finds_another_worker_beside_tickets_it_cannot_use(make_harness):
+    """From cab-bogota-large, scale-2: a lasting task waited 4.5 s beside idle workers.
+
+    The one worker in eight that was allowed ran another task of the step, which keeps
+    to one a worker; its ticket counted as room until it lapsed.
+    """
+    harness = make_harness(workers=60, cpu_milli=16_000, advice=POLICY)
+    for worker in harness.workers.values():
+        worker.work_ms = 60_000.0
+    running = start_lasting(harness)
+    assert len(running) == 4
+    asked_before = len(harness.asked)
+    at_work = {worker.worker_id for worker in running.values()}
+
+    def allowed(step, worker_id):
+        first = harness.asked[asked_before][1]
+        return worker_id in at_work or worker_id not in first
+
+    harness.allowed = allowed
+    (task, worker), *_ = running.items()
+    at_work.discard(worker.worker_id)
+    ((key),) = [key for key in worker.running if key[0] == task]
+    began_ms = harness.now
+    worker._end(key, "failed")
+    harness.run(1_500)
+    starts = [at_ms for _, _, at_ms in harness.starts_of(task) if at_ms > began_ms]
+    assert starts and starts[0] - began_ms < 1_300
+
+
+def test_a_failed_task_is_not_given_back_while_others_may_be_asked(make_harness):
+    """With few tickets the one worker left was the one that had failed the task."""
+    harness = make_harness(workers=60, cpu_milli=4_000, advice=POLICY, max_attempts=2)
+    harness.submit("00000000000000aa", job_spec(STEP | {"count": 1}))
+    harness.run(10)
+    (_, first), *_ = harness.asked
+    bad = first[0]
+    harness.workers[bad].fails_all = True
+    harness.allowed = lambda step, worker_id: worker_id == bad or worker_id not in first
+    harness.run(3_000)
+    starts = sorted(harness.starts_of("00000000000000aa.0.0.0"), key=lambda row: row[1])
+    assert [worker_id == bad for worker_id, _, _ in starts] == [True, False]
+
+
+def test_a_step_that_waits_on_asks_about_more_workers_each_time():
+    """A policy that allows few, and none that helps, must not take a call for each."""
+    workers = workers_of(*[16_000] * 270)
+    step = step_of()
+    asked = [
+        len(choose(step, workers, 1, share=0.7, most=100, waited_ms=waited_ms))
+        for waited_ms in (0.0, 600.0, 1_100.0, 1_600.0, 2_600.0)
+    ]
+    assert asked[0] == 8 and asked == sorted(asked) and asked[-1] == 100
--- a/packages/thymefork-cells/src/thymefork_cells/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_choice.py
@@ -38,13 +38,16 @@
 class WorkerRanking:
     """Rank workers for the tasks of one step, the best one first.
 
+    A worker that a task avoids is taken for want of others only, here or, as
+    `may_find_others` tells, among those that the policy was not asked about yet.
     Each worker is rated once, and once more after it was given a task. Rated for each
     task, a start of a step of six among 640 workers cost the owner 0.45 to 0.53 ms of
     processor instead of 0.23 to 0.33 (cell alone, on virtual time).
     """
 
-    def __init__(self, *, spec, workers, hall, counts):
+    def __init__(self, *, spec, workers, hall, counts, may_find_others=False):
         self._spec = spec
+        self._may_find_others = may_find_others
         self._hall = hall
         self._counts = counts
         self._size = len(workers)
@@ -96,7 +99,8 @@
         return self._counts.get(worker.worker_id, 0) < self._spec.most_per_worker
 
     def _takes_task(self, worker, task):
-        if worker.worker_id in task.avoided and self._size > len(task.avoided):
+        others = self._may_find_others or self._size > len(task.avoided)
+        if worker.worker_id in task.avoided and others:
             return False
         return not any(run.worker is worker for run in task.runs)
 
