--- a/packages/thymefork-net/src/thymefork_net/tests/conftest.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/conftest.py
@@ -1,9 +1,13 @@
 """An event loop that a test drives by hand."""
 
+import socket
+
 import pytest
 from circuits import BaseComponent
 
-from thymefork_net import Sockets, SteadyTimers, steady_ms
+from thymefork_net import Address, Sockets, SteadyTimers, steady_ms
+
+HOST = "127.0.0.1"
 
 
 class Loop(BaseComponent):
@@ -29,3 +33,14 @@
     yield loop
     for owner in list(loop.sockets._owners):
         loop.sockets.remove(owner)
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind((HOST, 0))
+        return probe.getsockname()[1]
+
+
+@pytest.fixture
+def address():
+    return Address(host=HOST, port=free_port())
