Ask the store before taking out an owner that lost it

Change: a member judges an owner's loss of the store only once a join of its own, sent after the owner said so, was answered; it sends one at once. Tests: the beginning of an outage (fails on the code before), an owner that is alone, a loss that was over.

--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -47,7 +47,8 @@
     """Stay in the group; tell which cells are dealt to this instance.
 
     Validity is counted from the moment an answered join was sent, on the steady
-    clock, so it never outlasts what the store grants.
+    clock, so it never outlasts what the store grants; `renewed_ms` is the latest such
+    moment, 0 before the first.
     """
 
     def __init__(self, *, store, timers, settings, life, on_change, has_to_wait):
@@ -60,7 +61,7 @@
         self._asked_ms = 0.0
         self._answered_ms = 0.0
         self._joined_ms = 0.0
-        self._renewed_ms = 0.0
+        self.renewed_ms = 0.0
         self._regained_ms = 0.0
         self._round_trip_ms = 0.0
         self._refused = {}
@@ -80,7 +81,7 @@
     @property
     def in_group(self):
         """Tell whether this instance has joined and may be dealt cells."""
-        return self._renewed_ms > 0 and not self._left
+        return self.renewed_ms > 0 and not self._left
 
     @property
     def store_lost(self):
@@ -88,7 +89,7 @@
         patience_ms = (
             STORE_LOST_MS + 2 * self._round_trip_ms
         )  # a slow store is not lost
-        return self.in_group and steady_ms() - self._renewed_ms > patience_ms
+        return self.in_group and steady_ms() - self.renewed_ms > patience_ms
 
     @property
     def is_well(self):
@@ -148,7 +149,7 @@
         self._note(answering=True)
         if self.store_lost:
             self._regained_ms = steady_ms()
-        self._renewed_ms = max(self._renewed_ms, sent_ms)
+        self.renewed_ms = max(self.renewed_ms, sent_ms)
         self._round_trip_ms = steady_ms() - sent_ms
         next_ms = max(1.0, sent_ms + self._period_ms() - steady_ms())
         self.valid_until_ms = max(self.valid_until_ms, sent_ms + self.ttl_ms)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_watch.py
@@ -32,12 +32,29 @@
     def __init__(self, *, daemon):
         self._daemon = daemon
         self._not_before_ms = {}
+        self._lost_since_ms = {}
         daemon.timers.every(CHECK_MS, self._check)
 
     def on_heartbeat(self, link, message):
-        """Take out an owner that says that it has lost the store."""
-        if message.store_lost and message.owned and link.listener_address is not None:
-            self._take_out(link.listener_address, "lost the store")
+        """Take out an owner that says that it has lost the store, if it is alone.
+
+        Only a join that was sent after the owner said so, and answered, tells that this
+        instance has not lost the store as well. Without it, members took their owner
+        out at the beginning of an outage for all; the store did that on its return, and
+        what the owner had heard in the outage was lost with its cell.
+        """
+        address = link.listener_address
+        if address is None:
+            return
+        if not message.store_lost or not message.owned:
+            self._lost_since_ms.pop(address, None)
+            return
+        lost_since_ms = self._lost_since_ms.setdefault(address, steady_ms())
+        membership = self._daemon.membership
+        if membership.renewed_ms > lost_since_ms:
+            self._take_out(address, "lost the store")
+        elif membership.in_group:
+            membership.hurry()
 
     def _check(self):
         daemon = self._daemon
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -31,7 +31,12 @@
             is_silent=lambda address, ms: timers.now_ms - heard_ms[address] >= ms,
             heard_share=lambda ms: daemon.share,
         ),
-        membership=SimpleNamespace(is_well=True, hurry=lambda: hurried.append(1)),
+        membership=SimpleNamespace(
+            is_well=True,
+            in_group=True,
+            renewed_ms=timers.now_ms + 1,
+            hurry=lambda: hurried.append(1),
+        ),
         hurried=hurried,
         is_stopping=False,
         timers=timers,
@@ -83,6 +88,54 @@
     assert daemon.removed == ([OWNER] if lost and owns else [])
 
 
+def beat(daemon, *, store_lost):
+    message = Heartbeat(
+        owned=[OwnedCell(cell=0, epoch=1)],
+        config_version=1,
+        leaving=False,
+        in_group=True,
+        store_lost=store_lost,
+    )
+    daemon.watch.on_heartbeat(SimpleNamespace(listener_address=OWNER), message)
+
+
+def test_an_owner_is_not_taken_out_at_the_beginning_of_an_outage_for_all(
+    daemon, timers
+):
+    """From cab-bogota-large, scale-2: LOST, since the ends heard meanwhile were lost.
+
+    The owner notices first; the others' last joins were answered just before.
+    """
+    daemon.membership.renewed_ms = timers.now_ms - 200
+    for _ in range(5):
+        beat(daemon, store_lost=True)
+        daemon.heard_ms[OWNER] = timers.now_ms
+        timers.run(100)
+    assert not daemon.removed
+    assert daemon.hurried  # each asks the store by a join of its own
+
+
+def test_an_owner_that_lost_the_store_alone_is_taken_out_after_one_join(daemon, timers):
+    daemon.membership.renewed_ms = timers.now_ms - 200
+    beat(daemon, store_lost=True)
+    timers.run(20)
+    daemon.membership.renewed_ms = timers.now_ms
+    timers.run(80)
+    beat(daemon, store_lost=True)
+    assert daemon.removed == [OWNER]
+
+
+def test_an_owner_that_lost_the_store_for_a_moment_is_asked_about_anew(daemon, timers):
+    daemon.membership.renewed_ms = timers.now_ms - 200
+    beat(daemon, store_lost=True)
+    timers.run(100)
+    daemon.membership.renewed_ms = timers.now_ms
+    beat(daemon, store_lost=False)
+    timers.run(100)
+    beat(daemon, store_lost=True)
+    assert not daemon.removed
+
+
 def test_a_members_link_that_breaks_under_a_beat_stops_no_other(timers):
     class BreakingLink:
         def __init__(self):
