--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -24,6 +24,7 @@
 from .roster import Roster
 from .state import RunState
 from .watch import Watch
+from .worker_losses import WorkerLosses
 
 __all__ = ["Cell"]
 
@@ -54,7 +55,10 @@
         self.images = ImageTimes()
         self.lifecycle = Lifecycle(context=self.context)
         self.looks = Looks(context=self.context, lifecycle=self.lifecycle)
-        self.roster = Roster(context=self.context, lifecycle=self.lifecycle)
+        self.losses = WorkerLosses(context=self.context)
+        self.roster = Roster(
+            context=self.context, lifecycle=self.lifecycle, losses=self.losses
+        )
         self.intake = Intake(context=self.context, lifecycle=self.lifecycle)
         forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(context=self.context, images=self.images)
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -193,6 +193,7 @@
             return
         worker.looking = False
         worker.misses_in_row += 1
+        worker.missed_ms = worker.missed_ms or now_ms
         again_ms = min(LOOK_AGAIN_MOST_MS, LOOK_AGAIN_MS * worker.misses_in_row)
         worker.look_due_ms = now_ms + again_ms
         self.doubt_hall(worker, now_ms)
@@ -217,6 +218,7 @@
             asked_ms = worker.look_sent_ms
         worker.asked_ms = max(worker.asked_ms, asked_ms)
         worker.misses_in_row = 0
+        worker.missed_ms = 0.0
         worker.last_answer_ms = now_ms
         worker.told_end = max(worker.told_end, last_end)
         self._set_clock(worker, report.clock_ms, now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -147,17 +147,18 @@
             counts=counts,
             may_find_others=self._advice.may_find_others(step, workers),
         )
-        chosen = []
+        chosen, copies = [], 0
         for task in waiting:
             worker = ranking.best_for(task)
             if worker is None and not task.avoided:
                 break
             if worker is None:
                 continue
+            copies += bool(task.runs)
             self._intend(task, worker, task.run_count + 1)
             chosen.append(worker)
             ranking.on_given()
-        self._note_starts(step, chosen, len(waiting), now_ms)
+        self._note_starts(step, chosen, len(waiting), copies, now_ms)
         if len(chosen) < len(waiting):
             missing = len(waiting) - len(chosen)
             if self._preemptor.make_room(step, permitted, missing, now_ms):
@@ -172,7 +173,7 @@
             and self._reservations.permits(step, worker, now_ms)
         ]
 
-    def _note_starts(self, step, chosen, wanted, now_ms):
+    def _note_starts(self, step, chosen, wanted, copies, now_ms):
         """Log one line for all tasks of a step that start together."""
         if not chosen:
             return
@@ -183,6 +184,7 @@
             job=step.job.job_id,
             step=step.name,
             tasks=len(chosen),
+            copies=copies,
             left=wanted - len(chosen),
             workers=len({worker.worker_id for worker in chosen}),
             waited_ms=round(waited_ms),
@@ -199,7 +201,7 @@
             return
         for task, worker in zip(step.tasks, chosen, strict=True):
             self._intend(task, worker, run_id)
-        self._note_starts(step, chosen, len(chosen), now_ms)
+        self._note_starts(step, chosen, len(chosen), 0, now_ms)
 
     def _gang_on_one_rack(self, step, workers):
         if not step.spec.same_rack:
--- a/packages/thymefork-cells/src/thymefork_cells/roster.py
+++ b/packages/thymefork-cells/src/thymefork_cells/roster.py
@@ -14,9 +14,10 @@
 class Roster:
     """Keep the workers of the cell."""
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, losses):
         self._context = context
         self._lifecycle = lifecycle
+        self._losses = losses
 
     def ghost(self, worker_id):
         """Return the worker of that id, or a stand-in without room for it."""
@@ -54,6 +55,7 @@
         for worker in list(self._context.workers.values()):
             if worker.worker_id not in mine and worker.is_listed:
                 worker.is_listed = False
+                worker.unlisted_ms = now_ms
                 worker.last_answer_ms = worker.last_answer_ms or now_ms
                 self._context.note("worker_unlisted", worker=worker.worker_id)
         for entry in mine.values():
@@ -96,14 +98,15 @@
 
     def end_life(self, worker, reason, *, now_ms):
         """Release everything of a worker whose life is over for certain."""
-        runs = list(worker.runs.values())
+        runs = _sent_runs(worker)
         self._context.note(
             "worker_gone", worker=worker.worker_id, reason=reason, runs=len(runs)
         )
+        if runs:
+            self._losses.note(worker, runs, "life_over", now_ms=now_ms)
         for run in runs:
-            if run.state is not RunState.INTENDED:
-                self._context.count("run_ends", "worker_gone")
-                self._lifecycle.release(run, now_ms=now_ms)
+            self._context.count("run_ends", "worker_gone")
+            self._lifecycle.release(run, now_ms=now_ms)
         if not worker.runs:
             self._context.workers.pop(worker.worker_id, None)
         worker.is_listed = False
@@ -120,9 +123,10 @@
                 self._context.workers.pop(worker.worker_id, None)
 
     def _expire_runs(self, worker, now_ms):
-        runs = [run for run in worker.runs.values() if run.state != RunState.INTENDED]
+        runs = _sent_runs(worker)
         if not runs:
             return
+        self._losses.note(worker, runs, "lease_over", now_ms=now_ms)
         self._context.note(
             "leases_expired",
             worker=worker.worker_id,
@@ -134,3 +138,8 @@
             run.task.given_up.add(run.run_id)
             self._lifecycle.release(run, now_ms=now_ms)
         worker.is_known = False
+
+
+def _sent_runs(worker):
+    """Return the runs that may have been on a worker: their starts have left."""
+    return [run for run in worker.runs.values() if run.state != RunState.INTENDED]
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -19,8 +19,10 @@
     to run, `inherited_until_ms` what its predecessor had. `is_known` turns true once
     the worker has listed what runs on it under the present owner's fence; before that,
     nothing is placed on it. `asked_ms` is when the latest answered look was sent: the
-    answer may be read much later, by a process that was paused. `stopped` holds the
-    runs whose stop was answered and whose end is still to be seen.
+    answer may be read much later, by a process that was paused. `missed_ms` is when the
+    first of the last looks without an answer was given up, 0 if the last was answered;
+    `unlisted_ms` is when the platform's list had it no more. `stopped` holds the runs
+    whose stop was answered and whose end is still to be seen.
     """
 
     entry: object
@@ -43,6 +45,8 @@
     quick_look_sent_ms: float = 0.0
     stop_answered_ms: float = 0.0
     misses_in_row: int = 0
+    missed_ms: float = 0.0
+    unlisted_ms: float = 0.0
     doubted_ms: float = 0.0
     slow_until_ms: float = 0.0
     look_due_ms: float = 0.0
@@ -99,6 +103,16 @@
             and step.accelerators <= self.entry.accelerators
         )
 
+    @property
+    def is_leaving(self):
+        """Tell whether its end is planned: it says so, or answered while unlisted.
+
+        The entry of a worker that crashes goes only after it has fallen silent.
+        """
+        if self.entry.draining:
+            return True
+        return not self.is_listed and self.last_answer_ms > self.unlisted_ms
+
     def heard_ms_ago(self, now_ms):
         """Return how long ago it last answered; None if it never did."""
         return round(now_ms - self.last_answer_ms) if self.last_answer_ms else None
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -3,6 +3,7 @@
 from collections import Counter
 
 import simpy
+from attrs import evolve, frozen
 
 from thymefork_cells import (
     Cell,
@@ -29,6 +30,8 @@
 APPEND_MS = 10.0
 SILENCE_MS = 300.0
 EPOCH_MS = 1_700_000_000_000.0
+# The entry of a worker that has crashed goes after three heartbeats of silence.
+LAPSE_MS = 1_500.0
 
 
 def job_spec(*steps, payload="p", **fields):
@@ -38,6 +41,15 @@
     )
 
 
+@frozen(kw_only=True)
+class Crash:
+    """Hold a crash of a worker and the tasks that it ran."""
+
+    at_ms: float
+    worker_id: str
+    tasks: frozenset
+
+
 class Harness:
     """Carry out a cell's effects.
 
@@ -46,6 +58,9 @@
     `blur` decides which starts get an answer without the worker's clock.
     `late_ms` tells how much later an order without an answer is carried out, or 0.
     An order to a worker whose address is not known goes nowhere, as in the daemon.
+    `crashes_after_ms` tells of a task how long after its start it crashes its worker,
+    None if it does not; the machine is back as another worker after `back_after_ms`,
+    and `crashes` lists what happened.
     """
 
     def __init__(
@@ -106,6 +121,9 @@
         self.drop = lambda effect: False
         self.blur = lambda effect: False
         self.late_ms = lambda effect: 0.0
+        self.crashes_after_ms = lambda task: None
+        self.back_after_ms = 2_800.0
+        self.crashes = []
         self.replies = {}
         self.notes = []
         self.counts = Counter()
@@ -245,7 +263,10 @@
         worker = self.workers[run.worker.worker_id]
         deadline_ms = run.worker.clock_ms(self.now) + LEASE_MS
         start = (run.task.name, run.run_id, self.epoch_of(cell), deadline_ms)
-        if self._comes_late(effect, worker, worker.start, start):
+        if worker.is_replaced:
+            yield self.env.timeout(ORDER_MS)
+            answer = OrderAnswer(refusal=Refusal.OTHER_LIFE)
+        elif self._comes_late(effect, worker, self._carry_out_start, start):
             yield self.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         elif worker.cut or self.lose(effect):
@@ -253,7 +274,7 @@
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
             yield self.env.timeout(ORDER_MS)
-            answer = worker.start(*start, self.now)
+            answer = self._carry_out_start(worker, *start, self.now)
             if self.blur(effect):
                 answer = OrderAnswer(refusal=answer.refusal)
             if self.mute(effect):
@@ -262,6 +283,57 @@
         if self._current(cell):
             cell.on_start(run, answer, now_ms=self.now)
 
+    def _carry_out_start(self, worker, task, *order):
+        """Start a run; its task may crash the worker."""
+        answer = worker.start(task, *order)
+        after_ms = self.crashes_after_ms(task)
+        if answer.refusal is Refusal.NONE and after_ms is not None:
+            self.env.process(self._crash_by(task, worker, after_ms))
+        return answer
+
+    def _crash_by(self, task, worker, after_ms):
+        yield self.env.timeout(after_ms)
+        worker.advance(self.now)
+        if any(name == task for name, _ in worker.running):
+            self.crash(worker)
+
+    def crash(self, worker):
+        """End a worker's life; its machine comes back as another worker."""
+        worker.advance(self.now)
+        tasks = frozenset(name for name, _ in worker.running)
+        self.crashes.append(
+            Crash(at_ms=self.now, worker_id=worker.worker_id, tasks=tasks)
+        )
+        worker.running.clear()
+        worker.cut = True
+        self.env.process(self._come_back(worker))
+
+    def _come_back(self, worker):
+        lapse_ms = min(LAPSE_MS, self.back_after_ms)
+        yield self.env.timeout(lapse_ms)
+        entry = next(one for one in self.entries if one.worker_id == worker.worker_id)
+        self._list([one for one in self.entries if one is not entry])
+        yield self.env.timeout(self.back_after_ms - lapse_ms)
+        worker.is_replaced = True
+        new_id = f"{worker.worker_id}+"
+        self.workers[new_id] = VirtualWorker(
+            worker_id=new_id, work_ms=worker.work_ms, clock_ahead_ms=1_000.0
+        )
+        self._list([*self.entries, evolve(entry, worker_id=new_id)])
+
+    def _list(self, entries):
+        """Change the platform's list; the owner reads it unless the store is away."""
+        self.entries = entries
+        if not self.dead and not self.store_down:
+            self.cell.roster.update(entries, now_ms=self.now)
+
+    def starts_after_crashes(self, task, count):
+        """Return the starts of a task after so many workers crashed under it."""
+        crashed_ms = [crash.at_ms for crash in self.crashes if task in crash.tasks]
+        if len(crashed_ms) < count:
+            return []
+        return [row for row in self.starts_of(task) if row[2] > crashed_ms[count - 1]]
+
     def epoch_of(self, cell):
         return cell.context.epoch
 
@@ -275,14 +347,21 @@
     def _carry_out(self, late_ms, worker, order, arguments):
         yield self.env.timeout(late_ms)
         if not worker.cut:
-            order(*arguments, self.now)
+            order(worker, *arguments, self.now)
+
+    @staticmethod
+    def _carry_out_stop(worker, *order):
+        return worker.stop(*order)
 
     def _stop(self, cell, effect):
         run = effect.run
         worker = self.workers[run.worker.worker_id]
         stop = (*run.key, self.epoch_of(cell))
-        late = self._comes_late(effect, worker, worker.stop, stop)
-        if late or worker.cut or self.lose(effect):
+        late = self._comes_late(effect, worker, self._carry_out_stop, stop)
+        if worker.is_replaced:
+            yield self.env.timeout(ORDER_MS)
+            answer = OrderAnswer(refusal=Refusal.OTHER_LIFE)
+        elif late or worker.cut or self.lose(effect):
             yield self.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
@@ -318,6 +397,10 @@
                 break
             yield self.env.timeout(ORDER_MS)
         report = None
+        if worker.is_replaced:
+            if self._current(cell):
+                cell.on_other_life(effect.worker, now_ms=self.now)
+            return
         if not worker.cut:
             # The lease is counted from the sending, however long the answer is held.
             lease_ms = effect.lease_ms and effect.lease_ms - (self.now - sent_ms)
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_losses.py
@@ -0,0 +1,59 @@
+"""What the logs tell of workers that are lost under tasks."""
+
+from thymefork_cells.effects import Outcome
+
+from .harness import job_spec
+
+JOB, BESIDE = "00000000000000aa", "00000000000000bb"
+
+
+def lost_lines(harness):
+    return [note.fields for note in harness.notes if note.event == "runs_lost"]
+
+
+def test_each_job_with_runs_on_a_lost_worker_has_a_line(make_harness):
+    harness = make_harness(workers=2, hall=lambda number: f"hall-{number}")
+    for worker in harness.workers.values():
+        worker.work_ms = 20_000.0
+    harness.submit(JOB, job_spec({"count": 2, "cpu_milli": 2_000}))
+    harness.submit(BESIDE, job_spec({"count": 1, "cpu_milli": 2_000}))
+    harness.run(400)
+    assert harness.replies[JOB].outcome is Outcome.ACCEPTED
+    crashed = next(worker for worker in harness.workers.values() if worker.running)
+    harness.crash(crashed)
+    harness.run(4_000)
+    lines = {line["job"]: line for line in lost_lines(harness)}
+    assert set(lines) == {JOB, BESIDE}
+    assert lines[JOB]["worker"] == crashed.worker_id
+    assert lines[JOB]["runs"] == [f"{JOB}.0.0.0/1", f"{JOB}.0.0.1/1"]
+    assert lines[JOB]["other_jobs"] == 1
+    assert not lines[JOB]["was_leaving"]
+    assert 300 < lines[JOB]["after_ms"] < 1_500
+    assert sum(harness.counts[reason] for reason in ("life_over", "lease_over")) == 1
+
+
+def test_a_worker_that_leaves_is_told_from_one_that_crashes(make_harness):
+    harness = make_harness(workers=2, hall=lambda number: f"hall-{number}")
+    for worker in harness.workers.values():
+        worker.work_ms = 20_000.0
+    harness.submit(JOB, job_spec({"count": 2, "cpu_milli": 2_000}))
+    harness.run(400)
+    leaving = next(worker for worker in harness.workers.values() if worker.running)
+    entries = harness.entries
+    harness.list_workers([row for row in entries if row.worker_id != leaving.worker_id])
+    harness.run(1_000)  # it serves on and answers, though its entry is gone
+    leaving.cut = True
+    harness.run(5_000)
+    assert [line["was_leaving"] for line in lost_lines(harness)] == [True]
+
+
+def test_copies_are_told_from_first_starts(make_harness):
+    harness = make_harness(workers=3, hall=lambda number: f"hall-{number}")
+    for worker in harness.workers.values():
+        worker.work_ms = 20_000.0
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500, "speculative": True}))
+    harness.run(200)
+    next(worker for worker in harness.workers.values() if worker.running).cut = True
+    harness.run(1_500)
+    starts = [note.fields for note in harness.notes if note.event == "tasks_start"]
+    assert [line["copies"] for line in starts][:2] == [0, 1]
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -20,6 +20,8 @@
 class VirtualWorker:
     """Run tasks for `work_ms`; unreachable while `cut` is set.
 
+    Once it `is_replaced`, another life of the worker answers at its address.
+
     With `waits_at_the_end` its tasks stay at 100%, as of a gang with slower members.
     The next `idle_stops` stops are answered and not carried out. Serving tasks have a
     tail of `tail_ms`; `paces` holds each run's share of its speed, 100 at its start.
@@ -29,6 +31,7 @@
     work_ms: float = 800.0
     clock_ahead_ms: float = 5_000.0
     cut: bool = False
+    is_replaced: bool = False
     fails_all: bool = False
     stands_still: bool = False
     waits_at_the_end: bool = False
--- a/packages/thymefork-cli/src/thymefork_cli/explain.py
+++ b/packages/thymefork-cli/src/thymefork_cli/explain.py
@@ -119,6 +119,7 @@
     for event, words in (
         ("run_stands_still", "runs stood still"),
         ("run_moves", "runs moved off a slow worker"),
+        ("runs_lost", "times a worker was lost under it"),
         ("start_refused", "starts were refused"),
     ):
         count = len(lines_with(own, event))
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
@@ -18,6 +18,7 @@
     {
         "run_ended",
         "run_makes_way",
+        "runs_lost",
         "step_waits",
         "tasks_start",
         "worker_listed",
