--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crashing_tasks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crashing_tasks.py
@@ -1,8 +1,8 @@
 """Tasks that crash each worker that starts them.
 
 Seen: on a site of 24 workers some tasks were started over 70 times, each time on
-another worker, which crashed within 10 ms and was back after 3 s; callers' other work
-died or waited with those workers, for the rest of the day and under the next owner, too.
+another worker, which crashed within 10 ms and was back after 3 s. Other work died or
+waited with those workers, for the rest of the day and under the next owner, too.
 
 How it came about: a run whose worker was gone, or whose lease was over, was released
 like one that had never been, so nothing counted what its task had done. Where copies
