--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -23,6 +23,7 @@
 from .room_forecast import RoomForecast
 from .roster import Roster
 from .state import RunState
+from .trials import Trials
 from .watch import Watch
 from .worker_losses import WorkerLosses
 
@@ -54,11 +55,11 @@
         self._review_due_ms = now_ms
         self.images = ImageTimes()
         self.lifecycle = Lifecycle(context=self.context)
-        self.looks = Looks(context=self.context, lifecycle=self.lifecycle)
-        self.losses = WorkerLosses(context=self.context)
-        self.roster = Roster(
+        self.losses = WorkerLosses(context=self.context, lifecycle=self.lifecycle)
+        self.looks = Looks(
             context=self.context, lifecycle=self.lifecycle, losses=self.losses
         )
+        self.roster = Roster(context=self.context, losses=self.losses)
         self.intake = Intake(context=self.context, lifecycle=self.lifecycle)
         forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(context=self.context, images=self.images)
@@ -78,6 +79,7 @@
             reservations=Reservations(
                 context=self.context, images=self.images, forecast=forecast
             ),
+            trials=Trials(),
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
@@ -131,6 +133,7 @@
                 self.lifecycle.stop(run, f"the job is {job.state}", now_ms=now_ms)
         else:
             self.context.live_jobs[job.job_id] = job
+            self.losses.adopt(job)
         self.context.jobs[job.job_id] = job
 
     # Time --------------------------------------------------------------------
@@ -183,6 +186,8 @@
     def on_start(self, run, answer, *, now_ms):
         """Apply the answer to a start."""
         if answer.refusal is Refusal.OTHER_LIFE:
+            # This run never was on the life that is over, so it can't have ended it.
+            self.lifecycle.release(run, now_ms=now_ms)
             self.on_other_life(run.worker, now_ms=now_ms)
             return
         self.orders.on_start(run, answer, now_ms=now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/codec.py
@@ -4,7 +4,7 @@
 import orjson
 
 from .specs import JobSpec, StepSpec
-from .state import Job, JobState, Run, RunState
+from .state import Job, JobState, Loss, Run, RunState
 
 __all__ = [
     "JOB_KEY",
@@ -100,7 +100,8 @@
 
     An ended job keeps its state alone. Otherwise each step that has begun is listed
     with the indices of its finished tasks and, for the others, run and failure
-    counts, the checkpoint, and the runs that may exist with their workers.
+    counts, the checkpoint, the runs that may exist with their workers, and the workers
+    that were lost under the task, if any.
     """
     if job.is_over:
         return orjson.dumps([job.state, []])
@@ -119,8 +120,7 @@
             done.append(task.index)
         if not task.runs and (task.done or not task.run_count):
             continue
-        runs = [[run.run_id, run.worker.worker_id] for run in task.runs]
-        rows.append([task.index, task.run_count, task.failures, task.checkpoint, runs])
+        rows.append(_task_row(task))
     if not done and not rows:
         return None
     if len(done) == len(step.tasks):
@@ -128,6 +128,14 @@
     return [done, rows, step.gang_failures]
 
 
+def _task_row(task):
+    runs = [[run.run_id, run.worker.worker_id] for run in task.runs]
+    row = [task.index, task.run_count, task.failures, task.checkpoint, runs]
+    if task.losses:
+        row.append([attrs.astuple(loss) for loss in task.losses.values()])
+    return row
+
+
 def decode_progress(job, data, worker_of):
     """Bring a job to the stored progress; `worker_of` finds a worker by its id."""
     state, rows = orjson.loads(data)
@@ -140,16 +148,18 @@
         for index in indices:
             step.tasks[index].done = True
         step.left = len(step.tasks) - len(indices)
-        for index, run_count, failures, checkpoint, runs in tasks:
-            _load_task(step.tasks[index], run_count, failures, checkpoint)
-            for run_id, worker_id in runs:
-                _add_recovered(step.tasks[index], run_id, worker_of(worker_id))
-
-
-def _load_task(task, run_count, failures, checkpoint):
-    task.run_count = run_count
-    task.failures = failures
-    task.checkpoint = checkpoint
+        for index, *row in tasks:
+            _load_task(step.tasks[index], row, worker_of)
+
+
+def _load_task(task, row, worker_of):
+    task.run_count, task.failures, task.checkpoint, runs, *more = row
+    for run_id, worker_id in runs:
+        _add_recovered(task, run_id, worker_of(worker_id))
+    for worker_id, after_ms, is_certain in more[0] if more else ():
+        task.losses[worker_id] = Loss(
+            worker_id=worker_id, after_ms=after_ms, is_certain=is_certain
+        )
 
 
 def _add_recovered(task, run_id, worker):
--- a/packages/thymefork-cells/src/thymefork_cells/listings.py
+++ b/packages/thymefork-cells/src/thymefork_cells/listings.py
@@ -14,9 +14,10 @@
 class Listings:
     """Apply what a worker lists to the runs that are counted on it."""
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, losses):
         self._context = context
         self._lifecycle = lifecycle
+        self._losses = losses
 
     def apply_ends(self, worker, report, now_ms):
         """Apply the ends that were not heard before; tell whether there were any."""
@@ -73,6 +74,8 @@
             self._lifecycle.stop_again(run, now_ms=now_ms)
         if row.checkpoint:
             run.task.checkpoint = row.checkpoint
+        if run.task.losses:
+            self._losses.on_listed(run, now_ms)
         if run.first_percent < 0:
             run.first_percent, run.first_listed_ms = row.percent, now_ms
         if row.percent != run.percent:
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -45,9 +45,10 @@
 class Looks:
     """Schedule looks and apply what they bring."""
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, losses):
         self._context = context
-        self._listings = Listings(context=context, lifecycle=lifecycle)
+        self._losses = losses
+        self._listings = Listings(context=context, lifecycle=lifecycle, losses=losses)
         self._changed = {}
         self._scan_due_ms = 0.0
         self._next_due_ms = 0.0
@@ -210,6 +211,7 @@
         self._changed[worker.worker_id] = worker
         if worker.misses_in_row >= MISSES_TO_SUSPECT:
             self._context.note("worker_answers", worker=worker.worker_id)
+        self._losses.on_answer(worker)
         if quick:
             worker.looking_quickly = False
             asked_ms = worker.quick_look_sent_ms
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -1,8 +1,16 @@
 """Which waiting tasks start now, and on which workers."""
 
+from functools import partial
+
 from .effects import StartRun
 from .state import JobState, Run, RunState
-from .worker_choice import WorkerRanking, best_hall, copies_in, fits_labels
+from .worker_choice import (
+    WorkerRanking,
+    best_hall,
+    copies_in,
+    fit_score,
+    fits_labels,
+)
 
 __all__ = ["Placer"]
 
@@ -17,8 +25,9 @@
 class Placer:
     """Give waiting tasks to workers with room, most urgent queue first."""
 
-    def __init__(self, *, context, advice, images, preemptor, reservations):
+    def __init__(self, *, context, advice, images, preemptor, reservations, trials):
         self._context = context
+        self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
         self._images = images
@@ -119,7 +128,7 @@
             task
             for task in step.tasks
             if task.is_waiting
-            or task.wants_copy(lambda run: self._is_behind(run, now_ms))
+            or task.wants_copy(lambda run: self._is_behind(run, now_ms), now_ms)
         ]
 
     def _is_behind(self, run, now_ms):
@@ -136,33 +145,63 @@
             if len(waiting) == len(step.tasks):
                 self._place_gang(step, workers, now_ms)
             return
-        counts = step.per_worker() if step.spec.most_per_worker else None
         permitted = self._permitted(step, workers, now_ms)
-        usable = [worker for worker in permitted if worker.has_room(step.spec)]
-        hall = best_hall(step.spec, usable, len(waiting))
+        suspected = [task for task in waiting if task.suspicion(now_ms)]
+        sound = waiting
+        if suspected:
+            sound = [task for task in waiting if not task.suspicion(now_ms)]
+        starts = self._place_sound(step, sound, workers, permitted, now_ms)
+        missing = len(sound) - len(starts)
+        if suspected:
+            starts += self._place_suspected(step, suspected, permitted, now_ms)
+        self._note_starts(step, starts, len(waiting), now_ms)
+        if missing and self._preemptor.make_room(step, permitted, missing, now_ms):
+            self._reservations.review_soon()  # what is freed is kept for the step
+
+    def _place_sound(self, step, tasks, workers, permitted, now_ms):
+        """Start tasks under which no worker was lost; return each with its worker."""
+        spec = step.spec
+        usable = [worker for worker in permitted if worker.has_room(spec)]
         ranking = WorkerRanking(
-            spec=step.spec,
+            spec=spec,
             workers=usable,
-            hall=hall,
-            counts=counts,
+            hall=best_hall(spec, usable, len(tasks)),
+            counts=step.per_worker() if spec.most_per_worker else None,
+            rate=partial(fit_score, spec),
             may_find_others=self._advice.may_find_others(step, workers),
         )
-        chosen, copies = [], 0
-        for task in waiting:
+        return self._start(tasks, ranking)
+
+    def _place_suspected(self, step, tasks, permitted, now_ms):
+        """Try tasks under which workers were lost; return each with its worker."""
+        ready = [task for task in tasks if self._trials.is_ready(task, now_ms)]
+        if not ready:
+            return []
+        ranking = WorkerRanking(
+            spec=step.spec,
+            workers=self._trials.workers_for(step, ready, permitted, now_ms),
+            hall="",
+            counts=step.per_worker() if step.spec.most_per_worker else None,
+            rate=partial(self._trials.rate, step),
+        )
+        starts = self._start(ready, ranking)
+        for task, worker in starts:
+            self._trials.begin(task, worker, now_ms)
+        return starts
+
+    def _start(self, tasks, ranking):
+        """Intend the tasks on the best workers; return those that found one with it."""
+        starts = []
+        for task in tasks:
             worker = ranking.best_for(task)
             if worker is None and not task.avoided:
                 break
             if worker is None:
                 continue
-            copies += bool(task.runs)
             self._intend(task, worker, task.run_count + 1)
-            chosen.append(worker)
             ranking.on_given()
-        self._note_starts(step, chosen, len(waiting), copies, now_ms)
-        if len(chosen) < len(waiting):
-            missing = len(waiting) - len(chosen)
-            if self._preemptor.make_room(step, permitted, missing, now_ms):
-                self._reservations.review_soon()  # what is freed is kept for the step
+            starts.append((task, worker))
+        return starts
 
     def _permitted(self, step, workers, now_ms):
         """Return the workers that a step has a ticket for and that are not kept."""
@@ -170,12 +209,13 @@
             worker
             for worker in self._advice.with_ticket(step, workers, now_ms)
             if _takes_tasks(worker, now_ms)
+            and worker.admits(step.job, now_ms)
             and self._reservations.permits(step, worker, now_ms)
         ]
 
-    def _note_starts(self, step, chosen, wanted, copies, now_ms):
+    def _note_starts(self, step, starts, wanted, now_ms):
         """Log one line for all tasks of a step that start together."""
-        if not chosen:
+        if not starts:
             return
         waited_ms = now_ms - step.ready_ms
         self._context.observe("queue_wait", waited_ms, kind=step.job.queue_name)
@@ -183,10 +223,11 @@
             "tasks_start",
             job=step.job.job_id,
             step=step.name,
-            tasks=len(chosen),
-            copies=copies,
-            left=wanted - len(chosen),
-            workers=len({worker.worker_id for worker in chosen}),
+            tasks=len(starts),
+            copies=sum(len(task.runs) > 1 for task, _ in starts),
+            suspected=sum(bool(task.losses) for task, _ in starts),
+            left=wanted - len(starts),
+            workers=len({worker.worker_id for _, worker in starts}),
             waited_ms=round(waited_ms),
             configuration=self._context.configuration.version,
         )
@@ -194,14 +235,27 @@
     def _place_gang(self, step, workers, now_ms):
         run_id = max(task.run_count for task in step.tasks) + 1
         permitted = self._permitted(step, workers, now_ms)
+        suspected = [task for task in step.tasks if task.suspicion(now_ms)]
+        if suspected:
+            permitted = self._gang_trial_workers(step, suspected, permitted, now_ms)
         chosen = self._gang_on_one_rack(step, permitted)
         if chosen is None:
             chosen = self._gang_on(step, permitted)
         if chosen is None:
             return
-        for task, worker in zip(step.tasks, chosen, strict=True):
+        starts = list(zip(step.tasks, chosen, strict=True))
+        for task, worker in starts:
             self._intend(task, worker, run_id)
-        self._note_starts(step, chosen, len(chosen), 0, now_ms)
+            if suspected:
+                self._trials.begin(suspected[0], worker, now_ms)
+        self._note_starts(step, starts, len(starts), now_ms)
+
+    def _gang_trial_workers(self, step, suspected, permitted, now_ms):
+        """Return the workers for a gang with suspected tasks, the best ones first."""
+        if not all(self._trials.is_ready(task, now_ms) for task in suspected):
+            return []
+        workers = self._trials.workers_for(step, suspected, permitted, now_ms)
+        return sorted(workers, key=partial(self._trials.rate, step))
 
     def _gang_on_one_rack(self, step, workers):
         if not step.spec.same_rack:
--- a/packages/thymefork-cells/src/thymefork_cells/roster.py
+++ b/packages/thymefork-cells/src/thymefork_cells/roster.py
@@ -3,20 +3,20 @@
 from .hashing import cell_of
 from .looks import MISSES_TO_SUSPECT
 from .specs import WorkerEntry
-from .state import RunState, Worker
+from .state import Worker
 
 __all__ = ["Roster"]
 
-# A worker that is no longer listed and runs nothing is forgotten after this long.
+# A worker that is no longer listed and runs nothing is forgotten this long after it
+# answered or lost its runs: until then its machine may tell that its life is over.
 FORGET_MS = 10_000.0
 
 
 class Roster:
     """Keep the workers of the cell."""
 
-    def __init__(self, *, context, lifecycle, losses):
+    def __init__(self, *, context, losses):
         self._context = context
-        self._lifecycle = lifecycle
         self._losses = losses
 
     def ghost(self, worker_id):
@@ -102,11 +102,10 @@
         self._context.note(
             "worker_gone", worker=worker.worker_id, reason=reason, runs=len(runs)
         )
+        self._losses.on_life_over(worker, now_ms=now_ms)
         if runs:
-            self._losses.note(worker, runs, "life_over", now_ms=now_ms)
-        for run in runs:
-            self._context.count("run_ends", "worker_gone")
-            self._lifecycle.release(run, now_ms=now_ms)
+            self._context.count("run_ends", "worker_gone", len(runs))
+            self._losses.lose(worker, runs, is_certain=True, now_ms=now_ms)
         if not worker.runs:
             self._context.workers.pop(worker.worker_id, None)
         worker.is_listed = False
@@ -119,27 +118,29 @@
             if worker.runs and silent and now_ms > until_ms:
                 self._expire_runs(worker, now_ms)
             unlisted = not worker.is_listed and not worker.runs
-            if unlisted and now_ms > worker.last_answer_ms + FORGET_MS:
+            known_ms = max(worker.last_answer_ms, worker.runs_lost_ms)
+            if unlisted and now_ms > known_ms + FORGET_MS:
                 self._context.workers.pop(worker.worker_id, None)
+                self._losses.forget(worker)
 
     def _expire_runs(self, worker, now_ms):
         runs = _sent_runs(worker)
         if not runs:
             return
-        self._losses.note(worker, runs, "lease_over", now_ms=now_ms)
         self._context.note(
             "leases_expired",
             worker=worker.worker_id,
             runs=len(runs),
             last_answer_ms_ago=round(now_ms - worker.last_answer_ms),
         )
+        self._context.count("run_ends", "lease_expired", len(runs))
         for run in runs:
-            self._context.count("run_ends", "lease_expired")
             run.task.given_up.add(run.run_id)
-            self._lifecycle.release(run, now_ms=now_ms)
+        self._losses.lose(worker, runs, is_certain=False, now_ms=now_ms)
         worker.is_known = False
+        worker.runs_lost_ms = now_ms
 
 
 def _sent_runs(worker):
     """Return the runs that may have been on a worker: their starts have left."""
-    return [run for run in worker.runs.values() if run.state != RunState.INTENDED]
+    return [run for run in worker.runs.values() if run.was_sent]
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -1,20 +1,24 @@
 """What a cell knows of jobs, runs and workers while they live."""
 
 from .job import Job, JobState
+from .loss import Loss
 from .run import Run, RunState
 from .step_state import StepState, Ticket
 from .task import Task
+from .trial import Trial
 from .worker import Worker
 from .worker_health import WorkerHealth
 
 __all__ = [
     "Job",
     "JobState",
+    "Loss",
     "Run",
     "RunState",
     "StepState",
     "Task",
     "Ticket",
+    "Trial",
     "Worker",
     "WorkerHealth",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -64,6 +64,11 @@
         """Return the name that the worker lists it by."""
         return (self.task.name, self.run_id)
 
+    @property
+    def was_sent(self):
+        """Tell whether its start has left, so that its worker may have begun it."""
+        return self.state is not RunState.INTENDED
+
     @property
     def is_doubted(self):
         """Tell whether its start was not answered and the worker has not listed it."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -6,6 +6,8 @@
 
 # More copies than this of one task would waste more than they save.
 MOST_COPIES = 3
+# A task gets no copy once this many workers seem to be lost under it.
+MOST_SUSPICION = 2
 
 
 @define(kw_only=True, eq=False)
@@ -14,7 +16,8 @@
 
     `run_count` is the highest run number used; run numbers only rise. `worked_ms` is
     how long the run took that ended well, 0 if another owner saw its start. `given_up`
-    holds the runs whose leases were thought over before their end was heard.
+    holds the runs whose leases were thought over before their end was heard; `losses`
+    holds the workers that were lost under it, by their ids.
     """
 
     step: object
@@ -30,21 +33,33 @@
     given_up: set = field(factory=set)
     avoided: set = field(factory=set)
     lost_ms: float = 0.0
+    losses: dict = field(factory=dict)
 
     @property
     def is_waiting(self):
         """Tell whether the task has to be started and nothing of it may run."""
         return not self.done and not self.runs
 
-    def wants_copy(self, is_behind):
+    def suspicion(self, now_ms):
+        """Return how many workers were lost under it, or are silent with a run of it.
+
+        A silent one may have been crashed: that is known only once its machine is back,
+        or its leases are over, 3 s later. Counted then alone, a task that may have
+        copies crashed three workers within 90 ms.
+        """
+        silent = sum(run.was_sent and run.worker.is_silent(now_ms) for run in self.runs)
+        return len(self.losses) + silent
+
+    def wants_copy(self, is_behind, now_ms):
         """Tell whether a further run may, and should, go beside those that exist.
 
         `is_behind` tells of a run whether a new one would end sooner; copies are for
-        steps that allow them, where no run is likely to end in time.
+        steps that allow them, where no run is likely to end in time. A task under which
+        two workers seem lost has one run at a time.
         """
         if self.done or not self.runs or not self.step.spec.speculative:
             return False
-        if len(self.runs) >= MOST_COPIES:
+        if len(self.runs) >= MOST_COPIES or self.suspicion(now_ms) >= MOST_SUSPICION:
             return False
         return all(not run.may_serve or is_behind(run) for run in self.runs)
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -21,8 +21,9 @@
     nothing is placed on it. `asked_ms` is when the latest answered look was sent: the
     answer may be read much later, by a process that was paused. `missed_ms` is when the
     first of the last looks without an answer was given up, 0 if the last was answered;
-    `unlisted_ms` is when the platform's list had it no more. `stopped` holds the runs
-    whose stop was answered and whose end is still to be seen.
+    `unlisted_ms` is when the platform's list had it no more, `runs_lost_ms` when its
+    leases were thought over. `stopped` holds the runs whose stop was answered and whose
+    end is still to be seen.
     """
 
     entry: object
@@ -47,6 +48,7 @@
     misses_in_row: int = 0
     missed_ms: float = 0.0
     unlisted_ms: float = 0.0
+    runs_lost_ms: float = 0.0
     doubted_ms: float = 0.0
     slow_until_ms: float = 0.0
     look_due_ms: float = 0.0
@@ -57,6 +59,7 @@
     stored_end: int = 0
     told_end: int = 0
     health: WorkerHealth = field(factory=lambda: WorkerHealth())
+    trial: object = None
 
     def __attrs_post_init__(self):
         """Start with all room free."""
@@ -82,11 +85,24 @@
         if self.runs.pop(run.key, None) is None:
             return
         self.stopped.discard(run.key)
+        self._end_trial(run.task.step.job)
         step = run.step
         self.free_cpu_milli += step.reserved_cpu_milli
         self.free_memory_mb += step.memory_mb
         self.free_accelerators += step.accelerators
 
+    def _end_trial(self, job):
+        """End the trial of a job's tasks once none of them is left here."""
+        if self.trial is None or self.trial.job is not job:
+            return
+        if all(run.task.step.job is not job for run in self.runs.values()):
+            self.trial = None
+
+    def admits(self, job, now_ms):
+        """Tell whether a job's tasks may start beside what is tried here."""
+        trial = self.trial
+        return trial is None or trial.job is job or now_ms >= trial.until_ms
+
     def has_room(self, step):
         """Tell whether one more task of the step fits."""
         return (
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/trials.py
@@ -0,0 +1,84 @@
+"""Where tasks run under which workers were lost.
+
+The first loss says little of a task, so it goes where least else runs. After the second
+it runs apart from other jobs, at the cost of a worker for some seconds. Runs of others
+that were lost beside eight tasks that crash workers, among 16 workers, four seeds on
+virtual time: at a quarter of the load 205, by the tightest fit instead 413; at half of
+it 501, without running apart 761.
+"""
+
+from .state import Trial
+from .worker_choice import DOUBT_PENALTY, REMOTE_PENALTY
+from .worker_losses import MOST_CRASHES, trial_ms
+
+__all__ = ["APART_AFTER", "Trials"]
+
+# From this many losses on, known or suspected, a task runs apart, one run at a time.
+APART_AFTER = 2
+# A task that has to run apart waits this long for a worker to become empty, about as
+# long as a short task runs. Then it goes where least runs.
+APART_PATIENCE_MS = 1_000.0
+# After the last loss but one, a task waits this long for word of the worker: a machine
+# is back about when the leases there are over, and then the job is given up.
+WORD_PATIENCE_MS = 1_500.0
+
+
+class Trials:
+    """Choose workers for suspected tasks, and keep others off them."""
+
+    @staticmethod
+    def is_ready(task, now_ms):
+        """Tell whether a suspected task may be started at all."""
+        if len(task.losses) < MOST_CRASHES:
+            return True
+        return now_ms - task.lost_ms > WORD_PATIENCE_MS
+
+    @staticmethod
+    def workers_for(step, tasks, workers, now_ms):
+        """Return those of the workers that tasks of a step may be tried on.
+
+        Tasks that have to run apart wait a while for a worker to become empty. Keeping
+        one free for them meanwhile spared nobody, and others waited a tenth longer (the
+        cell at 0.9 to 1.1 of its load, on virtual time).
+        """
+        if not _has_to_run_apart(tasks, now_ms):
+            return workers
+        job = step.job
+        empty = [worker for worker in workers if not _others_on(worker, job)]
+        if empty:
+            return empty
+        since_ms = max([step.ready_ms, *(task.lost_ms for task in tasks)])
+        if now_ms - since_ms > APART_PATIENCE_MS:
+            return workers
+        return []
+
+    @staticmethod
+    def begin(task, worker, now_ms):
+        """Keep other jobs off a worker while a task that has to run apart is tried."""
+        if _has_to_run_apart([task], now_ms):
+            until_ms = now_ms + trial_ms(task)
+            worker.trial = Trial(job=task.step.job, until_ms=until_ms)
+
+    @staticmethod
+    def rate(step, worker):
+        """Rate a worker for a suspected task; the lowest is best: least is at risk."""
+        score = _cpu_at_risk(worker, step.job) / max(1, worker.entry.cpu_milli)
+        if worker.health.failures_in_row:
+            score += DOUBT_PENALTY
+        rack = step.spec.preferred_rack
+        if rack and rack != worker.entry.rack:
+            score += REMOTE_PENALTY
+        return score
+
+
+def _has_to_run_apart(tasks, now_ms):
+    return any(task.suspicion(now_ms) >= APART_AFTER for task in tasks)
+
+
+def _others_on(worker, job):
+    """Return the runs of other jobs on a worker."""
+    return [run for run in worker.runs.values() if run.task.step.job is not job]
+
+
+def _cpu_at_risk(worker, job):
+    return sum(run.step.cpu_milli for run in _others_on(worker, job))
--- a/packages/thymefork-cells/src/thymefork_cells/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_choice.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-__all__ = ["WorkerRanking", "best_hall", "copies_in", "fits_labels"]
+__all__ = ["WorkerRanking", "best_hall", "copies_in", "fit_score", "fits_labels"]
 
 # What a step that fills idle processors adds to a worker's score where tasks with
 # users of their own run, and the other way round: more than any difference in room.
@@ -40,14 +40,16 @@
 
     A worker that a task avoids is taken for want of others only, here or, as
     `may_find_others` tells, among those that the policy was not asked about yet.
+    `rate` gives a worker's score but for its hall; the lowest is best.
     Each worker is rated once, and once more after it was given a task. With that, and
     with workers checked each 20 ms for looks and tasks, a start of a step of six among
     640 workers costs the owner 0.23 to 0.33 ms of processor; rated for each task and
     checked in each turn, 0.45 to 0.53 (cell alone, on virtual time).
     """
 
-    def __init__(self, *, spec, workers, hall, counts, may_find_others=False):
+    def __init__(self, *, spec, workers, hall, counts, rate, may_find_others=False):
         self._spec = spec
+        self._rate_alone = rate
         self._may_find_others = may_find_others
         self._hall = hall
         self._counts = counts
@@ -89,7 +91,7 @@
             heapq.heappush(self._rows, (self._rate(worker), position, worker))
 
     def _rate(self, worker):
-        score = _score(self._spec, worker)
+        score = self._rate_alone(worker)
         return score if worker.entry.hall == self._hall else score + OTHER_HALL_PENALTY
 
     def _takes_step(self, worker):
@@ -126,26 +128,26 @@
     return min(copies, spec.count)
 
 
-def _score(spec, worker):
+def fit_score(spec, worker):
     """Rate a worker for a task; the lowest is best: the tightest fit that is sound."""
     entry = worker.entry
     left_cpu = (worker.free_cpu_milli - spec.reserved_cpu_milli) / entry.cpu_milli
     left_memory = (worker.free_memory_mb - spec.memory_mb) / max(1, entry.memory_mb)
-    score = left_cpu + 0.5 * left_memory
+    points = left_cpu + 0.5 * left_memory
     if spec.accelerators and entry.accelerators:
         # Tasks that want all of a worker's need one that no single task has broken.
-        score += (worker.free_accelerators - spec.accelerators) / entry.accelerators
+        points += (worker.free_accelerators - spec.accelerators) / entry.accelerators
     if worker.health.failures_in_row:
-        score += DOUBT_PENALTY
+        points += DOUBT_PENALTY
     if spec.preferred_rack and spec.preferred_rack != entry.rack:
-        score += REMOTE_PENALTY
+        points += REMOTE_PENALTY
     if spec.fills_idle_cpu:
-        score += DISTURBANCE_PENALTY * any(
+        points += DISTURBANCE_PENALTY * any(
             run.step.target_tail_ms for run in worker.runs.values()
         )
-        score -= 2 * left_cpu  # idle processors are what it needs
+        points -= 2 * left_cpu  # idle processors are what it needs
     elif spec.target_tail_ms:
-        score += DISTURBANCE_PENALTY * any(
+        points += DISTURBANCE_PENALTY * any(
             run.step.fills_idle_cpu for run in worker.runs.values()
         )
-    return score
+    return points
--- a/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
@@ -1,19 +1,129 @@
-"""Which workers were lost while they ran tasks, and under which tasks."""
+"""Workers that are lost under tasks, and tasks that are given up for it.
 
-__all__ = ["WorkerLosses"]
+A task may crash whatever worker starts it. A worker is back within seconds, but all
+that ran beside the task is lost each time, so such a task has to be told from those
+that merely stood beside it, by few starts and also by the next owner: its losses are
+stored with its progress.
+"""
 
+from attrs import evolve
+
+from .state import JobState, Loss
+
+__all__ = ["SOUND_MS", "WorkerLosses", "trial_ms"]
+
+# A job is given up once this many workers have crashed under one of its tasks. One says
+# nothing of a task, and two may be chance for one that stood beside others twice; after
+# two it runs apart from other jobs (see trials.py), so the third tells.
+MOST_CRASHES = 3
+# Or once this many have crashed or fallen silent: a machine may stay away for long.
+MOST_LOSSES = 4
+# A run that is at work for so many times as long as any run had been that lost its
+# worker, and a bit, shows that its task does not crash workers.
+OUTLIVED_FACTOR = 2.0
+OUTLIVED_MORE_MS = 1_000.0
+# That proof takes at least as long as most tasks run, and never longer than a caller of
+# a lasting task would want a whole worker kept for it.
+SHORTEST_TRIAL_MS = 5_000.0
+SOUND_MS = 30_000.0
 # A log line names this many runs; a job may have hundreds on one worker.
 MOST_NAMED = 10
 
 
 class WorkerLosses:
-    """Tell of each worker that is lost with runs on it, a line a job."""
+    """Release the runs of lost workers and judge their tasks."""
 
-    def __init__(self, *, context):
+    def __init__(self, *, context, lifecycle):
         self._context = context
+        self._lifecycle = lifecycle
+        self._tasks_by_worker = {}
+
+    def adopt(self, job):
+        """Go on with the losses that a predecessor has stored of a job."""
+        for step in job.steps:
+            for task in step.tasks:
+                for worker_id in task.losses:
+                    self._tasks_by_worker.setdefault(worker_id, set()).add(task)
+
+    # What becomes of a worker ------------------------------------------------
+
+    def lose(self, worker, runs, *, is_certain, now_ms):
+        """Release the runs that a lost worker may have had.
+
+        A worker that leaves as planned takes its runs with it by no fault of theirs.
+        """
+        self._tell(worker, runs, is_certain, now_ms)
+        if not worker.is_leaving:
+            for run in runs:
+                self._record(run, is_certain, now_ms)
+        for run in runs:
+            self._lifecycle.release(run, now_ms=now_ms)
+        for run in runs:
+            self._judge(run.task, now_ms)
 
-    def note(self, worker, runs, reason, *, now_ms):
-        """Note that a worker was lost under runs that may have been there."""
+    def _record(self, run, is_certain, now_ms):
+        task, worker_id = run.task, run.worker.worker_id
+        after_ms = _age_at_loss_ms(run, now_ms)
+        if task.done or after_ms > SOUND_MS:
+            return
+        task.losses[worker_id] = Loss(
+            worker_id=worker_id, after_ms=after_ms, is_certain=is_certain
+        )
+        self._tasks_by_worker.setdefault(worker_id, set()).add(task)
+
+    def on_life_over(self, worker, *, now_ms):
+        """Note that a worker which had fallen silent has crashed for certain."""
+        for task in self._tasks_by_worker.pop(worker.worker_id, ()):
+            loss = task.losses.get(worker.worker_id)
+            if loss is not None and not loss.is_certain:
+                task.losses[worker.worker_id] = evolve(loss, is_certain=True)
+                self._context.journal.change(task.step.job)
+                self._judge(task, now_ms)
+
+    def on_answer(self, worker):
+        """Take back the losses of a worker that was merely silent."""
+        for task in self._tasks_by_worker.pop(worker.worker_id, ()):
+            if task.losses.pop(worker.worker_id, None) is not None:
+                self._context.count("worker_losses", "taken_back")
+                self._context.journal.change(task.step.job)
+
+    def forget(self, worker):
+        """Stop waiting for word of a worker; what was lost with it stays counted."""
+        self._tasks_by_worker.pop(worker.worker_id, None)
+
+    # What becomes of a task --------------------------------------------------
+
+    def on_listed(self, run, now_ms):
+        """Clear a task whose run has outlived those that were lost."""
+        task = run.task
+        if now_ms - run.began_ms < trial_ms(task):
+            return
+        task.losses.clear()
+        self._context.count("worker_losses", "outlived")
+        self._context.journal.change(task.step.job)
+
+    def _judge(self, task, now_ms):
+        """Give a job up whose task has crashed too many workers."""
+        job, losses = task.step.job, task.losses.values()
+        crashes = sum(loss.is_certain for loss in losses)
+        if crashes < MOST_CRASHES and len(losses) < MOST_LOSSES:
+            return
+        if task.done or not job.is_live:
+            return
+        self._context.count("worker_losses", "job_given_up")
+        self._context.note(
+            "task_crashes_workers",
+            task=task.name,
+            workers=[loss.worker_id for loss in losses],
+            after_ms=[loss.after_ms for loss in losses],
+            crashes=crashes,
+        )
+        reason = f"{len(losses)} workers were lost under {task.name}"
+        self._lifecycle.finish(job, JobState.FAILED, reason, now_ms=now_ms)
+
+    def _tell(self, worker, runs, is_certain, now_ms):
+        """Log a line a job, and count the worker."""
+        reason = "life_over" if is_certain else "lease_over"
         by_job = {}
         for run in runs:
             by_job.setdefault(run.task.step.job, []).append(run)
@@ -26,13 +136,21 @@
                 reason=reason,
                 runs=[f"{run.task.name}/{run.run_id}" for run in lost[:MOST_NAMED]],
                 tasks=len(lost),
-                after_ms=min(age_at_loss_ms(run, now_ms) for run in lost),
+                after_ms=min(_age_at_loss_ms(run, now_ms) for run in lost),
+                losses_before=max(len(run.task.losses) for run in lost),
                 other_jobs=len(by_job) - 1,
                 was_leaving=worker.is_leaving,
             )
 
 
-def age_at_loss_ms(run, now_ms):
+def trial_ms(task):
+    """Return how long a run has to be at work to clear its task of its losses."""
+    longest_ms = max((loss.after_ms for loss in task.losses.values()), default=0)
+    outlived_ms = OUTLIVED_FACTOR * longest_ms + OUTLIVED_MORE_MS
+    return min(max(outlived_ms, SHORTEST_TRIAL_MS), SOUND_MS)
+
+
+def _age_at_loss_ms(run, now_ms):
     """Return for how long at most a run was at work when its worker fell silent.
 
     0 where its start was not seen by this owner.
--- a/packages/thymefork-cli/src/thymefork_cli/losses/cause.py
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/cause.py
@@ -12,6 +12,7 @@
     NO_OWNER = "its cell's owner was not found"
     NO_REPLY = "its cell's owner did not reply"
     FAILED = "its tasks failed too often"
+    CRASHES = "workers were lost under one of its tasks"
     NOT_ALLOWED = "its policy allows no worker"
     NO_PERMISSION = "it waited for its policy's permission"
     NO_ROOM = "it waited for room"
--- a/packages/thymefork-cli/src/thymefork_cli/tests/test_losses.py
+++ b/packages/thymefork-cli/src/thymefork_cli/tests/test_losses.py
@@ -34,6 +34,7 @@
 FAILED = line(
     4, "run_ended", task=f"{JOB}.0.0.1", how="failed", after_ms=3_000, worker="i-7"
 )
+CRASHES = line(8, "task_crashes_workers", task=f"{JOB}.0.0.1", workers=["i-7"])
 SILENT = line(4, "leases_expired", worker="i-7")
 
 
@@ -48,6 +49,7 @@
             Cause.STORE_AWAY,
         ),
         ([accepted(1), ended(2, state="failed")], Outcome.LOST, Cause.FAILED),
+        ([accepted(1), CRASHES, ended(9, state="failed")], Outcome.LOST, Cause.CRASHES),
         (
             [accepted(1), NOT_ALLOWED, line(40, "stopped")],
             Outcome.LOST,
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -14,7 +14,7 @@
     "stops": "Runs that a worker has to stop, by what became of the order.",
     "jobs_ended": "Jobs by their last state.",
     "workers_paused": "Workers given nothing for a while, by reason.",
-    "worker_losses": "Workers lost with runs on them, by how that was known.",
+    "worker_losses": "Workers lost with runs on them, and what came of it.",
     "requests": "Callers' requests, by kind.",
     "store_calls": "Calls to the store, by outcome.",
     "ownership": "Changes of a cell's owner seen here, by kind.",
