--- a/soak/src/thymefork_soak/callers.py
+++ b/soak/src/thymefork_soak/callers.py
@@ -25,6 +25,7 @@
     refused_only: bool = True
     cancelled: bool = False
     lasting: bool = False
+    crashing: bool = False
     state: str = ""
     answers: list = field(factory=list)
 
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -10,6 +10,7 @@
 import typer
 
 from .callers import Caller
+from .crashing import CrashingCaller
 from .faults import FaultPlan
 from .fleet import Fleet
 from .lasting import LastingCaller
@@ -50,15 +51,17 @@
             LastingCaller(fleet=fleet, random=random.Random(f"{seed} lasting {number}"))
             for number in range(LASTING_CALLERS)
         ]
+        crashing = CrashingCaller(fleet=fleet, random=random.Random(f"{seed} crashing"))
         kept = [asyncio.ensure_future(caller.work()) for caller in lasting]
         until = SETTLE_S + seconds
         await asyncio.gather(
             plan.work(until, now),
             plan.work_outages(until, now, random.Random(f"{seed} outages")),
+            crashing.work(until, now),
             *(caller.work(until, now) for caller in callers),
         )
         (folder / "faults.txt").write_text("\n".join([*plan.done, ""]))
-        callers += lasting
+        callers += [*lasting, crashing]
         broken = await _leave(lasting, kept)
         await asyncio.sleep(MARGIN_S)
         broken += await _judge(fleet, callers, now)
@@ -103,6 +106,8 @@
         wanted = ("succeeded", "cancelled") if story.cancelled else ("succeeded",)
         if story.lasting:
             wanted = ("cancelled",)
+        if story.crashing:
+            wanted = ("failed",)
         if story.accepted and story.state not in wanted:
             broken.append(f"LOST: {story.job_id} is {story.state or 'not answered'}")
     return broken
--- a/soak/src/thymefork_soak/standin/advice.py
+++ b/soak/src/thymefork_soak/standin/advice.py
@@ -10,7 +10,11 @@
 
 
 class Advice:
-    """Allow two workers in three, by step and worker; the choice never changes."""
+    """Allow two machines in three, by step and machine; the choice never changes.
+
+    By the id of a worker's life, some steps were allowed no worker at all once several
+    had crashed, and their jobs waited without end.
+    """
 
     def __init__(self, *, loop, host, port, seed):
         self._loop = loop
@@ -23,7 +27,12 @@
         rows = [
             [worker_id, f"t-{worker_id}"]
             for worker_id in body["workers"]
-            if (sum(worker_id.encode()) + sum(body["step"].encode())) % 3
+            if (_sum_of_machine(worker_id) + sum(body["step"].encode())) % 3
         ]
         document = {"healthy": rows, "valid_ms": 2_500}
         self._loop.timers.after(DECISION_MS, lambda: answer(200, document))
+
+
+def _sum_of_machine(worker_id):
+    machine, _, _ = worker_id.rpartition("-")
+    return sum(machine.encode())
--- a/soak/src/thymefork_soak/standin/ledger.py
+++ b/soak/src/thymefork_soak/standin/ledger.py
@@ -1,9 +1,14 @@
 """What all workers together saw, and the promises that it breaks."""
 
+from collections import Counter
+
 from attrs import define, field
 
 __all__ = ["Ledger"]
 
+# After so many crashes of workers under a task it may be started fewer times than so.
+CRASHES_TO_COUNT_FROM = 3
+TOO_MANY_STARTS = 3
 # The pages' bounds: how long a cancelling may take, how long a stop may, and how long
 # a machine and the store have to be undisturbed before bounds of time hold for them.
 CANCEL_MS = 3_000.0
@@ -24,6 +29,9 @@
     cancelled_ms: dict = field(factory=dict)
     faults: int = 0
     calm_since_ms: float = 0.0
+    crashes_after_ms: dict = field(factory=dict)
+    crashes: Counter = field(factory=Counter)
+    starts_after_crashes: Counter = field(factory=Counter)
 
     def on_start(self, worker, task, run_id, payload, now_ms):
         """Judge a start that the worker has carried out."""
@@ -36,6 +44,7 @@
         if task in self.done and self.done[task] is not None:
             self._note(f"TWICE: {where} after a noted end")
         self._judge_start_of_cancelled(job_id, where, now_ms)
+        self._judge_start_after_crashes(task, where)
         job = self.jobs.get(job_id)
         if job is None or payload != job["spec"]:
             self._note(f"UNASKED: {where}")
@@ -55,6 +64,21 @@
         if how == "done":
             self.done.setdefault(task, None)
 
+    def on_crash(self, tasks):
+        """Note that a worker has crashed under tasks."""
+        self.crashes.update(tasks)
+
+    def _judge_start_after_crashes(self, task, where):
+        # Only for tasks that crash what starts them, and whichever machine sent it: no
+        # owner starts such a task so often, in touch or not.
+        if task not in self.crashes_after_ms:
+            return
+        if self.crashes[task] < CRASHES_TO_COUNT_FROM:
+            return
+        self.starts_after_crashes[task] += 1
+        if self.starts_after_crashes[task] == TOO_MANY_STARTS:
+            self._note(f"BUDGET: {where} after {self.crashes[task]} crashes")
+
     def on_noted(self, task, how, now_ms):
         """Note that the system has taken note of an end."""
         if how == "done":
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -20,6 +20,8 @@
 JUDGE_MS = 100.0
 # Workers that live are listed again within this time after an outage of the store.
 RELIST_MS = 2_000.0
+# An entry goes after three heartbeats without a write.
+LAPSE_MS = 3 * BEAT_MS
 SERVERS = "keyed.servers"
 
 
@@ -62,12 +64,21 @@
             if worker in self._unlisted:
                 continue
             old = self._listed.get(worker.name)
+            if worker.down_since_ms:
+                self._lapse(worker, old)
+                continue
             if old and old != worker.worker_id:
                 self.store.put(SERVERS, old, None)
             if old != worker.worker_id:
                 self.store.put(SERVERS, worker.worker_id, worker.entry())
                 self._listed[worker.name] = worker.worker_id
 
+    def _lapse(self, worker, entry):
+        """Let the entry of a worker that is down go after its heartbeats' silence."""
+        if entry and steady_ms() - worker.down_since_ms > LAPSE_MS:
+            self.store.put(SERVERS, entry, None)
+            del self._listed[worker.name]
+
     def _judge(self):
         self._ledger.judge_cancelled(steady_ms())
 
@@ -81,6 +92,9 @@
 
     def _job(self, body):
         self._ledger.jobs[body["id"]] = body["job"]
+        if "crashing_task" in body:
+            after_ms = body["crashes_after_ms"]
+            self._ledger.crashes_after_ms[body["crashing_task"]] = after_ms
 
     def _fault(self, body):
         target, faults = body.pop("target"), Faults(**body)
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -5,7 +5,7 @@
 
 from thymefork_net import steady_ms
 
-from .http_face import Face
+from .http_face import Face, Faults
 
 __all__ = ["Worker"]
 
@@ -14,6 +14,8 @@
 LASTING_BEGIN_MS = 200.0
 LASTING_FAIL_SHARE = 0.1
 LASTING_FAIL_MS = 8_000.0
+# A worker that a task has crashed is back after so long.
+DOWN_MS = (1_000.0, 4_000.0)
 
 
 @define(kw_only=True)
@@ -52,6 +54,8 @@
         self.name = name
         self.cpu_milli = cpu_milli
         self.address = f"{host}:{port}"
+        self.down_since_ms = 0.0
+        self._loop = loop
         self._ledger = ledger
         self._random = random
         self._reset(life)
@@ -71,11 +75,25 @@
         self._next_end = 1
         self._waiters = []
 
-    def crash(self):
-        """Begin a new life: everything is lost."""
-        for task, _ in list(self._running):
+    def crash(self, down_ms=0.0):
+        """Begin a new life, out of reach for a while: everything is lost."""
+        tasks = {task for task, _ in self._running}
+        for task in tasks:
             self._ledger.on_end(self, task, "crashed")
+        self._ledger.on_crash(tasks)
         self._reset(self.life + 1)
+        if down_ms:
+            self.down_since_ms = steady_ms()
+            self.face.outage = Faults(mode="reset")
+            self._loop.timers.after(down_ms, self._come_back)
+
+    def _come_back(self):
+        self.down_since_ms = 0.0
+        self.face.outage = None
+
+    def _crash_by(self, key, life):
+        if self.life == life and key in self._running:
+            self.crash(self._random.uniform(*DOWN_MS))
 
     def used_cpu(self):
         """Return the processor share of all that runs."""
@@ -177,6 +195,11 @@
             lasting=lasting,
         )
         self._ledger.on_start(self, task, run_id, body["spec"], now_ms)
+        crashes_after_ms = self._ledger.crashes_after_ms.get(task)
+        if crashes_after_ms is not None:
+            self._running[key].ends_ms = float("inf")
+            life = self.life
+            self._loop.timers.after(crashes_after_ms, lambda: self._crash_by(key, life))
 
     def _ending(self, step):
         works_ms = self._random.uniform(0.2, 1.8) * step["estimated_ms"]
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -132,3 +132,24 @@
         check=False,
     )
     assert done.returncode == 0 and "--seed" in done.stdout
+
+
+def test_the_ledger_sees_a_task_started_again_after_workers_have_crashed_under_it():
+    ledger = ledger_of_one_job()
+    ledger.crashes_after_ms["j.0.0.0"] = 10.0
+    for run_id in range(1, 6):
+        ledger.on_start(Worker(), "j.0.0.0", run_id, "s", 0.0)
+        ledger.on_end(Worker(), "j.0.0.0", "crashed")
+        ledger.on_crash({"j.0.0.0"})
+    assert not ledger.broken
+    ledger.on_start(Worker(), "j.0.0.0", 6, "s", 0.0)
+    assert [line.split(":")[0] for line in ledger.broken] == ["BUDGET"]
+
+
+def test_the_ledger_blames_no_task_for_a_crash_that_is_not_its_own():
+    ledger = ledger_of_one_job()
+    for run_id in range(1, 9):
+        ledger.on_start(Worker(), "j.0.0.0", run_id, "s", 0.0)
+        ledger.on_end(Worker(), "j.0.0.0", "crashed")
+        ledger.on_crash({"j.0.0.0"})
+    assert not ledger.broken
