--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -30,6 +30,8 @@
 APPEND_MS = 10.0
 SILENCE_MS = 300.0
 EPOCH_MS = 1_700_000_000_000.0
+# A room that has shrunk counts this long after it did: contact and a heartbeat.
+SHRINK_KNOWN_MS = 3_500.0
 # The entry of a worker that has crashed goes after three heartbeats of silence.
 LAPSE_MS = 1_500.0
 
@@ -60,7 +62,8 @@
     An order to a worker whose address is not known goes nowhere, as in the daemon.
     `crashes_after_ms` tells of a task how long after its start it crashes its worker,
     None if it does not; the machine is back as another worker after `back_after_ms`,
-    and `crashes` lists what happened.
+    and `crashes` lists what happened. `breaches` lists the starts that brought a worker
+    over its processors, by `resize` and the descriptions of the jobs.
     """
 
     def __init__(
@@ -124,6 +127,12 @@
         self.crashes_after_ms = lambda task: None
         self.back_after_ms = 2_800.0
         self.crashes = []
+        self.breaches = []
+        self.specs = {}
+        self.rooms = {
+            entry.worker_id: [(float("-inf"), entry.cpu_milli)]
+            for entry in self.entries
+        }
         self.replies = {}
         self.notes = []
         self.counts = Counter()
@@ -155,7 +164,35 @@
         self.cell.roster.update(self.entries, now_ms=self.now)
         self.env.process(self._turns(self.cell))
 
+    def resize(self, worker_id, cpu_milli):
+        """Change a worker's room; it says so in its entry."""
+        self.rooms[worker_id].append((self.now, cpu_milli))
+        self._list(
+            [
+                evolve(entry, cpu_milli=cpu_milli)
+                if entry.worker_id == worker_id
+                else entry
+                for entry in self.entries
+            ]
+        )
+
+    def cpu_used(self, worker):
+        """Return the processors that a worker's runs take."""
+        return sum(self._cpu_of(task) for task, _ in worker.running)
+
+    def _cpu_of(self, task):
+        job_id, _, step, _ = task.split(".")
+        return self.specs[job_id].steps[int(step)].reserved_cpu_milli
+
+    def _check_room(self, worker, task):
+        rooms = self.rooms[worker.worker_id]
+        known = [cpu for at_ms, cpu in rooms if self.now - at_ms > SHRINK_KNOWN_MS]
+        recent = [cpu for at_ms, cpu in rooms if self.now - at_ms <= SHRINK_KNOWN_MS]
+        if self.cpu_used(worker) > max(known[-1:] + recent):
+            self.breaches.append((self.now, worker.worker_id, task))
+
     def submit(self, job_id, spec, queue=QUEUE):
+        self.specs[job_id] = spec
         self.cell.intake.submit(
             job_id, job_id, queue, encode_spec(spec), now_ms=self.now
         )
@@ -286,6 +323,8 @@
     def _carry_out_start(self, worker, task, *order):
         """Start a run; its task may crash the worker."""
         answer = worker.start(task, *order)
+        if answer.refusal is Refusal.NONE:
+            self._check_room(worker, task)
         after_ms = self.crashes_after_ms(task)
         if answer.refusal is Refusal.NONE and after_ms is not None:
             self.env.process(self._crash_by(task, worker, after_ms))
@@ -319,6 +358,7 @@
         self.workers[new_id] = VirtualWorker(
             worker_id=new_id, work_ms=worker.work_ms, clock_ahead_ms=1_000.0
         )
+        self.rooms[new_id] = [(float("-inf"), entry.cpu_milli)]
         self._list([*self.entries, evolve(entry, worker_id=new_id)])
 
     def _list(self, entries):
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
@@ -0,0 +1,183 @@
+"""Workers whose room shrinks and grows while they run tasks."""
+
+import random
+
+import pytest
+
+from thymefork_cells.effects import StartRun
+from thymefork_cells.state import JobState, RunState
+
+from .harness import SHRINK_KNOWN_MS, Harness, job_spec
+
+JOB = "00000000000000aa"
+NEXT = "00000000000000bb"
+
+
+def resize_all(harness, cpu_milli):
+    for entry in list(harness.entries):
+        harness.resize(entry.worker_id, cpu_milli)
+
+
+def submit_many(harness, count, first=100, **step):
+    for number in range(first, first + count):
+        harness.submit(f"{number:016x}", job_spec({"count": 1, **step}))
+
+
+def test_a_shrunk_worker_takes_no_more_than_it_has(make_harness):
+    harness = make_harness(workers=2)
+    for worker in harness.workers.values():
+        worker.work_ms = 3_000.0
+    submit_many(harness, 16, cpu_milli=1_000)
+    harness.run(500)
+    resize_all(harness, 2_000)
+    for number in range(30):
+        submit_many(harness, 2, first=200 + 2 * number, cpu_milli=1_000)
+        harness.run(500)
+    assert not harness.breaches
+    assert all(harness.cpu_used(w) <= 2_000 for w in harness.workers.values())
+
+
+def test_a_worker_that_grows_again_is_used_at_once(make_harness):
+    harness = make_harness(workers=2)
+    resize_all(harness, 1_000)
+    harness.submit(JOB, job_spec({"count": 4, "cpu_milli": 4_000}))
+    harness.run(3_000)
+    assert not harness.running()
+    resize_all(harness, 8_000)
+    harness.run(1_200)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+
+
+def test_a_worker_without_room_is_no_worker_to_use(make_harness):
+    harness = make_harness(workers=2)
+    resize_all(harness, 0)
+    submit_many(harness, 3, cpu_milli=500)
+    harness.run(3_000)
+    assert not harness.running()
+    harness.resize("w1", 8_000)
+    harness.run(2_000)
+    assert not harness.breaches
+    assert all(job.state is JobState.SUCCEEDED for job in _jobs(harness))
+
+
+@pytest.mark.parametrize("state", [RunState.INTENDED, RunState.SENT, RunState.LIVE])
+def test_runs_of_each_state_count_after_a_shrink(make_harness, state):
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 5_000.0
+    harness.mute = lambda effect: state is RunState.SENT
+    submit_many(harness, 8, cpu_milli=1_000)
+    harness.run({RunState.INTENDED: 8, RunState.SENT: 40, RunState.LIVE: 300}[state])
+    harness.resize("w0", 4_000)
+    submit_many(harness, 8, first=200, cpu_milli=1_000)
+    harness.run(SHRINK_KNOWN_MS + 500)
+    harness.mute = lambda effect: False
+    harness.run(30_000)
+    assert not harness.breaches
+    assert all(job.state is JobState.SUCCEEDED for job in _jobs(harness))
+
+
+def test_an_intended_start_is_dropped_where_it_would_not_fit_any_more(make_harness):
+    harness = make_harness(workers=1)
+    submit_many(harness, 8, cpu_milli=1_000)
+    while not harness.runs_of("w0"):
+        harness.run(1)
+    assert {run.state for run in harness.runs_of("w0").values()} == {RunState.INTENDED}
+    harness.resize("w0", 3_000)
+    harness.run(300)
+    assert len(harness.running()) == 3
+
+
+def test_what_is_being_stopped_still_counts(make_harness):
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 30_000.0
+    harness.workers["w0"].idle_stops = 40  # answered, and not carried out
+    harness.submit(JOB, job_spec({"count": 4, "cpu_milli": 2_000}))
+    harness.run(300)
+    harness.resize("w0", 4_000)
+    harness.cell.intake.cancel("c", JOB, now_ms=harness.now)
+    submit_many(harness, 4, cpu_milli=2_000)
+    harness.run(SHRINK_KNOWN_MS + 2_000)
+    assert not harness.breaches
+
+
+def test_a_predecessors_runs_count_on_a_worker_that_shrank(make_harness):
+    harness = make_harness(workers=2)
+    for worker in harness.workers.values():
+        worker.work_ms = 6_000.0
+    submit_many(harness, 16, cpu_milli=1_000)
+    harness.run(300)
+    harness.dead = True
+    resize_all(harness, 3_000)
+    harness.run(500)
+    harness.take_over()
+    submit_many(harness, 8, first=200, cpu_milli=1_000)
+    harness.run(20_000)
+    assert not harness.breaches
+    assert all(job.state is JobState.SUCCEEDED for job in _jobs(harness))
+
+
+def test_a_gang_does_not_start_on_less_than_all_its_room(make_harness):
+    harness = make_harness(workers=3)
+    harness.submit(JOB, job_spec({"count": 6, "cpu_milli": 4_000, "gang": True}))
+    while not harness.cell.context.jobs[JOB].runs:
+        harness.run(1)
+    harness.resize("w1", 4_000)
+    harness.run(6_000)
+    assert not harness.breaches
+    assert harness.job(JOB).state is JobState.RUNNING
+    harness.resize("w1", 8_000)
+    harness.run(6_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+
+
+def test_a_task_goes_where_it_fits_once_its_worker_has_shrunk(make_harness):
+    harness = make_harness(workers=2)
+    harness.resize("w0", 2_000)
+    harness.submit(JOB, job_spec({"count": 3, "cpu_milli": 5_000}))
+    harness.run(5_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    assert {worker for worker, _, _ in harness.starts_of(f"{JOB}.0.0.0")} == {"w1"}
+
+
+def test_a_change_of_room_is_told(make_harness):
+    harness = make_harness(workers=1)
+    harness.workers["w0"].work_ms = 5_000.0
+    submit_many(harness, 8, cpu_milli=1_000)
+    harness.run(300)
+    harness.resize("w0", 3_000)
+    (line,) = [n.fields for n in harness.notes if n.event == "worker_room_changed"]
+    assert line["cpu_milli"] == 3_000
+    assert line["was_cpu_milli"] == 8_000
+    assert line["held_cpu_milli"] == 8_000
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_rooms_that_change_with_each_heartbeat(seed):
+    """Flapping rooms among crashes, unanswered starts and new owners."""
+    rng = random.Random(seed)
+    harness = Harness(workers=6, hall=lambda number: f"hall-{number % 3}")
+    harness.take_over()
+    harness.run(50)
+    kinds = (
+        {"count": 3, "cpu_milli": 900},
+        {"count": 4, "cpu_milli": 1_500, "gang": True},
+        {"count": 2, "cpu_milli": 2_500, "speculative": True},
+    )
+    harness.mute = lambda effect: isinstance(effect, StartRun) and rng.random() < 0.05
+    for number in range(60):
+        harness.submit(f"{number:016x}", job_spec(rng.choice(kinds)))
+        for entry in rng.sample(harness.entries, 2):
+            harness.resize(entry.worker_id, rng.choice((0, 2_000, 4_000, 8_000)))
+        if rng.random() < 0.1:
+            harness.dead = True
+            harness.run(300)
+            harness.take_over()
+        harness.run(500)
+    resize_all(harness, 8_000)
+    harness.run(40_000)
+    assert not harness.breaches
+    assert all(job.state is JobState.SUCCEEDED for job in _jobs(harness))
+
+
+def _jobs(harness):
+    return harness.cell.context.jobs.values()
