--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -66,15 +66,29 @@
         if run.state is not RunState.INTENDED or not job.is_live:
             self._lifecycle.release(run, now_ms=now_ms)
             return False
-        if not self._advice.has_ticket(run.task.step, run.worker, now_ms):
-            self._context.count("retries", "ticket_lapsed")
-            self._lifecycle.release(run, now_ms=now_ms)
+        obstacle = self._obstacle(run, now_ms)
+        if obstacle:
+            self._context.count("retries", obstacle)
+            for member in _not_sent_with(run):
+                self._lifecycle.release(member, now_ms=now_ms)
             return False
         run.state = RunState.SENT
         run.began_ms = now_ms
         run.resumed = bool(run.task.checkpoint)
         return True
 
+    def _obstacle(self, run, now_ms):
+        """Return what has changed since a start was decided on, "" if nothing has.
+
+        A gang starts as a whole, so what keeps one member keeps all of them.
+        """
+        for member in _not_sent_with(run):
+            if member.worker.is_overfull:
+                return "worker_shrank"
+            if not self._advice.has_ticket(run.task.step, member.worker, now_ms):
+                return "ticket_lapsed"
+        return ""
+
     def on_start(self, run, answer, *, now_ms):
         """Apply the answer to a start."""
         if run.state is RunState.GONE:
@@ -189,3 +203,15 @@
             worker_listed=worker.is_listed,
             worker_heard_ms_ago=worker.heard_ms_ago(now_ms),
         )
+
+
+def _not_sent_with(run):
+    """Return the starts that leave together: those of a gang, or one alone."""
+    if not run.step.gang:
+        return [run]
+    return [
+        member
+        for task in run.task.step.tasks
+        for member in task.runs
+        if member.run_id == run.run_id and not member.was_sent
+    ]
--- a/packages/thymefork-cells/src/thymefork_cells/roster.py
+++ b/packages/thymefork-cells/src/thymefork_cells/roster.py
@@ -72,10 +72,7 @@
             return
         if worker.entry == entry and worker.is_listed:
             return
-        if not worker.entry.host:
-            worker.free_cpu_milli += entry.cpu_milli
-            worker.free_memory_mb += entry.memory_mb
-            worker.free_accelerators += entry.accelerators
+        self._note_room(worker, entry)
         if entry.draining and not worker.entry.draining:
             worker.leaves_at_ms = now_ms + entry.leaves_in_ms
             self._context.note(
@@ -87,6 +84,27 @@
         worker.entry = entry
         worker.is_listed = True
 
+    def _note_room(self, worker, entry):
+        """Log that a worker's room has changed while it runs."""
+        old = worker.entry
+        was = (old.cpu_milli, old.memory_mb, old.accelerators)
+        if not old.host or was == (
+            entry.cpu_milli,
+            entry.memory_mb,
+            entry.accelerators,
+        ):
+            return
+        self._context.note(
+            "worker_room_changed",
+            worker=entry.worker_id,
+            cpu_milli=entry.cpu_milli,
+            was_cpu_milli=old.cpu_milli,
+            held_cpu_milli=worker.held_cpu_milli,
+            memory_mb=entry.memory_mb,
+            was_memory_mb=old.memory_mb,
+            accelerators=entry.accelerators,
+        )
+
     def _end_old_lives(self, mine, now_ms):
         lives = {entry.machine_id: entry.worker_id for entry in mine.values()}
         for worker in list(self._context.workers.values()):
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -27,9 +27,9 @@
     """
 
     entry: object
-    free_cpu_milli: int = 0
-    free_memory_mb: int = 0
-    free_accelerators: int = 0
+    held_cpu_milli: int = 0
+    held_memory_mb: int = 0
+    held_accelerators: int = 0
     runs: dict = field(factory=dict)
     strays: set = field(factory=set)
     stopped: set = field(factory=set)
@@ -61,12 +61,6 @@
     health: WorkerHealth = field(factory=lambda: WorkerHealth())
     trial: object = None
 
-    def __attrs_post_init__(self):
-        """Start with all room free."""
-        self.free_cpu_milli += self.entry.cpu_milli
-        self.free_memory_mb += self.entry.memory_mb
-        self.free_accelerators += self.entry.accelerators
-
     @property
     def worker_id(self):
         """Return the id of this life."""
@@ -76,9 +70,9 @@
         """Take a run's room."""
         self.runs[run.key] = run
         step = run.step
-        self.free_cpu_milli -= step.reserved_cpu_milli
-        self.free_memory_mb -= step.memory_mb
-        self.free_accelerators -= step.accelerators
+        self.held_cpu_milli += step.reserved_cpu_milli
+        self.held_memory_mb += step.memory_mb
+        self.held_accelerators += step.accelerators
 
     def remove(self, run):
         """Free a run's room."""
@@ -87,9 +81,9 @@
         self.stopped.discard(run.key)
         self._end_trial(run.task.step.job)
         step = run.step
-        self.free_cpu_milli += step.reserved_cpu_milli
-        self.free_memory_mb += step.memory_mb
-        self.free_accelerators += step.accelerators
+        self.held_cpu_milli -= step.reserved_cpu_milli
+        self.held_memory_mb -= step.memory_mb
+        self.held_accelerators -= step.accelerators
 
     def _end_trial(self, job):
         """End the trial of a job's tasks once none of them is left here."""
@@ -103,6 +97,27 @@
         trial = self.trial
         return trial is None or trial.job is job or now_ms >= trial.until_ms
 
+    @property
+    def free_cpu_milli(self):
+        """Return the processor share that is free, below 0 once it has shrunk."""
+        return self.entry.cpu_milli - self.held_cpu_milli
+
+    @property
+    def free_memory_mb(self):
+        """Return the memory that is free, below 0 once it has shrunk."""
+        return self.entry.memory_mb - self.held_memory_mb
+
+    @property
+    def free_accelerators(self):
+        """Return the accelerators that are free, below 0 once it has shrunk."""
+        return self.entry.accelerators - self.held_accelerators
+
+    @property
+    def is_overfull(self):
+        """Tell whether its runs hold more than it has, since it has shrunk."""
+        free = (self.free_cpu_milli, self.free_memory_mb, self.free_accelerators)
+        return min(free) < 0
+
     def has_room(self, step):
         """Tell whether one more task of the step fits."""
         return (
@@ -150,8 +165,3 @@
             return True
         in_doubt = self.last_answer_ms < self.doubted_ms
         return in_doubt and now_ms - self.doubted_ms > SILENT_MS
-
-    @property
-    def busy_cpu_milli(self):
-        """Return the processor share that its runs reserve."""
-        return self.entry.cpu_milli - self.free_cpu_milli
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
@@ -149,7 +149,8 @@
     (_, first), *_ = harness.asked
     assert len(first) < 20
     for worker_id in first:
-        harness.cell.context.workers[worker_id].free_cpu_milli = 0
+        worker = harness.cell.context.workers[worker_id]
+        worker.held_cpu_milli = worker.entry.cpu_milli
     harness.run(300)
     ((worker_id, _, _),) = harness.starts_of("00000000000000aa.0.0.0")
     assert worker_id not in first
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
@@ -145,6 +145,7 @@
     submit_many(harness, 8, cpu_milli=1_000)
     harness.run(300)
     harness.resize("w0", 3_000)
+    harness.run(10)
     (line,) = [n.fields for n in harness.notes if n.event == "worker_room_changed"]
     assert line["cpu_milli"] == 3_000
     assert line["was_cpu_milli"] == 8_000
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_choice.py
@@ -48,7 +48,7 @@
             accelerators=rng.choice((0, 8)),
         )
         worker = Worker(entry=entry)
-        worker.free_cpu_milli -= rng.choice((0, 1_000, 4_000, 8_000))
+        worker.held_cpu_milli += rng.choice((0, 1_000, 4_000, 8_000))
         worker.health.on_probation = rng.random() < 0.1
         worker.health.failures_in_row = int(rng.random() < 0.1)
         workers.append(worker)
