--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -14,6 +14,7 @@
 from .faults import FaultPlan
 from .fleet import Fleet
 from .lasting import LastingCaller
+from .rooms import RoomChanges
 
 __all__ = ["main", "soak"]
 
@@ -52,12 +53,16 @@
             for number in range(LASTING_CALLERS)
         ]
         crashing = CrashingCaller(fleet=fleet, random=random.Random(f"{seed} crashing"))
+        rooms = RoomChanges(
+            fleet=fleet, random=random.Random(f"{seed} rooms"), workers=WORKERS
+        )
         kept = [asyncio.ensure_future(caller.work()) for caller in lasting]
         until = SETTLE_S + seconds
         await asyncio.gather(
             plan.work(until, now),
             plan.work_outages(until, now, random.Random(f"{seed} outages")),
             crashing.work(until, now),
+            rooms.work(until, now),
             *(caller.work(until, now) for caller in callers),
         )
         (folder / "faults.txt").write_text("\n".join([*plan.done, ""]))
--- /dev/null
+++ b/soak/src/thymefork_soak/rooms.py
@@ -0,0 +1,30 @@
+"""Workers whose room shrinks and grows again while they run tasks."""
+
+import asyncio
+
+__all__ = ["RoomChanges"]
+
+# From nothing up to all of a worker, whose tasks take 0.5 or 0.8 of a core.
+ROOMS_CPU_MILLI = (0, 1_000, 2_000, 4_000, 8_000)
+WHOLE_CPU_MILLI = 8_000
+
+
+class RoomChanges:
+    """Change workers' rooms until a moment, then give all of it back."""
+
+    def __init__(self, *, fleet, random, workers):
+        self._fleet = fleet
+        self._random = random
+        self._workers = workers
+
+    async def work(self, until, now):
+        """Change one room after another; some at each heartbeat."""
+        while now() < until:
+            await asyncio.sleep(self._random.choice((0.5, 1.0, 3.0)))
+            worker = self._random.randrange(self._workers)
+            await self._resize(worker, self._random.choice(ROOMS_CPU_MILLI))
+        for worker in range(self._workers):
+            await self._resize(worker, WHOLE_CPU_MILLI)
+
+    async def _resize(self, worker, cpu_milli):
+        await self._fleet.steer("resize", {"worker": worker, "cpu_milli": cpu_milli})
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -14,6 +14,8 @@
 LASTING_BEGIN_MS = 200.0
 LASTING_FAIL_SHARE = 0.1
 LASTING_FAIL_MS = 8_000.0
+# A room that has shrunk counts after the time of contact and a heartbeat.
+SHRINK_MS = 3_500.0
 # A worker that a task has crashed is back after so long.
 DOWN_MS = (1_000.0, 4_000.0)
 
@@ -55,6 +57,7 @@
         self.cpu_milli = cpu_milli
         self.address = f"{host}:{port}"
         self.down_since_ms = 0.0
+        self._rooms = []
         self._loop = loop
         self._ledger = ledger
         self._random = random
@@ -95,6 +98,16 @@
         if self.life == life and key in self._running:
             self.crash(self._random.uniform(*DOWN_MS))
 
+    def resize(self, cpu_milli):
+        """Have more or less room; the entry tells it with the next heartbeat."""
+        self._rooms.append((steady_ms(), self.cpu_milli))
+        self.cpu_milli = cpu_milli
+
+    def counted_cpu(self, now_ms):
+        """Return the room that counts: one that has shrunk counts a while later."""
+        recent = [cpu for until_ms, cpu in self._rooms if now_ms - until_ms < SHRINK_MS]
+        return max([self.cpu_milli, *recent])
+
     def used_cpu(self):
         """Return the processor share of all that runs."""
         return sum(run.cpu_milli for run in self._running.values())
