--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -299,6 +299,6 @@
     """Tell whether a worker may be given any task now."""
     if not worker.is_known or not worker.is_listed or worker.entry.draining:
         return False
-    if worker.is_doubtful or worker.entry.cpu_milli <= 0:
+    if worker.entry.is_lapsed or worker.is_doubtful or worker.entry.cpu_milli <= 0:
         return False
     return worker.slow_until_ms <= now_ms and worker.health.takes_work(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/specs/worker_entry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/worker_entry.py
@@ -10,7 +10,9 @@
     """Describe a worker.
 
     Units: thousandths of a core, megabytes, milliseconds. `leaves_in_ms` is the
-    least time left of a draining worker, 0 where it is not known.
+    least time left of a draining worker, 0 where it is not known. An entry that
+    `is_lapsed` went while the store was away: the worker may live, but what it is now,
+    and how much room it has, is not known.
     """
 
     worker_id: str
@@ -26,3 +28,4 @@
     accelerators: int = 0
     draining: bool = False
     leaves_in_ms: int = 0
+    is_lapsed: bool = False
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
@@ -3,6 +3,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from thymefork_cells.effects import StartRun
 from thymefork_cells.state import JobState, RunState
@@ -152,6 +153,24 @@
     assert line["held_cpu_milli"] == 8_000
 
 
+def test_a_worker_whose_entry_has_lapsed_takes_nothing_new(make_harness):
+    """From the soak: a worker shrank in an outage and was filled by its old entry."""
+    harness = make_harness(workers=2)
+    harness.workers["w0"].work_ms = 3_000.0
+    entries = harness.entries
+    harness.list_workers(
+        [evolve(one, is_lapsed=one.worker_id == "w0") for one in entries]
+    )
+    submit_many(harness, 4, cpu_milli=500)
+    harness.run(300)
+    assert not harness.workers["w0"].running
+    assert len(harness.workers["w1"].running) == 4
+    harness.list_workers(entries)
+    harness.submit(JOB, job_spec({"count": 16, "cpu_milli": 900}))
+    harness.run(300)
+    assert harness.workers["w0"].running
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_rooms_that_change_with_each_heartbeat(seed):
     """Flapping rooms among crashes, unanswered starts and new owners."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -90,3 +90,14 @@
     assert len(listener.told) == 1
     timers.run(500)
     assert len(reader.calls) == 1
+
+
+def test_an_entry_that_lapsed_in_an_outage_is_told_from_one_that_was_read(scene):
+    """From the soak: a worker shrank in an outage and was filled by its old entry."""
+    lapse(scene, "a", outage_ms=4_000)
+    lapsed = {key: one.is_lapsed for key, one in scene.watch.entries.items()}
+    assert lapsed == {"a": True, "b": False}
+    back = ReadResult(records=(entry("a"),), next_offset=10)
+    scene.timers.run(400)
+    scene.reader.answer(back)
+    assert not any(one.is_lapsed for one in scene.watch.entries.values())
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -1,5 +1,6 @@
 """The platform's list of workers, for instances that own a cell."""
 
+from attrs import evolve
 from loguru import logger
 
 from thymefork_core.exceptions import ProtocolError
@@ -66,7 +67,8 @@
         """Publish the list; keep what vanished while workers may still come back."""
         if steady_ms() < self._returned_until_ms:
             gone = before.keys() - self._listed.keys()
-            self._kept.update({worker_id: before[worker_id] for worker_id in gone})
+            lapsed = {key: evolve(before[key], is_lapsed=True) for key in gone}
+            self._kept.update(lapsed)
         machines = {entry.machine_id for entry in self._listed.values()}
         self._kept = {
             worker_id: entry
