--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/logs.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/logs.py
@@ -1,12 +1,13 @@
 """Structured logs: one JSON object a line on standard output, never blocking."""
 
 import os
-import time
 from collections import deque
 
 import orjson
 from loguru import logger
 
+from thymefork_net import steady_ms
+
 from .log_budget import LogBudget
 
 __all__ = ["LogWriter", "setup_logs"]
@@ -33,11 +34,11 @@
         extra = record["extra"]
         event = extra.get("event", "line")
         level = record["level"].name
-        if not self._budget.admits(event, level, time.monotonic()):
+        if not self._budget.admits(event, level, steady_ms() / 1000.0):
             return
         line = {
             "at": record["time"].isoformat(timespec="milliseconds"),
-            "steady_ms": round(time.monotonic() * 1000),
+            "steady_ms": round(steady_ms()),
             "level": level,
             **self._always,
             **extra,
--- a/packages/thymefork-net/src/thymefork_net/steady.py
+++ b/packages/thymefork-net/src/thymefork_net/steady.py
@@ -10,9 +10,15 @@
 __all__ = ["SteadyTimers", "steady_ms"]
 
 
+# The clock that no change of the time of day moves and that counts the time for which
+# the machine was suspended: the store, the workers and callers went on meanwhile, so by
+# a clock that stands still an owner would act on leases that are long over.
+_CLOCK = time.CLOCK_BOOTTIME
+
+
 def steady_ms():
-    """Return the steady clock in milliseconds."""
-    return time.monotonic() * 1000.0
+    """Return the steady clock in milliseconds, with the time spent suspended."""
+    return time.clock_gettime(_CLOCK) * 1000.0
 
 
 class SteadyTimers(BaseComponent):
--- a/soak/src/thymefork_soak/callers.py
+++ b/soak/src/thymefork_soak/callers.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import json
-import time
 
 from attrs import define, field
 
+from thymefork_net import steady_ms
+
 from .fleet import FRONT
 
 __all__ = ["Caller", "JobStory"]
@@ -78,7 +79,7 @@
         story.cancelled = True
         status = await self.call("DELETE", story.job_id)
         # The clock is the stand-in's: both read this machine's steady clock.
-        acknowledged_ms = time.monotonic() * 1000.0
+        acknowledged_ms = steady_ms()
         if status not in (200, 410):
             return False
         notice = {"id": story.job_id, "acknowledged_ms": acknowledged_ms}
