--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -15,7 +15,14 @@
 
 
 def entry(worker_id, machine="m-1"):
-    document = {"address": "10.0.0.9:1", "service": "s", "machine_id": machine}
+    document = {
+        "address": "10.0.0.9:1",
+        "service": "s",
+        "zone": "hall-1",
+        "state": "ready",
+        "capacity": {"cpu": 8_000, "mem_mb": 32_000},
+        "machine_id": machine,
+    }
     return StoreRecord(key=worker_id, value=orjson.dumps(document))
 
 
@@ -116,3 +123,22 @@
     scene.timers.run(150)  # it is asked for sooner now
     scene.reader.answer(ReadResult(records=(), next_offset=2))
     assert not any(one.is_lapsed for one in scene.watch.entries.values())
+
+
+@pytest.mark.parametrize("spoiled", [b"\xff", b"[]", b'{"service": 7}', b"{}"])
+def test_an_entry_that_another_writer_spoils_names_no_worker_until_it_is_back(
+    scene, spoiled
+):
+    record = StoreRecord(key="a", value=spoiled)
+    scene.reader.answer(ReadResult(records=(record,), next_offset=3))
+    assert set(scene.watch.entries) == {"b"}
+    assert scene.watch.unreadable_count == 1
+    scene.timers.run(400)
+    scene.reader.answer(ReadResult(records=(entry("a"),), next_offset=4))
+    assert set(scene.watch.entries) == {"a", "b"}
+
+
+def test_an_entry_that_never_was_a_workers_leaves_the_others(scene):
+    record = StoreRecord(key="z", value=b"\x00")
+    scene.reader.answer(ReadResult(records=(record, entry("c", "m-3")), next_offset=4))
+    assert set(scene.watch.entries) == {"a", "b", "c"}
