--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
@@ -75,11 +75,15 @@
         self._context.needs_plan = True
 
     def _task_named(self, task_name):
-        job_id, occurrence, step, index = task_name.split(".")
+        job_id, *numbers = task_name.split(".")
         job = self._context.live_jobs.get(job_id)
         if job is None:
             return None
-        return job.step(int(occurrence), int(step)).tasks[int(index)]
+        try:
+            occurrence, step, index = map(int, numbers)
+            return job.step(occurrence, step).tasks[index]
+        except (ValueError, IndexError):
+            return None  # it is no task of ours, whoever runs it
 
     # Good ends ---------------------------------------------------------------
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -294,3 +294,13 @@
     harness.submit(JOB, job_spec(gang))
     harness.run(4_000)
     assert "stood_still" not in harness.counts
+
+
+@pytest.mark.parametrize(
+    "name", ["", "x", f"{JOB}", f"{JOB}.0.0", f"{JOB}.0.0.9", f"{JOB}.a.b.c"]
+)
+def test_an_end_of_what_is_no_task_of_ours_changes_nothing(harness, name):
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(300)
+    harness.cell.lifecycle.end_late(name, 1, "done", now_ms=harness.now)
+    assert harness.job(JOB).is_live
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -114,7 +114,10 @@
             store=self.store, timers=self.timers, on_change=self._on_configuration
         )
         self.worker_list = WorkerListWatch(
-            store=self.store, timers=self.timers, on_change=self.owned_cells.on_workers
+            store=self.store,
+            timers=self.timers,
+            on_change=self.owned_cells.on_workers,
+            on_unreadable=lambda: self.metrics.count("odd_answers", "worker_entry"),
         )
         self.layout = Layout(
             store=self.store,
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -65,7 +65,7 @@
             return
         self.has_large = bool(values.get(LARGE_KEY))
         if values.get(CELLS_KEY):
-            self._found(orjson.loads(values[CELLS_KEY])["cells"])
+            self._read_cells(values[CELLS_KEY])
             return
         settled = steady_ms() - self._began_ms > SETTLE_MS
         self._worker_list.want(True)
@@ -74,6 +74,22 @@
         else:
             self._again()
 
+    def _read_cells(self, value):
+        """Take the agreed number; one that can't be read is waited for, never guessed.
+
+        Another guess could deal the same job to two owners.
+        """
+        try:
+            cells = orjson.loads(value)["cells"]
+        except (ValueError, TypeError, KeyError) as failure:
+            cells = repr(failure)
+        if type(cells) is int and 0 < cells <= self._most_cells:
+            self._found(cells)
+            return
+        line = logger.bind(event="layout_unreadable", cells=cells)
+        line.error("the number of cells can't be read")
+        self._again()
+
     def _announce_large(self):
         """Write, once for the life of the system, that large instances take part."""
         self._store.append(
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -6,7 +6,13 @@
 
 from .owed_news import OwedNews
 
-__all__ = ["CELLS_TOPIC", "GROUP", "Membership", "address_of_member"]
+__all__ = [
+    "CELLS_TOPIC",
+    "GROUP",
+    "Membership",
+    "address_of_member",
+    "is_member_id",
+]
 
 GROUP = "cells"
 CELLS_TOPIC = "keyed.cells"
@@ -43,6 +49,12 @@
     return Address(host=host, port=int(port))
 
 
+def is_member_id(text):
+    """Tell whether a text is the id of an instance of ours; others may join, too."""
+    parts = text.split("|") if isinstance(text, str) else ()
+    return len(parts) == 4 and parts[2].isascii() and parts[2].isdigit()
+
+
 class Membership:
     """Stay in the group; tell which cells are dealt to this instance.
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
@@ -5,7 +5,7 @@
 from thymefork_net import steady_ms
 
 from .dead_members import DeadMembers
-from .membership import CELLS_TOPIC, GROUP, address_of_member
+from .membership import CELLS_TOPIC, GROUP, address_of_member, is_member_id
 
 __all__ = ["OwnerDirectory"]
 
@@ -84,7 +84,7 @@
 
     def _on_owners(self, rows):
         self._asking = False
-        rows = rows and [row for row in rows if row.member_id]
+        rows = rows and [row for row in rows if is_member_id(row.member_id)]
         self._members = {}
         if rows is not None:
             self.member_count = len({row.member_id for row in rows})
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -90,3 +90,19 @@
     start(is_large=True)
     timers.run(500)
     assert start(is_large=False).has_large
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"\xff", b"[]", b"7", b'{"cells": "1"}', b'{"cells": 0}', b'{"cells": 99}'],
+)
+def test_a_number_of_cells_that_others_spoiled_is_waited_for(
+    store, start, timers, value
+):
+    store.values = {"large": b"true", "cells": value}
+    layout = start(is_large=False)
+    timers.run(1_000)
+    assert layout.cells == 0
+    store.values["cells"] = b'{"cells": 2}'
+    timers.run(1_000)
+    assert layout.cells == 2
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_directory.py
@@ -129,3 +129,12 @@
     directory.refresh()
     answer_reads(store, timers, (row(SUCCESSOR),), 20)
     assert directory.owner_of(0) == SUCCESSOR and directory.epoch_of(0) is None
+
+
+@pytest.mark.parametrize("member_id", ["", "x", "x|y", "a|b|port|d", "a|b|1|c|d", 7])
+def test_a_member_of_others_owns_nothing(directory, store, timers, member_id):
+    directory.refresh()
+    foreign = MemberRow(topic=CELLS_TOPIC, partition=7, member_id=member_id)
+    answer_reads(store, timers, [foreign], for_ms=250)
+    assert directory.owner_of(0) is None
+    assert directory.member_count == 0
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -42,15 +42,24 @@
 
 @pytest.fixture
 def scene(timers):
-    reader, changes = FakeReader(), []
+    reader, changes, unreadable = FakeReader(), [], []
     watch = WorkerListWatch(
-        store=reader, timers=timers, on_change=lambda: changes.append(1)
+        store=reader,
+        timers=timers,
+        on_change=lambda: changes.append(1),
+        on_unreadable=lambda: unreadable.append(1),
     )
     watch.want(True)
     records = (entry("a"), entry("b", "m-2"))
     reader.answer(NewestResult(records=records, next_key="", end_offset=2))
     timers.run(400)
-    return SimpleNamespace(watch=watch, reader=reader, timers=timers, changes=changes)
+    return SimpleNamespace(
+        watch=watch,
+        reader=reader,
+        timers=timers,
+        changes=changes,
+        unreadable=unreadable,
+    )
 
 
 def lapse(scene, *worker_ids, outage_ms):
@@ -84,7 +93,9 @@
 
 def test_the_list_is_read_on_though_a_listener_failed(timers):
     reader, listener = FakeReader(), FailingOnce()
-    watch = WorkerListWatch(store=reader, timers=timers, on_change=listener)
+    watch = WorkerListWatch(
+        store=reader, timers=timers, on_change=listener, on_unreadable=lambda: None
+    )
     watch.want(True)
     result = NewestResult(records=(entry("a"),), next_key="", end_offset=1)
     with pytest.raises(RuntimeError):  # the pool logs it, with its trace
@@ -132,7 +143,7 @@
     record = StoreRecord(key="a", value=spoiled)
     scene.reader.answer(ReadResult(records=(record,), next_offset=3))
     assert set(scene.watch.entries) == {"b"}
-    assert scene.watch.unreadable_count == 1
+    assert len(scene.unreadable) == 1
     scene.timers.run(400)
     scene.reader.answer(ReadResult(records=(entry("a"),), next_offset=4))
     assert set(scene.watch.entries) == {"a", "b"}
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -29,11 +29,15 @@
 
 
 class WorkerListWatch:
-    """Follow the list while it is wanted."""
+    """Follow the list while it is wanted.
 
-    def __init__(self, *, store, timers, on_change):
+    `on_unreadable` is called for each record that is no worker's entry.
+    """
+
+    def __init__(self, *, store, timers, on_change, on_unreadable):
         self.entries = {}
         self.is_complete = False
+        self._on_unreadable = on_unreadable
         self._store = store
         self._timers = timers
         self._news = OwedNews(listener=on_change)
@@ -157,14 +161,20 @@
         self._again(lambda: self._follow(result.next_offset))
         self._settle(before)
 
-    @staticmethod
-    def _take(entries, record):
+    def _take(self, entries, record):
+        """Take a record; what others wrote names no worker until it is written over.
+
+        Nothing new starts there then; what runs is looked at as on any worker that is
+        not listed just now.
+        """
         if not record.value:
             entries.pop(record.key, None)
             return
         try:
             entries[record.key] = decode_worker(record.key, record.value)
         except ProtocolError as failure:
+            entries.pop(record.key, None)
+            self._on_unreadable()
             logger.bind(event="worker_unreadable").warning("{}", failure)
 
 
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -15,6 +15,7 @@
 from .fleet import Fleet
 from .lasting import LastingCaller
 from .rooms import RoomChanges
+from .spoiling import EntrySpoiler
 
 __all__ = ["main", "soak"]
 
@@ -56,6 +57,9 @@
         rooms = RoomChanges(
             fleet=fleet, random=random.Random(f"{seed} rooms"), workers=WORKERS
         )
+        spoiler = EntrySpoiler(
+            fleet=fleet, random=random.Random(f"{seed} spoiled"), workers=WORKERS
+        )
         kept = [asyncio.ensure_future(caller.work()) for caller in lasting]
         until = SETTLE_S + seconds
         await asyncio.gather(
@@ -63,6 +67,7 @@
             plan.work_outages(until, now, random.Random(f"{seed} outages")),
             crashing.work(until, now),
             rooms.work(until, now),
+            spoiler.work(until, now),
             *(caller.work(until, now) for caller in callers),
         )
         (folder / "faults.txt").write_text("\n".join([*plan.done, ""]))
--- /dev/null
+++ b/soak/src/thymefork_soak/spoiling.py
@@ -0,0 +1,34 @@
+"""Another writer among the workers' entries in the store."""
+
+import asyncio
+
+__all__ = ["EntrySpoiler"]
+
+# What it writes, over a worker's entry or under a key of its own.
+VALUES = (
+    "\x00\x01",
+    "[]",
+    "{}",
+    '{"service": 7}',
+    '{"service": "svc", "address": "127.0.0.1", "state": "ready"}',
+    '{"service": "svc", "address": ":1", "zone": "z", "state": "resting",'
+    ' "capacity": {"cpu": "many"}}',
+)
+
+
+class EntrySpoiler:
+    """Write what names no worker, until a moment."""
+
+    def __init__(self, *, fleet, random, workers):
+        self._fleet = fleet
+        self._random = random
+        self._workers = workers
+
+    async def work(self, until, now):
+        """Spoil one entry after another; a worker writes its own anew."""
+        while now() < until:
+            await asyncio.sleep(self._random.uniform(0.5, 4.0))
+            notice = {"value": self._random.choice(VALUES)}
+            if self._random.random() < 0.7:
+                notice["worker"] = self._random.randrange(self._workers)
+            await self._fleet.steer("spoil", notice)
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -132,6 +132,17 @@
     def _resize(self, body):
         self._workers[body["worker"]].resize(body["cpu_milli"])
 
+    def _spoil(self, body):
+        """Write as another writer does; a worker writes over it within two beats."""
+        if "worker" not in body:
+            self.store.put_raw(SERVERS, "i-of-another", body["value"].encode())
+            return
+        worker = self._workers[body["worker"]]
+        if worker in self._unlisted or worker.down_since_ms:
+            return
+        self.store.put_raw(SERVERS, worker.worker_id, body["value"].encode())
+        self._loop.timers.after(BEAT_MS, lambda: self._told.pop(worker.name, None))
+
     def _crash(self, body):
         self._workers[body["worker"]].crash()
 
--- a/soak/src/thymefork_soak/standin/store.py
+++ b/soak/src/thymefork_soak/standin/store.py
@@ -36,7 +36,10 @@
 
     def put(self, topic, key, document):
         """Write a record as the operator or a worker does; None drops the key."""
-        value = orjson.dumps(document) if document is not None else b""
+        self.put_raw(topic, key, orjson.dumps(document) if document else b"")
+
+    def put_raw(self, topic, key, value):
+        """Write any bytes under a key."""
         partition = self.partition(topic)
         partition.put(key, value)
         self._wake(partition)
