--- a/packages/thymefork-cells/src/thymefork_cells/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/codec.py
@@ -156,10 +156,17 @@
     task.run_count, task.failures, task.checkpoint, runs, *more = row
     for run_id, worker_id in runs:
         _add_recovered(task, run_id, worker_of(worker_id))
-    for worker_id, after_ms, is_certain in more[0] if more else ():
-        task.losses[worker_id] = Loss(
-            worker_id=worker_id, after_ms=after_ms, is_certain=is_certain
-        )
+    for loss in more[0] if more else ():
+        _add_loss(task, *loss)
+
+
+def _add_loss(task, worker_id, after_ms, is_certain, was_alone):
+    task.losses[worker_id] = Loss(
+        worker_id=worker_id,
+        after_ms=after_ms,
+        is_certain=is_certain,
+        was_alone=was_alone,
+    )
 
 
 def _add_recovered(task, run_id, worker):
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -146,10 +146,10 @@
                 self._place_gang(step, workers, now_ms)
             return
         permitted = self._permitted(step, workers, now_ms)
-        suspected = [task for task in waiting if task.suspicion(now_ms)]
-        sound = waiting
-        if suspected:
-            sound = [task for task in waiting if not task.suspicion(now_ms)]
+        sound, suspected = [], []
+        for task in waiting:
+            is_suspected = self._is_suspected(task, now_ms)
+            (suspected if is_suspected else sound).append(task)
         starts = self._place_sound(step, sound, workers, permitted, now_ms)
         missing = len(sound) - len(starts)
         if suspected:
@@ -158,6 +158,11 @@
         if missing and self._preemptor.make_room(step, permitted, missing, now_ms):
             self._reservations.review_soon()  # what is freed is kept for the step
 
+    def _is_suspected(self, task, now_ms):
+        if not task.losses and not task.runs:
+            return False  # nearly all tasks, each time
+        return self._trials.is_suspected(task, now_ms)
+
     def _place_sound(self, step, tasks, workers, permitted, now_ms):
         """Start tasks under which no worker was lost; return each with its worker."""
         spec = step.spec
@@ -235,7 +240,7 @@
     def _place_gang(self, step, workers, now_ms):
         run_id = max(task.run_count for task in step.tasks) + 1
         permitted = self._permitted(step, workers, now_ms)
-        suspected = [task for task in step.tasks if task.suspicion(now_ms)]
+        suspected = [task for task in step.tasks if self._is_suspected(task, now_ms)]
         if suspected:
             permitted = self._gang_trial_workers(step, suspected, permitted, now_ms)
         chosen = self._gang_on_one_rack(step, permitted)
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -1,7 +1,7 @@
 """What a cell knows of jobs, runs and workers while they live."""
 
 from .job import Job, JobState
-from .loss import Loss
+from .loss import SOON_MS, Loss, are_alike
 from .run import Run, RunState
 from .step_state import StepState, Ticket
 from .task import Task
@@ -15,10 +15,12 @@
     "Loss",
     "Run",
     "RunState",
+    "SOON_MS",
     "StepState",
     "Task",
     "Ticket",
     "Trial",
     "Worker",
     "WorkerHealth",
+    "are_alike",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/state/loss.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/loss.py
@@ -2,17 +2,45 @@
 
 from attrs import frozen
 
-__all__ = ["Loss"]
+__all__ = ["Loss", "SOON_MS", "are_alike"]
+
+# A run that lost its worker within this time of its start may well have crashed it: a
+# task that does mostly does it at once, and silence is noticed within 1.2 s.
+SOON_MS = 2_000.0
+# Losses are alike if the longest run before one was at most so many times as long as
+# the shortest, and by the time that silence takes to be noticed.
+ALIKE_FACTOR = 2.0
+ALIKE_MORE_MS = 1_500.0
 
 
 @frozen(kw_only=True)
 class Loss:
     """Hold what is known of a worker that was lost while it may have run a task.
 
-    `after_ms` is for how long at most the run had been at work, 0 if that is not known.
-    The worker's life is over for certain, or it is merely silent.
+    `after_ms` is for how long at most the run had been at work, None if that is not
+    known. The worker's life is over for certain, or it is merely silent; it ran no task
+    of another job, or it did.
     """
 
     worker_id: str
-    after_ms: int
+    after_ms: int | None
     is_certain: bool
+    was_alone: bool = False
+
+    @property
+    def was_soon(self):
+        """Tell whether it may have come right after the run's start."""
+        return self.after_ms is None or self.after_ms <= SOON_MS
+
+
+def are_alike(losses):
+    """Tell whether a task may have lost its workers by its own doing.
+
+    A task that crashes its workers does so at about the same point of each run, while
+    crashes of other causes come at any. Of four waves that each took a quarter of the
+    workers, one to three jobs a day were given up by the count of losses alone.
+    """
+    ages_ms = [loss.after_ms for loss in losses if loss.after_ms is not None]
+    if len(ages_ms) < 2:
+        return True
+    return max(ages_ms) <= ALIKE_FACTOR * min(ages_ms) + ALIKE_MORE_MS
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -4,6 +4,8 @@
 
 from attrs import define
 
+from .loss import SOON_MS
+
 __all__ = ["Run", "RunState"]
 
 
@@ -69,6 +71,22 @@
         """Tell whether its start has left, so that its worker may have begun it."""
         return self.state is not RunState.INTENDED
 
+    def age_at_silence_ms(self, now_ms):
+        """Return for how long at most it was at work when its worker fell silent.
+
+        None where its start was not seen by this owner.
+        """
+        if not self.began_ms:
+            return None
+        return max(0, round((self.worker.missed_ms or now_ms) - self.began_ms))
+
+    def may_have_crashed(self, now_ms):
+        """Tell whether its worker fell silent soon after its start."""
+        if not self.was_sent or not self.worker.is_silent(now_ms):
+            return False
+        age_ms = self.age_at_silence_ms(now_ms)
+        return age_ms is None or age_ms <= SOON_MS
+
     @property
     def is_doubted(self):
         """Tell whether its start was not answered and the worker has not listed it."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from .loss import are_alike
+
 __all__ = ["Task"]
 
 # More copies than this of one task would waste more than they save.
@@ -41,14 +43,21 @@
         return not self.done and not self.runs
 
     def suspicion(self, now_ms):
-        """Return how many workers were lost under it, or are silent with a run of it.
+        """Return how many workers it may have crashed, one that is silent included.
 
-        A silent one may have been crashed: that is known only once its machine is back,
-        or its leases are over, 3 s later. Counted then alone, a task that may have
-        copies crashed three workers within 90 ms.
+        That a silent one was crashed is known only once its machine is back, or its
+        leases are over, 3 s later. Counted then alone, a task that may have copies
+        crashed three workers within 90 ms. A run that was at work for longer before its
+        worker fell silent is most likely cut off, and its copies are wanted.
         """
-        silent = sum(run.was_sent and run.worker.is_silent(now_ms) for run in self.runs)
-        return len(self.losses) + silent
+        return len(self.losses) + sum(run.may_have_crashed(now_ms) for run in self.runs)
+
+    @property
+    def may_crash_workers(self):
+        """Tell whether its losses, if any, speak for its doing."""
+        if len(self.losses) == 1:
+            return any(loss.was_soon for loss in self.losses.values())
+        return bool(self.losses) and are_alike(self.losses.values())
 
     def wants_copy(self, is_behind, now_ms):
         """Tell whether a further run may, and should, go beside those that exist.
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -92,6 +92,10 @@
         if all(run.task.step.job is not job for run in self.runs.values()):
             self.trial = None
 
+    def runs_of_others(self, job):
+        """Return the runs here that are of other jobs."""
+        return [run for run in self.runs.values() if run.task.step.job is not job]
+
     def admits(self, job, now_ms):
         """Tell whether a job's tasks may start beside what is tried here."""
         trial = self.trial
--- a/packages/thymefork-cells/src/thymefork_cells/trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/trials.py
@@ -7,7 +7,7 @@
 it 501, without running apart 761.
 """
 
-from .state import Trial
+from .state import Trial, are_alike
 from .worker_choice import DOUBT_PENALTY, REMOTE_PENALTY
 from .worker_losses import MOST_CRASHES, trial_ms
 
@@ -26,10 +26,17 @@
 class Trials:
     """Choose workers for suspected tasks, and keep others off them."""
 
+    @staticmethod
+    def is_suspected(task, now_ms):
+        """Tell whether a task may have crashed workers, so that it starts with care."""
+        if len(task.losses) >= APART_AFTER:
+            return True
+        return task.may_crash_workers or task.suspicion(now_ms) > len(task.losses)
+
     @staticmethod
     def is_ready(task, now_ms):
         """Tell whether a suspected task may be started at all."""
-        if len(task.losses) < MOST_CRASHES:
+        if len(task.losses) < MOST_CRASHES or not are_alike(task.losses.values()):
             return True
         return now_ms - task.lost_ms > WORD_PATIENCE_MS
 
@@ -44,7 +51,7 @@
         if not _has_to_run_apart(tasks, now_ms):
             return workers
         job = step.job
-        empty = [worker for worker in workers if not _others_on(worker, job)]
+        empty = [worker for worker in workers if not worker.runs_of_others(job)]
         if empty:
             return empty
         since_ms = max([step.ready_ms, *(task.lost_ms for task in tasks)])
@@ -72,13 +79,11 @@
 
 
 def _has_to_run_apart(tasks, now_ms):
-    return any(task.suspicion(now_ms) >= APART_AFTER for task in tasks)
-
-
-def _others_on(worker, job):
-    """Return the runs of other jobs on a worker."""
-    return [run for run in worker.runs.values() if run.task.step.job is not job]
+    return any(
+        task.suspicion(now_ms) >= APART_AFTER and are_alike(task.losses.values())
+        for task in tasks
+    )
 
 
 def _cpu_at_risk(worker, job):
-    return sum(run.step.cpu_milli for run in _others_on(worker, job))
+    return sum(run.step.cpu_milli for run in worker.runs_of_others(job))
--- a/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
@@ -8,15 +8,15 @@
 
 from attrs import evolve
 
-from .state import JobState, Loss
+from .state import JobState, Loss, are_alike
 
 __all__ = ["SOUND_MS", "WorkerLosses", "trial_ms"]
 
-# A job is given up once this many workers have crashed under one of its tasks. One says
-# nothing of a task, and two may be chance for one that stood beside others twice; after
-# two it runs apart from other jobs (see trials.py), so the third tells.
+# A job is given up once this many workers have crashed under one of its tasks, each at
+# about the same point of its run, and one of them while it ran nothing else. Two may be
+# chance for a task that stood beside others.
 MOST_CRASHES = 3
-# Or once this many have crashed or fallen silent: a machine may stay away for long.
+# Or once this many have crashed or fallen silent at whatever point.
 MOST_LOSSES = 4
 # A run that is at work for so many times as long as any run had been that lost its
 # worker, and a bit, shows that its task does not crash workers.
@@ -63,11 +63,14 @@
 
     def _record(self, run, is_certain, now_ms):
         task, worker_id = run.task, run.worker.worker_id
-        after_ms = _age_at_loss_ms(run, now_ms)
-        if task.done or after_ms > SOUND_MS:
+        after_ms = run.age_at_silence_ms(now_ms)
+        if task.done or (after_ms or 0) > SOUND_MS:
             return
         task.losses[worker_id] = Loss(
-            worker_id=worker_id, after_ms=after_ms, is_certain=is_certain
+            worker_id=worker_id,
+            after_ms=after_ms,
+            is_certain=is_certain,
+            was_alone=not run.worker.runs_of_others(task.step.job),
         )
         self._tasks_by_worker.setdefault(worker_id, set()).add(task)
 
@@ -105,18 +108,17 @@
     def _judge(self, task, now_ms):
         """Give a job up whose task has crashed too many workers."""
         job, losses = task.step.job, task.losses.values()
-        crashes = sum(loss.is_certain for loss in losses)
-        if crashes < MOST_CRASHES and len(losses) < MOST_LOSSES:
-            return
         if task.done or not job.is_live:
             return
+        if len(losses) < MOST_LOSSES and not _is_proved(losses):
+            return
         self._context.count("worker_losses", "job_given_up")
         self._context.note(
             "task_crashes_workers",
             task=task.name,
             workers=[loss.worker_id for loss in losses],
             after_ms=[loss.after_ms for loss in losses],
-            crashes=crashes,
+            crashes=sum(loss.is_certain for loss in losses),
         )
         reason = f"{len(losses)} workers were lost under {task.name}"
         self._lifecycle.finish(job, JobState.FAILED, reason, now_ms=now_ms)
@@ -136,7 +138,7 @@
                 reason=reason,
                 runs=[f"{run.task.name}/{run.run_id}" for run in lost[:MOST_NAMED]],
                 tasks=len(lost),
-                after_ms=min(_age_at_loss_ms(run, now_ms) for run in lost),
+                after_ms=_youngest_ms(lost, now_ms),
                 losses_before=max(len(run.task.losses) for run in lost),
                 other_jobs=len(by_job) - 1,
                 was_leaving=worker.is_leaving,
@@ -145,17 +147,20 @@
 
 def trial_ms(task):
     """Return how long a run has to be at work to clear its task of its losses."""
-    longest_ms = max((loss.after_ms for loss in task.losses.values()), default=0)
-    outlived_ms = OUTLIVED_FACTOR * longest_ms + OUTLIVED_MORE_MS
+    ages_ms = [loss.after_ms or 0 for loss in task.losses.values()]
+    outlived_ms = OUTLIVED_FACTOR * max(ages_ms, default=0) + OUTLIVED_MORE_MS
     return min(max(outlived_ms, SHORTEST_TRIAL_MS), SOUND_MS)
 
 
-def _age_at_loss_ms(run, now_ms):
-    """Return for how long at most a run was at work when its worker fell silent.
+def _is_proved(losses):
+    """Tell whether losses are a task's own doing for certain."""
+    crashes = [loss for loss in losses if loss.is_certain]
+    if len(crashes) < MOST_CRASHES:
+        return False
+    return are_alike(losses) and any(loss.was_alone for loss in losses)
+
 
-    0 where its start was not seen by this owner.
-    """
-    if not run.began_ms:
-        return 0
-    silent_since_ms = run.worker.missed_ms or now_ms
-    return max(0, round(silent_since_ms - run.began_ms))
+def _youngest_ms(runs, now_ms):
+    """Return for how long the youngest of some runs was at work, None if not known."""
+    ages_ms = [run.age_at_silence_ms(now_ms) for run in runs]
+    return min((age_ms for age_ms in ages_ms if age_ms is not None), default=None)
