--- a/packages/thymefork-cells/src/thymefork_cells/state/loss.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/loss.py
@@ -8,9 +8,10 @@
 # task that does mostly does it at once, and silence is noticed within 1.2 s.
 SOON_MS = 2_000.0
 # Losses are alike if the longest run before one was at most so many times as long as
-# the shortest, and by the time that silence takes to be noticed.
-ALIKE_FACTOR = 2.0
-ALIKE_MORE_MS = 1_500.0
+# the shortest, since workers differ in speed, and by the time that silence takes to be
+# noticed.
+ALIKE_FACTOR = 1.25
+ALIKE_MORE_MS = 1_200.0
 
 
 @frozen(kw_only=True)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
@@ -7,7 +7,7 @@
 from thymefork_cells import OrderAnswer, Refusal
 from thymefork_cells.codec import decode_progress, encode_progress
 from thymefork_cells.effects import StartRun
-from thymefork_cells.state import JobState, Loss
+from thymefork_cells.state import JobState, Loss, are_alike
 from thymefork_cells.worker_losses import MOST_LOSSES, SHORTEST_TRIAL_MS, SOUND_MS
 
 from .harness import Harness, job_spec
@@ -375,3 +375,43 @@
 
 def _reachable(harness):
     return [worker for worker in harness.workers.values() if not worker.cut]
+
+
+# Crashes that are no task's doing -------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    ("ages_ms", "alike"),
+    [
+        ([], True),
+        ([10], True),
+        ([10, 1_100, 300], True),
+        ([5_000, 6_200, 5_400], True),
+        ([744, 12_541], False),
+        ([2_581, 4_496, None], False),
+        ([None, None, 9_000], True),
+    ],
+)
+def test_losses_at_about_the_same_point_of_each_run_are_alike(ages_ms, alike):
+    found = [
+        Loss(worker_id=f"w{number}", after_ms=age_ms, is_certain=True)
+        for number, age_ms in enumerate(ages_ms)
+    ]
+    assert are_alike(found) is alike
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_jobs_that_stood_in_waves_of_crashes_are_not_given_up(make_harness, seed):
+    """From a day of crashes in waves: one to three jobs were given up."""
+    rng = random.Random(seed)
+    harness = make_harness(workers=24, **THREE_HALLS)
+    set_work_ms(harness, 5_000.0)
+    jobs = [f"{number:016x}" for number in range(100, 130)]
+    for number, job in enumerate(jobs):
+        harness.submit(job, job_spec({"count": 5, "cpu_milli": 800}))
+        harness.run(700)
+        if number % 6 == 5:
+            for worker in rng.sample(_reachable(harness), 6):
+                harness.crash(worker)
+    harness.run(40_000)
+    assert {harness.job(job).shown_state for job in jobs} == {JobState.SUCCEEDED}
--- a/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
@@ -153,11 +153,14 @@
 
 
 def _is_proved(losses):
-    """Tell whether losses are a task's own doing for certain."""
-    crashes = [loss for loss in losses if loss.is_certain]
-    if len(crashes) < MOST_CRASHES:
+    """Tell whether losses are a task's own doing for certain.
+
+    One of which it is not known when in the run it came proves nothing.
+    """
+    telling = [loss for loss in losses if loss.is_certain and loss.after_ms is not None]
+    if len(telling) < MOST_CRASHES:
         return False
-    return are_alike(losses) and any(loss.was_alone for loss in losses)
+    return are_alike(telling) and any(loss.was_alone for loss in telling)
 
 
 def _youngest_ms(runs, now_ms):
