--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
@@ -429,8 +429,8 @@
 
     Waves at about the distance of a restart find a task at the same point of its run
     three times, as its own doing would. A task under which two workers have crashed may
-    be given up; telling such waves by what fell silent together kept tasks that do crash
-    workers for longer (30 crashes instead of 24, of eight of them).
+    be given up; telling such waves by what fell silent together kept tasks that do
+    crash workers for longer (30 crashes instead of 24, of eight of them).
     """
     states = [
         state
