--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -2,6 +2,7 @@
 
 from .cell import Cell
 from .codec import decode_spec, encode_spec
+from .context import STALE_MS
 from .hashing import cell_of
 from .orders import OrderAnswer, Refusal
 from .reports import EndRow, RunRow, WorkerReport
@@ -12,6 +13,7 @@
     "OrderAnswer",
     "Refusal",
     "RunRow",
+    "STALE_MS",
     "WorkerReport",
     "cell_of",
     "decode_spec",
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -5,7 +5,12 @@
 from .effects import Count, Note, Observe
 from .specs import Bounds, Configuration
 
-__all__ = ["CellContext"]
+__all__ = ["STALE_MS", "CellContext"]
+
+# A list of workers that was read longer ago than this says nothing of a worker's room:
+# one that has shrunk has to be known after contact and a heartbeat, 3.5 s on the
+# quickest sites.
+STALE_MS = 3_000.0
 
 
 @define(kw_only=True, eq=False)
@@ -13,7 +18,8 @@
     """Hold the jobs, workers and pending effects of one cell under one owner.
 
     `owed_stops` holds, as keys in their order, the runs that a worker still has to be
-    told to stop. Units: `taken_over_ms` on the steady clock.
+    told to stop. `workers_known_ms` is since when at the latest the list of workers may
+    have changed unseen. Units: `*_ms` on the steady clock.
     """
 
     cell: int
@@ -30,6 +36,15 @@
     journal: object = None
     needs_plan: bool = True
     store_is_away: bool = False
+    workers_known_ms: float = float("inf")
+
+    def is_list_stale(self, now_ms):
+        """Tell whether the list of workers is too old to start work by.
+
+        Judged as work is planned and as each start leaves, since a process that was
+        paused goes on with what it knew.
+        """
+        return now_ms - self.workers_known_ms > STALE_MS
 
     def emit(self, effect):
         """Have an effect carried out at once."""
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -82,6 +82,8 @@
 
         A gang starts as a whole, so what keeps one member keeps all of them.
         """
+        if self._context.is_list_stale(now_ms):
+            return "list_stale"
         for member in _not_sent_with(run):
             if member.worker.is_overfull:
                 return "worker_shrank"
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -38,6 +38,8 @@
     def plan(self, now_ms):
         """Intend all starts that are possible now."""
         self._context.needs_plan = False
+        if self._context.is_list_stale(now_ms):
+            return
         if now_ms >= self._list_due_ms:
             self._list_due_ms = now_ms + LIST_MS
             self._by_service = self._workers_by_service(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/specs/worker_entry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/worker_entry.py
@@ -11,8 +11,8 @@
 
     Units: thousandths of a core, megabytes, milliseconds. `leaves_in_ms` is the
     least time left of a draining worker, 0 where it is not known. An entry that
-    `is_lapsed` went while the store was away, or was read too long ago: the worker may
-    live, but how much room it has now is not known.
+    `is_lapsed` went while the store was away: the worker may live, but how much room it
+    has now is not known.
     """
 
     worker_id: str
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
@@ -171,6 +171,32 @@
     assert harness.workers["w0"].running
 
 
+def test_nothing_starts_by_a_list_that_was_read_too_long_ago(harness):
+    """From the soak: work went out by the list from before an outage, or a pause."""
+    harness.cell.context.workers_known_ms = harness.now
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(2_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    harness.run(1_500)
+    harness.submit(NEXT, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(2_000)
+    assert not harness.starts_of(f"{NEXT}.0.0.0")
+    harness.cell.context.workers_known_ms = harness.now
+    harness.run(1_500)
+    assert harness.job(NEXT).shown_state is JobState.SUCCEEDED
+
+
+def test_a_start_decided_before_a_pause_is_decided_again_after_it(harness):
+    harness.cell.context.workers_known_ms = harness.now
+    harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(8)
+    (run,) = harness.job(JOB).runs
+    assert not harness.cell.orders.may_start(run, harness.now + 5_000)
+    assert not harness.job(JOB).runs
+    harness.run(1_500)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_rooms_that_change_with_each_heartbeat(seed):
     """Flapping rooms among crashes, unanswered starts and new owners."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -183,6 +183,7 @@
             pump=self._pump,
             performer=self._performer,
             timers=self._daemon.timers,
+            workers_known_ms=lambda: self._daemon.worker_list.known_ms,
         )
         self._requests = RequestHandler(
             intake=cell.intake,
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -79,6 +79,7 @@
         pump=pump,
         performer=SimpleNamespace(perform=performed.extend),
         timers=timers,
+        workers_known_ms=lambda: 0.0,
     )
     loop.turn()
     return SimpleNamespace(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -121,19 +121,21 @@
     assert not any(one.is_lapsed for one in scene.watch.entries.values())
 
 
-def test_entries_that_were_read_long_ago_say_nothing_until_they_are_read_again(scene):
-    """From the soak: on the store's return work went out by the list from before it."""
-    for _ in range(7):
+def test_what_an_answer_says_held_when_it_was_asked_for(scene):
+    """From the soak: a paused process read an old answer, and started work by it."""
+    asked_ms = scene.timers.now_ms
+    scene.timers.run(5_000)  # paused, with the answer waiting
+    scene.reader.answer(ReadResult(records=(), next_offset=2))
+    assert scene.watch.known_ms == asked_ms
+
+
+def test_a_list_that_is_too_old_is_asked_for_sooner(scene):
+    for _ in range(8):
         scene.reader.answer(None)
         scene.timers.run(400)
-    assert not any(one.is_lapsed for one in scene.watch.entries.values())
     scene.reader.answer(None)
     scene.timers.run(150)
-    scene.reader.answer(None)
-    assert all(one.is_lapsed for one in scene.watch.entries.values())
-    scene.timers.run(150)  # it is asked for sooner now
-    scene.reader.answer(ReadResult(records=(), next_offset=2))
-    assert not any(one.is_lapsed for one in scene.watch.entries.values())
+    assert scene.reader.calls
 
 
 @pytest.mark.parametrize("spoiled", [b"\xff", b"[]", b'{"service": 7}', b"{}"])
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -3,6 +3,7 @@
 from attrs import evolve
 from loguru import logger
 
+from thymefork_cells import STALE_MS
 from thymefork_core.exceptions import ProtocolError
 from thymefork_machines import decode_worker
 from thymefork_net import steady_ms
@@ -17,11 +18,8 @@
 PERIOD_MS = 400.0
 # Without an answer for this long, entries may have lapsed while the store was away.
 AWAY_MS = 1_000.0
-# What was read longer ago than this says nothing of a worker's room: one that has
-# shrunk has to be known after contact and a heartbeat, 3.5 s on the quickest sites.
-STALE_MS = 3_000.0
-# Once it is stale the list is read at this period: nothing starts before it is read, so
-# that what waits for the store's return starts up to 0.25 s sooner.
+# Once it is too old to start work by, the list is read at this period, so that what
+# waits for the store's return starts up to 0.25 s sooner.
 STALE_PERIOD_MS = 150.0
 # Workers that live are listed again within about two seconds of the store's return;
 # until then, and a reading later, a lapsed entry says nothing.
@@ -31,7 +29,9 @@
 class WorkerListWatch:
     """Follow the list while it is wanted.
 
-    `on_unreadable` is called for each record that is no worker's entry.
+    `on_unreadable` is called for each record that is no worker's entry. `known_ms` is
+    when the last reading that was answered had been sent: what the list says held then,
+    however much later a paused process reads the answer.
     """
 
     def __init__(self, *, store, timers, on_change, on_unreadable):
@@ -45,7 +45,7 @@
         self._running = False
         self._answered_ms = steady_ms()
         self._returned_until_ms = 0.0
-        self._is_stale = False
+        self.known_ms = 0.0
         self._listed = {}
         self._kept = {}
 
@@ -60,13 +60,15 @@
 
     def _again(self, action):
         if self._wanted:
-            period_ms = STALE_PERIOD_MS if self._is_stale else PERIOD_MS
+            is_stale = steady_ms() - self.known_ms > STALE_MS
+            period_ms = STALE_PERIOD_MS if is_stale else PERIOD_MS
             self._timers.after(period_ms, action)
         else:
             self._running = False
 
-    def _note_answer(self):
+    def _note_answer(self, sent_ms):
         """Note that the store answers; after an outage, let workers come back."""
+        self.known_ms = sent_ms
         now_ms = steady_ms()
         if now_ms - self._answered_ms > AWAY_MS and self._listed:
             self._returned_until_ms = now_ms + RETURN_MS
@@ -74,14 +76,6 @@
             line.info("entries may have lapsed while the store was away")
             self._timers.after(RETURN_MS, self._drop_kept)
         self._answered_ms = now_ms
-        self._is_stale = False
-
-    def _note_no_answer(self):
-        """Note that a reading has failed; what was read long ago holds no longer."""
-        if self._is_stale or steady_ms() - self._answered_ms <= STALE_MS:
-            return
-        self._is_stale = True
-        self._publish()
 
     def _settle(self, before):
         """Publish the list; keep what vanished while workers may still come back."""
@@ -107,26 +101,24 @@
 
     def _publish(self):
         entries = self._kept | self._listed
-        if self._is_stale:
-            entries = {key: _lapsed(entry) for key, entry in entries.items()}
         if entries != self.entries:
             self.entries = entries
             self._news.owe()
         self._news.tell()
 
     def _read_newest(self, found, after, offset):
+        sent_ms = steady_ms()
         self._store.newest(
             topic=TOPIC,
             after=after,
-            on_result=lambda result: self._on_newest(result, found, offset),
+            on_result=lambda result: self._on_newest(result, found, offset, sent_ms),
         )
 
-    def _on_newest(self, result, found, offset):
+    def _on_newest(self, result, found, offset, sent_ms):
         if result is None:
-            self._note_no_answer()
             self._again(lambda: self._read_newest({}, "", None))
             return
-        self._note_answer()
+        self._note_answer(sent_ms)
         # Later pages may miss changes made since the first: follow from its end.
         offset = result.end_offset if offset is None else offset
         for record in result.records:
@@ -140,21 +132,21 @@
         self._settle(before)
 
     def _follow(self, offset):
+        sent_ms = steady_ms()
         self._store.read(
             topic=TOPIC,
             offset=offset,
-            on_result=lambda result: self._on_read(result, offset),
+            on_result=lambda result: self._on_read(result, offset, sent_ms),
         )
 
-    def _on_read(self, result, offset):
+    def _on_read(self, result, offset, sent_ms):
         if result is None:
-            self._note_no_answer()
             self._again(lambda: self._follow(offset))
             return
         if result.history_gone:
             self._read_newest({}, "", None)
             return
-        self._note_answer()
+        self._note_answer(sent_ms)
         before = dict(self._listed)
         for record in result.records:
             self._take(self._listed, record)
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -15,7 +15,8 @@
 # 1006: an owner was dealt its cell again within one generation, and two ownerships
 # shared an epoch: tasks ran again after a noted end, an accepted job was unknown.
 # 3201: a worker shrank during an outage, and was filled by its entry from before it.
-SEEDS = ((101, 6.0), (102, 6.0), (1006, 6.0), (3201, 15.0))
+# 4001: a paused owner went on by the list of workers from before its pause.
+SEEDS = ((101, 6.0), (102, 6.0), (1006, 6.0), (3201, 15.0), (4001, 15.0))
 
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
