--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_advice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice.py
@@ -38,3 +38,20 @@
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(5_000)
     assert len(harness.asked) <= 2
+
+
+def test_a_step_with_one_allowed_worker_is_not_starved_there(make_harness):
+    """From a hunted day: jobs that were due sooner took the worker, time and again."""
+    policy = {"decision_ms": 20.0, "per_worker_ms": 0.1, "valid_ms": 2_500}
+    harness = make_harness(workers=4, advice=policy)
+    harness.allowed = lambda step, worker_id: worker_id == "w0"
+    patient = "00000000000000aa"
+    step = {"cpu_milli": 6_000, "image": "x"}
+    harness.submit(patient, job_spec({"count": 2, "estimated_ms": 60_000, **step}))
+    for number in range(100, 140):
+        job_id = f"{number:016x}"
+        harness.submit(job_id, job_spec({"count": 1, "estimated_ms": 800, **step}))
+        harness.run(400)
+    starts_ms = [at_ms for _, _, at_ms in harness.starts_of(f"{patient}.0.0.0")]
+    assert starts_ms and starts_ms[0] < 4_000
+    assert harness.job(patient).shown_state is JobState.SUCCEEDED
