--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -1,9 +1,11 @@
 """Which waiting tasks start now, and on which workers."""
 
 from functools import partial
+from operator import itemgetter
 
 from .effects import StartRun
 from .gang_choice import workers_for_gang
+from .starvation import starved_ms
 from .state import JobState, Run, RunState
 from .worker_choice import (
     WorkerRanking,
@@ -118,9 +120,10 @@
                 if not step.ready:
                     step.ready = job.is_turn(step, now_ms, early_ms)
                     step.ready_ms = now_ms
-                ranked.append((queue.priority, job.objective_ms, step.index, step))
-        ranked.sort(key=lambda row: row[:3])
-        return [row[3] for row in ranked]
+                urgency = (-starved_ms(step, now_ms), job.objective_ms, step.index)
+                ranked.append(((queue.priority, *urgency), step))
+        ranked.sort(key=itemgetter(0))
+        return [step for _, step in ranked]
 
     def _startable(self, step, now_ms):
         """Return the tasks that have to be started, or started once more."""
