--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
@@ -133,6 +133,25 @@
         assert jobs == {INNOCENT}
 
 
+def test_the_run_that_decides_is_apart_though_the_losses_are_unlike(make_harness):
+    """From the soak: a job stood beside four crashes, and was given up for them."""
+    harness = make_harness(workers=6, **THREE_HALLS)
+    set_work_ms(harness, 30_000.0)
+    for number in range(100, 104):
+        harness.submit(f"{number:016x}", job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(200)
+    harness.submit(INNOCENT, job_spec({"count": 1, "cpu_milli": 500}))
+    (task,) = harness.job(INNOCENT).steps[0].tasks
+    for worker_id, after_ms in (("x", 1_013), ("y", 3_835), ("z", 821)):
+        task.losses[worker_id] = Loss(
+            worker_id=worker_id, after_ms=after_ms, is_certain=True
+        )
+    harness.run(1_500)
+    (worker,) = [run.worker for run in task.runs]
+    assert not worker.runs_of_others(harness.job(INNOCENT))
+    assert not worker.admits(harness.job(f"{100:016x}"), harness.now)
+
+
 def test_a_suspect_runs_soon_though_no_worker_is_empty(make_harness):
     harness = make_harness(workers=4, cpu_milli=4_000)
     set_work_ms(harness, 1e9)
--- a/packages/thymefork-cells/src/thymefork_cells/trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/trials.py
@@ -11,7 +11,7 @@
 
 from .state import Trial, are_alike
 from .worker_choice import DOUBT_PENALTY, REMOTE_PENALTY
-from .worker_losses import MOST_CRASHES, trial_ms
+from .worker_losses import MOST_CRASHES, MOST_LOSSES, trial_ms
 
 __all__ = ["APART_AFTER", "Trials"]
 
@@ -91,10 +91,13 @@
 
 
 def _has_to_run_apart(tasks, now_ms):
-    return any(
-        task.suspicion(now_ms) >= APART_AFTER and are_alike(task.losses.values())
-        for task in tasks
-    )
+    return any(_has_to_be_alone(task, now_ms) for task in tasks)
+
+
+def _has_to_be_alone(task, now_ms):
+    if len(task.losses) >= MOST_LOSSES - 1:
+        return True  # the next loss decides, whoever stands beside it
+    return task.suspicion(now_ms) >= APART_AFTER and are_alike(task.losses.values())
 
 
 def _cpu_at_risk(worker, job):
--- a/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
@@ -10,7 +10,7 @@
 
 from .state import JobState, Loss, are_alike
 
-__all__ = ["SOUND_MS", "WorkerLosses", "trial_ms"]
+__all__ = ["MOST_CRASHES", "MOST_LOSSES", "SOUND_MS", "WorkerLosses", "trial_ms"]
 
 # A job is given up once this many workers have crashed under one of its tasks, each at
 # about the same point of its run, and one of them while it ran nothing else. Two may be
