Show that client accounts, their keys and limits are not known, failing

The shifted deployment has client accounts: a call shows one of an account's keys, but on public queues, and what an account has running is limited. The cells, the entry and the adapter know nothing of it.

--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
@@ -0,0 +1,226 @@
+"""What client accounts may have running, through whatever happens."""
+
+import pytest
+from attrs import evolve
+
+from thymefork_cells import effects as fx
+from thymefork_cells.specs import AccountPolicy, RoomLimit
+
+from .harness import job_spec
+
+WIDE = {"count": 12, "cpu_milli": 1_000, "estimated_ms": 400}
+
+
+def account(name="a", cpu_milli=0, memory_mb=0, accelerators=0, **fields):
+    limit = RoomLimit(
+        cpu_milli=cpu_milli, memory_mb=memory_mb, accelerators=accelerators
+    )
+    return AccountPolicy(name=name, limit=limit, **fields)
+
+
+def use_accounts(harness, *accounts, version=2):
+    harness.configuration = evolve(
+        harness.configuration, version=version, accounts=accounts
+    )
+    if harness.cell is not None:
+        harness.cell.on_configuration(harness.configuration)
+
+
+def cpu_running(harness, *job_ids):
+    return sum(
+        harness._cpu_of(task)
+        for task, _ in harness.running()
+        if task.split(".")[0] in job_ids
+    )
+
+
+def most_running(harness, for_ms, *job_ids):
+    """Return the most processors that jobs had running at once in a while."""
+    most = 0
+    for _ in range(int(for_ms // 5)):
+        harness.run(5)
+        most = max(most, cpu_running(harness, *job_ids))
+    return most
+
+
+A, B = "a" * 16, "b" * 16
+
+
+@pytest.mark.parametrize(
+    ("limit", "most"),
+    [
+        ({"cpu_milli": 3_500}, 3_000),
+        ({"memory_mb": 500, "cpu_milli": 0}, 5_000),
+        ({}, 12_000),
+    ],
+)
+def test_an_account_runs_no_more_than_its_limit(make_harness, limit, most):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(**limit))
+    harness.submit(A, job_spec({**WIDE, "memory_mb": 100}), account_name="a")
+    assert most_running(harness, 300, A) == most
+
+
+def test_all_of_it_runs_in_the_end(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=3_000))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(20_000)
+    assert str(harness.job(A).state) == "succeeded"
+
+
+def test_one_account_at_its_limit_does_not_hold_up_another(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=2_000), account("b"))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.submit(B, job_spec(WIDE), account_name="b")
+    harness.run(100)
+    assert cpu_running(harness, A) == 2_000
+    assert cpu_running(harness, B) == 12_000
+
+
+def test_a_gang_starts_whole_within_the_limit_or_not_at_all(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=6_000))
+    gang = {"count": 4, "cpu_milli": 1_000, "gang": True, "estimated_ms": 400}
+    harness.submit(A, job_spec(gang), account_name="a")
+    harness.submit(B, job_spec(gang), account_name="a")
+    assert most_running(harness, 400, A, B) == 4_000
+
+
+def test_copies_count(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=4_000))
+    step = {**WIDE, "count": 4, "speculative": True}
+    harness.submit(A, job_spec(step), account_name="a")
+    harness.run(60)
+    for worker in list(harness.workers.values())[:2]:
+        worker.cut = True
+    assert most_running(harness, 3_000, A) <= 4_000
+
+
+def test_what_is_being_stopped_counts_until_it_is_gone(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=4_000))
+    harness.drop = lambda effect: True
+    harness.submit(A, job_spec({**WIDE, "count": 4}), account_name="a")
+    harness.run(60)
+    harness.cell.intake.cancel("c", A, now_ms=harness.now)
+    harness.submit(B, job_spec({**WIDE, "count": 4}), account_name="a")
+    assert most_running(harness, 200, A, B) == 4_000
+
+
+def test_a_new_owner_counts_what_its_predecessor_started(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=4_000))
+    harness.submit(A, job_spec({**WIDE, "count": 4}), account_name="a")
+    harness.run(60)
+    harness.take_over()
+    harness.submit(B, job_spec(WIDE), account_name="a")
+    assert most_running(harness, 300, A, B) == 4_000
+
+
+def test_runs_on_a_silent_worker_count_until_their_leases_are_over(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=4_000))
+    step = {**WIDE, "count": 4, "estimated_ms": 60_000}
+    harness.submit(A, job_spec(step), account_name="a")
+    harness.run(60)
+    for worker in harness.workers.values():
+        worker.cut = bool(worker.running)
+    harness.submit(B, job_spec(WIDE), account_name="a")
+    assert most_running(harness, 2_000, A, B) == 4_000
+
+
+def test_a_lowered_limit_stops_starts_but_nothing_that_runs(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=6_000))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(60)
+    before = harness.running()
+    use_accounts(harness, account(cpu_milli=2_000), version=3)
+    harness.run(100)
+    assert harness.running() == before
+    harness.run(900)
+    assert most_running(harness, 500, A) <= 2_000
+
+
+def test_a_removed_account_keeps_its_last_limit(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=3_000))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(60)
+    use_accounts(harness, account("b"), version=3)
+    assert most_running(harness, 3_000, A) == 3_000
+    harness.run(20_000)
+    assert str(harness.job(A).state) == "succeeded"
+
+
+def test_an_account_that_is_not_known_yet_waits_for_its_limit(make_harness):
+    """An entry instance may have read a newer configuration than the owner."""
+    harness = make_harness(workers=4)
+    use_accounts(harness, account("b"))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(100)
+    assert not harness.running()
+    use_accounts(harness, account(cpu_milli=2_000), version=3)
+    assert most_running(harness, 200, A) == 2_000
+
+
+def test_work_of_an_account_that_nobody_knows_is_not_held_for_ever(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account("b"))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(20_000)
+    assert str(harness.job(A).state) == "succeeded"
+
+
+def test_several_cells_share_a_limit(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=8_000))
+    harness.cell.context.cell_count = 2
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    assert most_running(harness, 300, A) == 4_000
+
+
+def test_what_can_never_fit_is_refused_at_once(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=3_000))
+    gang = {"count": 4, "cpu_milli": 1_000, "gang": True}
+    harness.submit(A, job_spec(gang), account_name="a")
+    harness.submit(B, job_spec({"count": 1, "cpu_milli": 3_500}), account_name="a")
+    harness.run(30)
+    outcomes = [harness.replies[job_id].outcome for job_id in (A, B)]
+    assert outcomes == [fx.Outcome.OVER_LIMIT] * 2
+    assert A not in harness.cell.context.jobs
+    assert not any(A in key for key in harness.store)
+
+
+@pytest.mark.parametrize("kind", ["read", "cancel", "submit"])
+def test_an_account_has_no_part_in_the_jobs_of_another(make_harness, kind):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(), account("b"))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(30)
+    intake = harness.cell.intake
+    if kind == "read":
+        intake.read("r", A, account_name="b")
+    elif kind == "cancel":
+        intake.cancel("r", A, account_name="b", now_ms=harness.now)
+    else:
+        intake.submit("r", A, "q", b"{}", account_name="b", now_ms=harness.now)
+    harness.run(30)
+    assert harness.replies["r"].outcome is fx.Outcome.NOT_ALLOWED
+    assert harness.job(A).is_live
+
+
+def test_whose_a_job_is_lasts_over_a_change_of_owner(make_harness):
+    harness = make_harness(workers=4)
+    use_accounts(harness, account(cpu_milli=2_000), account("b"))
+    harness.submit(A, job_spec(WIDE), account_name="a")
+    harness.run(30)
+    harness.take_over()
+    assert harness.job(A).account_name == "a"
+    harness.cell.intake.cancel("r", A, account_name="b", now_ms=harness.now)
+    harness.run(30)
+    assert harness.replies["r"].outcome is fx.Outcome.NOT_ALLOWED
