Let callers in by their account's key and keep accounts within their limits

A job keeps its account's name in its record. What an account's runs hold is added up where a worker's room is, until each is surely gone: intents, copies, stops, doubted and inherited runs. Several cells each keep to an equal part of a limit. A lowered limit starts nothing and stops nothing; a removed account keeps its last limit while its jobs go on; one that the owner has yet to hear of waits 3 s at most. What can never fit is told at once (429); another account's job is 403. Several headers of one name are one list, so two keys are no known key.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -19,6 +19,7 @@
 from .placer import Placer
 from .preemptor import Preemptor
 from .quorum import Quorum
+from .quotas import Quotas
 from .reservations import Reservations
 from .room_forecast import RoomForecast
 from .roster import Roster
@@ -60,7 +61,11 @@
             context=self.context, lifecycle=self.lifecycle, losses=self.losses
         )
         self.roster = Roster(context=self.context, losses=self.losses)
-        self.intake = Intake(context=self.context, lifecycle=self.lifecycle)
+        self.quotas = Quotas(context=self.context)
+        self.quotas.learn(configuration)
+        self.intake = Intake(
+            context=self.context, lifecycle=self.lifecycle, quotas=self.quotas
+        )
         forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(context=self.context, images=self.images)
         self.orders = Orders(
@@ -80,6 +85,7 @@
                 context=self.context, images=self.images, forecast=forecast
             ),
             trials=Trials(),
+            quotas=self.quotas,
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
@@ -116,7 +122,13 @@
         self.quorum.inherit(now_ms)
 
     def _load_live_job(self, job_id, value, progress, epoch_ms, now_ms):
-        job = load_job(job_id, value, epoch_ms=epoch_ms, now_ms=now_ms)
+        job = load_job(
+            job_id,
+            value,
+            usage_of=self.context.usage_of,
+            epoch_ms=epoch_ms,
+            now_ms=now_ms,
+        )
         job.shown_state = job.state
         if progress is not None:
             decode_progress(job, progress, self.roster.ghost)
@@ -136,6 +148,12 @@
             self.losses.adopt(job)
         self.context.jobs[job.job_id] = job
 
+    def on_configuration(self, configuration):
+        """Take a newer configuration."""
+        self.context.configuration = configuration
+        self.quotas.learn(configuration)
+        self.context.needs_plan = True
+
     # Time --------------------------------------------------------------------
 
     def turn(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/codec.py
@@ -57,7 +57,10 @@
     """Return the record of a job as accepted; times are kept since 1970."""
     spec = orjson.Fragment(encode_spec(job.spec))
     accepted_epoch_ms = round(epoch_ms - (now_ms - job.accepted_ms))
-    return orjson.dumps([job.queue_name, accepted_epoch_ms, spec])
+    record = [job.queue_name, accepted_epoch_ms, spec]
+    if job.account_name:
+        record.append(job.account_name)
+    return orjson.dumps(record)
 
 
 def load_ended_job(job_id, progress):
@@ -78,9 +81,10 @@
     )
 
 
-def load_job(job_id, data, *, epoch_ms, now_ms):
-    """Return a job from its record."""
-    queue_name, accepted_epoch_ms, document = orjson.loads(data)
+def load_job(job_id, data, *, usage_of, epoch_ms, now_ms):
+    """Return a job from its record; `usage_of` finds what its account holds."""
+    queue_name, accepted_epoch_ms, document, *account = orjson.loads(data)
+    account_name = account[0] if account else ""
     spec = _spec_from(document)
     accepted_ms = now_ms - max(0.0, epoch_ms - accepted_epoch_ms)
     first_start_ms = accepted_ms
@@ -89,6 +93,8 @@
     return Job.create(
         job_id=job_id,
         queue_name=queue_name,
+        account_name=account_name,
+        usage=usage_of(account_name),
         spec=spec,
         now_ms=accepted_ms,
         first_start_ms=first_start_ms,
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -4,6 +4,7 @@
 
 from .effects import Count, Note, Observe
 from .specs import Bounds, Configuration
+from .state import AccountUsage
 
 __all__ = ["STALE_MS", "CellContext"]
 
@@ -17,9 +18,10 @@
 class CellContext:
     """Hold the jobs, workers and pending effects of one cell under one owner.
 
-    `owed_stops` holds, as keys in their order, the runs that a worker still has to be
-    told to stop. `workers_known_ms` is since when at the latest the list of workers may
-    have changed unseen. Units: `*_ms` on the steady clock.
+    `usages` holds what each client account has running, by name; `owed_stops` holds,
+    as keys in their order, the runs that a worker still has to be told to stop.
+    `workers_known_ms` is since when at the latest the list of workers may have changed
+    unseen. Units: `*_ms` on the steady clock.
     """
 
     cell: int
@@ -31,6 +33,7 @@
     jobs: dict = field(factory=dict)
     live_jobs: dict = field(factory=dict)
     workers: dict = field(factory=dict)
+    usages: dict = field(factory=dict)
     owed_stops: dict = field(factory=dict)
     effects: list = field(factory=list)
     journal: object = None
@@ -62,6 +65,12 @@
         """Put a time into a histogram."""
         self.effects.append(Observe(name=name, value_ms=value_ms, kind=kind))
 
+    def usage_of(self, account_name):
+        """Return what a client account has running here."""
+        if account_name not in self.usages:
+            self.usages[account_name] = AccountUsage(name=account_name)
+        return self.usages[account_name]
+
     def queue(self, job):
         """Return the policy of a job's queue, or None once it was removed."""
         return self.configuration.queue(job.queue_name)
--- a/packages/thymefork-cells/src/thymefork_cells/effects/replies.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/replies.py
@@ -16,6 +16,8 @@
     UNKNOWN_JOB = "unknown_job"
     COUNTED = "counted"
     REFUSED = "refused"  # nothing was kept and nothing will run
+    NOT_ALLOWED = "not_allowed"  # the job is another account's
+    OVER_LIMIT = "over_limit"  # its account may never run it; nothing was kept
     IN_DOUBT = "in_doubt"  # it may have been kept; the same id may be sent again
     NOT_OWNER = "not_owner"  # another instance owns the cell
 
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -15,29 +15,54 @@
 class Intake:
     """Accept jobs, tell their state, cancel them."""
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, quotas):
         self._context = context
+        self._quotas = quotas
         self._lifecycle = lifecycle
 
-    def submit(self, request_id, job_id, queue_name, data, *, now_ms):
+    def submit(self, request_id, job_id, queue_name, data, *, now_ms, account_name=""):
         """Accept a job once its record is stored; the same id is the same job."""
         job = self._context.jobs.get(job_id)
         if job is None:
-            job = self._accept(job_id, queue_name, data, now_ms)
+            spec = decode_spec(data)
+            if not self._quotas.can_ever_run(spec, account_name):
+                self._refuse_over_limit(request_id, job_id, account_name)
+                return
+            job = self._accept(job_id, queue_name, spec, account_name, now_ms)
+        elif _is_of_other(job, account_name):
+            self._refuse_other(request_id, job, account_name)
+            return
         elif job.shown_state is not None:
             self._lifecycle.reply(request_id, Outcome.ACCEPTED)
             return
         reply = Reply(request_id=request_id, outcome=Outcome.ACCEPTED, job_id=job_id)
         self._context.journal.after(reply)
 
-    def _accept(self, job_id, queue_name, data, now_ms):
-        spec = decode_spec(data)
+    def _refuse_over_limit(self, request_id, job_id, account_name):
+        """Refuse a job with a task or gang that its account may never run."""
+        self._context.count("refusals", "over_limit")
+        self._context.note(
+            "job_over_limit", level="INFO", job=job_id, account=account_name
+        )
+        self._lifecycle.reply(request_id, Outcome.OVER_LIMIT)
+
+    def _refuse_other(self, request_id, job, account_name):
+        """Refuse a request about a job of another client account."""
+        self._context.count("refusals", "other_account")
+        self._context.note(
+            "job_of_other_account", job=job.job_id, asked_by=account_name
+        )
+        self._lifecycle.reply(request_id, Outcome.NOT_ALLOWED)
+
+    def _accept(self, job_id, queue_name, spec, account_name, now_ms):
         first_start_ms = now_ms
         if spec.repeat_count:
             first_start_ms += spec.first_start_epoch_ms - time.time() * 1000.0
         job = Job.create(
             job_id=job_id,
             queue_name=queue_name,
+            account_name=account_name,
+            usage=self._context.usage_of(account_name),
             spec=spec,
             now_ms=now_ms,
             first_start_ms=first_start_ms,
@@ -51,6 +76,7 @@
             "job_accepted",
             job=job_id,
             queue=queue_name,
+            account=account_name,
             steps=len(spec.steps),
             tasks=spec.task_count,
             cpu_milli=max(step.cpu_milli for step in spec.steps),
@@ -92,23 +118,29 @@
         """Tell whether a job of that id is stored, or about to be."""
         return job_id in self._context.jobs
 
-    def read(self, request_id, job_id):
+    def read(self, request_id, job_id, *, account_name=""):
         """Tell a job's stored state."""
         job = self._context.jobs.get(job_id)
         if job is None or job.shown_state is None:
             self._lifecycle.reply(request_id, Outcome.UNKNOWN_JOB)
             return
+        if _is_of_other(job, account_name):
+            self._refuse_other(request_id, job, account_name)
+            return
         state = job.shown_state
         if state is JobState.QUEUED and job.has_begun:
             state = JobState.RUNNING
         self._lifecycle.reply(request_id, Outcome.STATE, state=str(state))
 
-    def cancel(self, request_id, job_id, *, now_ms):
+    def cancel(self, request_id, job_id, *, now_ms, account_name=""):
         """Cancel a job; answered once that is stored."""
         job = self._context.jobs.get(job_id)
         if job is None or (job.shown_state and job.shown_state.is_final):
             self._lifecycle.reply(request_id, Outcome.UNKNOWN_JOB)
             return
+        if _is_of_other(job, account_name):
+            self._refuse_other(request_id, job, account_name)
+            return
         if job.is_live:
             reason = "its caller cancelled it"
             self._lifecycle.finish(job, JobState.CANCELLED, reason, now_ms=now_ms)
@@ -129,6 +161,11 @@
         self._lifecycle.reply(request_id, Outcome.COUNTED, count=count)
 
 
+def _is_of_other(job, account_name):
+    """Tell whether a job is known to belong to another account than the caller's."""
+    return bool(job.account_name and account_name) and job.account_name != account_name
+
+
 def chain_ms(spec):
     """Return the longest chain of estimated work through a job's steps."""
     longest = []
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -27,8 +27,11 @@
 class Placer:
     """Give waiting tasks to workers with room, most urgent queue first."""
 
-    def __init__(self, *, context, advice, images, preemptor, reservations, trials):
+    def __init__(
+        self, *, context, advice, images, preemptor, reservations, trials, quotas
+    ):
         self._context = context
+        self._quotas = quotas
         self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
@@ -93,6 +96,8 @@
             workers=len(workers),
             with_room=len(with_room),
             with_ticket=len(with_ticket),
+            account=step.job.account_name,
+            account_allows=self._quotas.tasks_left(step, now_ms),
             large_enough=len(could_hold),
             allowed=-1 if step.allowed is None else len(step.allowed),
             denied=len(step.denied),
@@ -146,10 +151,14 @@
 
     def _place(self, step, workers, now_ms):
         waiting = self._startable(step, now_ms)
+        allowed = self._quotas.tasks_left(step, now_ms)
         if step.spec.gang:
-            if len(waiting) == len(step.tasks):
+            if len(waiting) == len(step.tasks) <= allowed:
                 self._place_gang(step, workers, now_ms)
             return
+        waiting = waiting[:allowed]
+        if not waiting:
+            return
         permitted = self._permitted(step, workers, now_ms)
         sound, suspected = [], []
         for task in waiting:
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/quotas.py
@@ -0,0 +1,66 @@
+"""What client accounts may still start."""
+
+from attrs import field, frozen
+
+from .specs import RoomLimit
+
+__all__ = ["Quotas"]
+
+# An entry instance may let an account in by a configuration that the owner has yet to
+# read. Its work waits so long for its limit: as long as a version takes to be in force
+# everywhere on the slowest sites.
+UNKNOWN_ACCOUNT_MS = 3_000.0
+NO_LIMIT = RoomLimit()
+NOTHING = RoomLimit(cpu_milli=1, memory_mb=1, accelerators=1)
+
+
+@frozen(kw_only=True)
+class Quotas:
+    """Keep each account's runs over all cells within its limit.
+
+    Each cell keeps to an equal part of it: jobs are dealt to cells by their ids, so an
+    account's work spreads evenly, and no cell has to hear from another before a start.
+    An account that was removed keeps its last limit while its jobs go on.
+    """
+
+    _context = field()
+    _last_limits = field(factory=dict)
+
+    def learn(self, configuration):
+        """Note the limits of a configuration that has come into force."""
+        for account in configuration.accounts or ():
+            self._last_limits[account.name] = account.limit
+
+    def limit(self, job, now_ms):
+        """Return what a job's account may have running in this cell."""
+        name = job.account_name
+        if not name:
+            return NO_LIMIT
+        limit = self._last_limits.get(name)
+        if limit is not None:
+            return limit.share(self._context.cell_count)
+        waited_ms = now_ms - job.accepted_ms
+        return NOTHING if waited_ms < UNKNOWN_ACCOUNT_MS else NO_LIMIT
+
+    def tasks_left(self, step, now_ms):
+        """Return how many more tasks of a step its account may start."""
+        limit = self.limit(step.job, now_ms)
+        return step.job.usage.tasks_left(step.spec, limit)
+
+    def can_ever_run(self, spec, account_name):
+        """Tell whether each task, and each gang as a whole, fits an account's limit."""
+        limit = self._last_limits.get(account_name)
+        if limit is None:
+            return True
+        share = limit.share(self._context.cell_count)
+        return all(_fits(step, share) for step in spec.steps)
+
+
+def _fits(step, limit):
+    copies = step.count if step.gang else 1
+    wants = (
+        (step.reserved_cpu_milli, limit.cpu_milli),
+        (step.memory_mb, limit.memory_mb),
+        (step.accelerators, limit.accelerators),
+    )
+    return all(not most or copies * want <= most for want, most in wants)
--- a/packages/thymefork-cells/src/thymefork_cells/specs/configuration.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/configuration.py
@@ -1,29 +1,44 @@
 """The operators' configuration in force."""
 
+from hashlib import blake2b
+
 from attrs import field, frozen
 
+from .account_policy import AccountPolicy
 from .queue_policy import QueuePolicy
 from .service_policy import ServicePolicy
 
-__all__ = ["Configuration"]
+__all__ = ["Configuration", "key_digest"]
+
+# Long enough that no two keys share one.
+DIGEST_BYTES = 16
+
+
+def key_digest(key):
+    """Return the digest by which a caller's key is kept."""
+    return blake2b(key.encode(), digest_size=DIGEST_BYTES).digest()
 
 
 @frozen(kw_only=True)
 class Configuration:
-    """Hold one version of the queues, services and limits.
+    """Hold one version of the queues, services, client accounts and limits.
 
+    `accounts` is None where the deployment has none: its queues are open to all.
     Units: bytes and milliseconds.
     """
 
     version: int
     queues: tuple[QueuePolicy, ...] = ()
     services: tuple[ServicePolicy, ...] = ()
+    accounts: tuple[AccountPolicy, ...] | None = None
     header_bytes: int = 16_384
     body_bytes: int = 262_144
     header_timeout_ms: int = 3_000
     idle_timeout_ms: int = 15_000
     _by_name: dict = field(init=False, repr=False, eq=False)
     _by_host: dict = field(init=False, repr=False, eq=False)
+    _accounts: dict = field(init=False, repr=False, eq=False)
+    _by_digest: dict = field(init=False, repr=False, eq=False)
 
     @_by_name.default
     def _index_names(self):
@@ -38,6 +53,30 @@
             queues.sort(key=lambda queue: -len(queue.path_prefix))
         return hosts
 
+    @_accounts.default
+    def _index_accounts(self):
+        return {account.name: account for account in self.accounts or ()}
+
+    @_by_digest.default
+    def _index_digests(self):
+        return {
+            digest: account
+            for account in self.accounts or ()
+            for digest in account.key_digests
+        }
+
+    def wants_key(self, queue):
+        """Tell whether callers of a queue have to show an account's key."""
+        return self.accounts is not None and not queue.is_public
+
+    def account(self, name):
+        """Return the client account of that name, or None."""
+        return self._accounts.get(name)
+
+    def account_of_key(self, key):
+        """Return the client account that a key belongs to, or None."""
+        return self._by_digest.get(key_digest(key))
+
     def queue(self, name):
         """Return the queue of that name, or None."""
         return self._by_name.get(name)
--- a/packages/thymefork-cells/src/thymefork_cells/specs/queue_policy.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/queue_policy.py
@@ -22,6 +22,7 @@
     """Hold what the operators' configuration says of one queue.
 
     Units: milliseconds; `stretch` is a factor on a job's longest chain of work.
+    Callers of a public queue need no key.
     """
 
     name: str
@@ -34,3 +35,4 @@
     target_latency_ms: float = 1000.0
     timeout_ms: float = 3000.0
     advice: AdvicePolicy | None = None
+    is_public: bool = False
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -1,5 +1,6 @@
 """What a cell knows of jobs, runs and workers while they live."""
 
+from .account_usage import AccountUsage
 from .job import Job, JobState
 from .loss import SOON_MS, Loss, are_alike
 from .run import Run, RunState
@@ -10,6 +11,7 @@
 from .worker_health import WorkerHealth
 
 __all__ = [
+    "AccountUsage",
     "Job",
     "JobState",
     "Loss",
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/state/account_usage.py
@@ -0,0 +1,40 @@
+"""What a client account has running in a cell."""
+
+from attrs import define
+
+__all__ = ["AccountUsage"]
+
+
+@define(kw_only=True, eq=False)
+class AccountUsage:
+    """Add up the room that an account's runs may hold, until they are surely gone.
+
+    Units: thousandths of a core, megabytes, accelerators.
+    """
+
+    name: str = ""
+    cpu_milli: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+
+    def add(self, step):
+        """Take a run's room."""
+        self.cpu_milli += step.reserved_cpu_milli
+        self.memory_mb += step.memory_mb
+        self.accelerators += step.accelerators
+
+    def remove(self, step):
+        """Free a run's room."""
+        self.cpu_milli -= step.reserved_cpu_milli
+        self.memory_mb -= step.memory_mb
+        self.accelerators -= step.accelerators
+
+    def tasks_left(self, step, limit):
+        """Return how many more tasks of a step a limit allows; all of them at most."""
+        wants = (
+            (step.reserved_cpu_milli, self.cpu_milli, limit.cpu_milli),
+            (step.memory_mb, self.memory_mb, limit.memory_mb),
+            (step.accelerators, self.accelerators, limit.accelerators),
+        )
+        left = ((most - held) // want for want, held, most in wants if want and most)
+        return max(0, min(left, default=step.count))
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -4,6 +4,7 @@
 
 from attrs import define, field
 
+from .account_usage import AccountUsage
 from .step_state import StepState
 from .task import Task
 
@@ -30,6 +31,7 @@
     """Follow a job.
 
     `state` is what was decided, `shown_state` what is stored and so may be told.
+    `usage` is what all jobs of its client account hold.
     Units: `*_ms` on the steady clock.
     """
 
@@ -37,6 +39,8 @@
     queue_name: str
     spec: object
     accepted_ms: float
+    account_name: str = ""
+    usage: AccountUsage = field(factory=AccountUsage)
     first_start_ms: float = 0.0
     objective_ms: float = 0.0
     state: JobState = JobState.QUEUED
@@ -47,14 +51,13 @@
     waiting_replies: list = field(factory=list)
 
     @classmethod
-    def create(cls, *, job_id, queue_name, spec, now_ms, first_start_ms):
+    def create(cls, *, job_id, spec, now_ms, **fields):
         """Make a job with all its steps and tasks waiting."""
         job = cls(
             job_id=job_id,
-            queue_name=queue_name,
             spec=spec,
             accepted_ms=now_ms,
-            first_start_ms=first_start_ms,
+            **fields,
         )
         for occurrence in range(spec.occurrences):
             for index, step_spec in enumerate(spec.steps):
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -70,6 +70,7 @@
         """Take a run's room."""
         self.runs[run.key] = run
         step = run.step
+        run.task.step.job.usage.add(step)
         self.held_cpu_milli += step.reserved_cpu_milli
         self.held_memory_mb += step.memory_mb
         self.held_accelerators += step.accelerators
@@ -81,6 +82,7 @@
         self.stopped.discard(run.key)
         self._end_trial(run.task.step.job)
         step = run.step
+        run.task.step.job.usage.remove(step)
         self.held_cpu_milli -= step.reserved_cpu_milli
         self.held_memory_mb -= step.memory_mb
         self.held_accelerators -= step.accelerators
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -191,10 +191,15 @@
         if self.cpu_used(worker) > max(known[-1:] + recent):
             self.breaches.append((self.now, worker.worker_id, task))
 
-    def submit(self, job_id, spec, queue=QUEUE):
+    def submit(self, job_id, spec, queue=QUEUE, account_name=""):
         self.specs[job_id] = spec
         self.cell.intake.submit(
-            job_id, job_id, queue, encode_spec(spec), now_ms=self.now
+            job_id,
+            job_id,
+            queue,
+            encode_spec(spec),
+            account_name=account_name,
+            now_ms=self.now,
         )
 
     def run(self, for_ms):
--- a/packages/thymefork-daemon/src/thymefork_daemon/caller_messages.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/caller_messages.py
@@ -15,6 +15,7 @@
         queue=pending.queue,
         job_id=pending.job_id,
         body=pending.data,
+        account_name=pending.account_name,
     )
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/front.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/front.py
@@ -58,12 +58,22 @@
             self._daemon.metrics.count("refusals", "no_queue")
             request.answer(404)
             return
+        account = configuration.account_of_key(CallerRequests.key_of(request))
+        if account is None and configuration.wants_key(queue):
+            self._refuse_key(request)
+            return
         try:
             wanted = CallerRequests.read(request, queue.path_prefix)
         except ThymeforkError as failure:
             self._refuse_bad(request, failure)
             return
-        self._forward(request, queue, wanted)
+        account_name = account.name if account is not None else ""
+        self._forward(request, queue, wanted, account_name)
+
+    def _refuse_key(self, request):
+        reason = "unknown_key" if CallerRequests.key_of(request) else "no_key"
+        self._daemon.metrics.count("refusals", reason)
+        CallerRequests.refuse(request, 401, reason=reason)
 
     def _refuse_bad(self, request, failure):
         self._daemon.metrics.count("refusals", f"bad_request_{failure.status}")
@@ -71,7 +81,7 @@
         line.info("{}", failure)
         CallerRequests.refuse(request, failure.status, reason=str(failure))
 
-    def _forward(self, request, queue, wanted):
+    def _forward(self, request, queue, wanted, account_name):
         data = encode_spec(wanted.spec) if wanted.spec is not None else b""
         if (
             len(data) + RECORD_MARGIN_BYTES
@@ -95,7 +105,13 @@
             CallerRequests.answer(request, reply)
 
         self._daemon.gateway.request(
-            wanted.kind, queue.name, wanted.job_id, data, deadline_ms, respond
+            wanted.kind,
+            queue.name,
+            wanted.job_id,
+            data,
+            deadline_ms,
+            respond,
+            account_name=account_name,
         )
 
     def _patience_ms(self, request):
--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -43,7 +43,9 @@
         self._pending = {}
         daemon.timers.every(OWN_CELLS_MS, self._send_to_own_cells)
 
-    def request(self, kind, queue, job_id, data, deadline_ms, respond):
+    def request(
+        self, kind, queue, job_id, data, deadline_ms, respond, *, account_name=""
+    ):
         """Have a request decided by the owner of its cell."""
         cells = self._daemon.layout.cells
         if not cells:
@@ -53,9 +55,20 @@
             CountOfCells(cells=cells, respond=respond).ask(self, queue, deadline_ms)
             return
         cell = cell_of(job_id, cells)
-        self.request_at(cell, kind, queue, job_id, data, deadline_ms, respond)
+        self.request_at(
+            cell,
+            kind,
+            queue,
+            job_id,
+            data,
+            deadline_ms,
+            respond,
+            account_name=account_name,
+        )
 
-    def request_at(self, cell, kind, queue, job_id, data, deadline_ms, respond):
+    def request_at(
+        self, cell, kind, queue, job_id, data, deadline_ms, respond, *, account_name=""
+    ):
         """Have a request decided by the owner of a given cell."""
         call_id = next(self._numbers)
         pending = PendingRequest(
@@ -64,6 +77,7 @@
             job_id=job_id,
             data=data,
             cell=cell,
+            account_name=account_name,
             respond=respond,
             find_until_ms=steady_ms() + FIND_OWNER_MS,
             deadline_ms=deadline_ms,
@@ -115,6 +129,7 @@
             pending.job_id,
             pending.data,
             lambda reply: self._on_reply(call_id, reply),
+            account_name=pending.account_name,
         )
 
     def _ask_on(self, call_id, pending, link):
@@ -207,7 +222,12 @@
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
             return
         owner.request(
-            message.kind, message.queue, message.job_id, message.body, respond
+            message.kind,
+            message.queue,
+            message.job_id,
+            message.body,
+            respond,
+            account_name=message.account_name or "",
         )
 
     def on_link_broken(self, link):
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -218,12 +218,14 @@
 
     # Inputs ------------------------------------------------------------------
 
-    def request(self, kind, queue, job_id, data, respond):
+    def request(self, kind, queue, job_id, data, respond, *, account_name=""):
         """Decide a caller's request; `respond` takes the reply."""
         if not self.is_serving:
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
             return
-        self._requests.handle(kind, queue, job_id, data, respond)
+        self._requests.handle(
+            kind, queue, job_id, data, respond, account_name=account_name
+        )
         self.settle()
 
     def on_workers(self):
@@ -236,8 +238,7 @@
     def on_configuration(self, configuration):
         """Take a newer configuration."""
         if self.cell is not None:
-            self.cell.context.configuration = configuration
-            self.cell.context.needs_plan = True
+            self.cell.on_configuration(configuration)
 
     def on_links(self):
         """Take the links to other instances that are open now."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -16,19 +16,21 @@
         self._pump = pump
         self._metrics = metrics
 
-    def handle(self, kind, queue, job_id, data, respond):
+    def handle(self, kind, queue, job_id, data, respond, *, account_name=""):
         """Decide a request; `respond` takes the reply once it may be told."""
         intake, now_ms = self._intake, steady_ms()
         if self._store_is_away() and not self._needs_no_append(kind, job_id):
             self._refuse(respond)
         elif kind == "read":
-            intake.read(respond, job_id)
+            intake.read(respond, job_id, account_name=account_name)
         elif kind == "count":
             intake.count_pending(respond, queue)
         elif kind == "submit":
-            intake.submit(respond, job_id, queue, data, now_ms=now_ms)
+            intake.submit(
+                respond, job_id, queue, data, account_name=account_name, now_ms=now_ms
+            )
         else:
-            intake.cancel(respond, job_id, now_ms=now_ms)
+            intake.cancel(respond, job_id, account_name=account_name, now_ms=now_ms)
 
     def _store_is_away(self):
         return self._pump.store_is_away or not self._ownership.is_certain()
--- a/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
@@ -23,6 +23,7 @@
     respond: object
     find_until_ms: float
     deadline_ms: float
+    account_name: str = ""
     link: object = None
     holder: RequestHolder | None = None
     tries: int = 0
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -5,7 +5,7 @@
 import pytest
 from loguru import logger
 
-from thymefork_cells.specs import Bounds
+from thymefork_cells.specs import Bounds, Configuration
 from thymefork_daemon.owned_cells import OwnedCells
 from thymefork_daemon.owner import (
     cell_owner as cell_owner_module,
@@ -39,7 +39,7 @@
         ),
         given_up=given_up,
         settings=SimpleNamespace(instance="edge-1", bounds=Bounds()),
-        configuration=SimpleNamespace(version=1, queues={}),
+        configuration=Configuration(version=1),
         worker_list=SimpleNamespace(
             is_complete=True, entries={}, want=lambda wanted: None
         ),
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -39,7 +39,7 @@
         self.epoch = next(self.epochs)
         self.requests = []
 
-    def request(self, kind, queue, job_id, data, respond):
+    def request(self, kind, queue, job_id, data, respond, *, account_name=""):
         self.requests.append(respond)
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
@@ -24,16 +24,16 @@
     def has_seen(self, job_id):
         return job_id in (STORED, ON_ITS_WAY)
 
-    def read(self, respond, job_id):
+    def read(self, respond, job_id, *, account_name):
         self.asked.append(("read", job_id))
 
     def count_pending(self, respond, queue):
         self.asked.append(("count", queue))
 
-    def submit(self, respond, job_id, queue, data, *, now_ms):
+    def submit(self, respond, job_id, queue, data, *, account_name, now_ms):
         self.asked.append(("submit", job_id))
 
-    def cancel(self, respond, job_id, *, now_ms):
+    def cancel(self, respond, job_id, *, account_name, now_ms):
         self.asked.append(("cancel", job_id))
 
 
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -31,6 +31,8 @@
   4: required string queue
   5: required string job_id
   6: required binary body
+  /* The client account whose key came with it, empty if none did. */
+  7: optional string account_name
 }
 
 struct CallerReply {
--- a/packages/thymefork-net/src/thymefork_net/http/server_connection.py
+++ b/packages/thymefork-net/src/thymefork_net/http/server_connection.py
@@ -79,9 +79,12 @@
         self._count_header(len(url))
 
     def on_header(self, name, value):
-        """Take one header."""
+        """Take one header; several of one name are one list, as HTTP has it."""
         self._count_header(len(name) + len(value) + 4)
-        self._headers[name.decode("latin-1").lower()] = value.decode("latin-1")
+        name, value = name.decode("latin-1").lower(), value.decode("latin-1")
+        if name in self._headers:
+            value = f"{self._headers[name]}, {value}"
+        self._headers[name] = value
 
     def _count_header(self, count):
         self._header_bytes += count
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -352,6 +352,7 @@
      - queue
      - job_id
      - body
+     - account_name
 
     """
 
@@ -362,16 +363,18 @@
         'queue',
         'job_id',
         'body',
+        'account_name',
     )
 
 
-    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None,):
+    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None, account_name=None,):
         self.call_id = call_id
         self.cell = cell
         self.kind = kind
         self.queue = queue
         self.job_id = job_id
         self.body = body
+        self.account_name = account_name
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -412,6 +415,11 @@
                     self.body = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRING:
+                    self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -446,6 +454,10 @@
             oprot.writeFieldBegin('body', TType.STRING, 6)
             oprot.writeBinary(self.body)
             oprot.writeFieldEnd()
+        if self.account_name is not None:
+            oprot.writeFieldBegin('account_name', TType.STRING, 7)
+            oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1098,6 +1110,7 @@
     (4, TType.STRING, 'queue', 'UTF8', None, ),  # 4
     (5, TType.STRING, 'job_id', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
+    (7, TType.STRING, 'account_name', 'UTF8', None, ),  # 7
 )
 all_structs.append(CallerReply)
 CallerReply.thrift_spec = (
