Run what is within each account's share before what is beyond

Cause: the next step was chosen by priority and objective alone, so an account that sends many times its usual takes the room of all others.

Change: each accepted job is metered against its account's weight, in jobs a second, with two seconds' worth at once; what is beyond runs after all that is within, whatever its priority, in what they leave. Constant cost a job. A new owner meters the jobs that still live, by their times.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -23,6 +23,7 @@
 from .reservations import Reservations
 from .room_forecast import RoomForecast
 from .roster import Roster
+from .shares import Shares
 from .state import RunState
 from .trials import Trials
 from .watch import Watch
@@ -61,10 +62,14 @@
             context=self.context, lifecycle=self.lifecycle, losses=self.losses
         )
         self.roster = Roster(context=self.context, losses=self.losses)
+        self.shares = Shares(context=self.context)
         self.quotas = Quotas(context=self.context)
         self.quotas.learn(configuration)
         self.intake = Intake(
-            context=self.context, lifecycle=self.lifecycle, quotas=self.quotas
+            context=self.context,
+            lifecycle=self.lifecycle,
+            quotas=self.quotas,
+            shares=self.shares,
         )
         forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(context=self.context, images=self.images)
@@ -119,8 +124,18 @@
                 progress = records.get(PROGRESS_KEY + job_id)
                 job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
                 self._resume(job, now_ms)
+        self._judge_shares()
         self.quorum.inherit(now_ms)
 
+    def _judge_shares(self):
+        """Judge anew which of the jobs that still live are within their share."""
+        by_age = sorted(
+            self.context.live_jobs.values(), key=lambda job: job.accepted_ms
+        )
+        for job in by_age:
+            is_within = self.shares.admits(job.account_name, job.accepted_ms)
+            job.is_beyond_share = not is_within
+
     def _load_live_job(self, job_id, value, progress, epoch_ms, now_ms):
         job = load_job(
             job_id,
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -15,8 +15,9 @@
 class Intake:
     """Accept jobs, tell their state, cancel them."""
 
-    def __init__(self, *, context, lifecycle, quotas):
+    def __init__(self, *, context, lifecycle, quotas, shares):
         self._context = context
+        self._shares = shares
         self._quotas = quotas
         self._lifecycle = lifecycle
 
@@ -67,6 +68,7 @@
             now_ms=now_ms,
             first_start_ms=first_start_ms,
         )
+        job.is_beyond_share = not self._shares.admits(account_name, now_ms)
         job.objective_ms = now_ms + self._objective_ms(job)
         self._context.jobs[job_id] = job
         self._context.live_jobs[job_id] = job
@@ -77,6 +79,7 @@
             job=job_id,
             queue=queue_name,
             account=account_name,
+            beyond_share=job.is_beyond_share,
             steps=len(spec.steps),
             tasks=spec.task_count,
             cpu_milli=max(step.cpu_milli for step in spec.steps),
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -126,7 +126,8 @@
                     step.ready = job.is_turn(step, now_ms, early_ms)
                     step.ready_ms = now_ms
                 urgency = (-starved_ms(step, now_ms), job.objective_ms, step.index)
-                ranked.append(((queue.priority, *urgency), step))
+                rank = (job.is_beyond_share, queue.priority, *urgency)
+                ranked.append((rank, step))
         ranked.sort(key=itemgetter(0))
         return [step for _, step in ranked]
 
--- a/packages/thymefork-cells/src/thymefork_cells/specs/account_policy.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/account_policy.py
@@ -39,6 +39,5 @@
 
     name: str
     key_digests: frozenset[bytes] = frozenset()
-    priority: int = 0
     weight: float = 0.0
     limit: RoomLimit = RoomLimit()
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -31,7 +31,8 @@
     """Follow a job.
 
     `state` is what was decided, `shown_state` what is stored and so may be told.
-    `usage` is what all jobs of its client account hold.
+    `usage` is what all jobs of its client account hold; `is_beyond_share` tells that
+    the account had sent more than its share when the job came.
     Units: `*_ms` on the steady clock.
     """
 
@@ -41,6 +42,7 @@
     accepted_ms: float
     account_name: str = ""
     usage: AccountUsage = field(factory=AccountUsage)
+    is_beyond_share: bool = False
     first_start_ms: float = 0.0
     objective_ms: float = 0.0
     state: JobState = JobState.QUEUED
