Keep what a limit holds back out of plans and reservations

Cause: each plan went through all that an account at its limit had waiting, asked the advice service for it, and room was kept for steps that could not start there.

Change: per account, a plan sees the steps its limit lets start and eight more; only those that may start have room kept.

--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -49,7 +49,7 @@
             self._list_due_ms = now_ms + LIST_MS
             self._by_service = self._workers_by_service(now_ms)
         by_service = self._by_service
-        steps = self._steps_in_order(now_ms)
+        steps = self._quotas.in_view(self._steps_in_order(now_ms), now_ms)
 
         def workers_of(step):
             workers = by_service.get(self._context.service_of(step.job), {})
@@ -61,7 +61,10 @@
                 if fits_labels(step, worker)
             }
 
-        self._reservations.review(steps, lambda step: workers_of(step).values(), now_ms)
+        may_start = [step for step in steps if self._quotas.tasks_left(step, now_ms)]
+        self._reservations.review(
+            may_start, lambda step: workers_of(step).values(), now_ms
+        )
         for step in steps:
             workers = workers_of(step)
             if step.ready:
--- a/packages/thymefork-cells/src/thymefork_cells/quotas.py
+++ b/packages/thymefork-cells/src/thymefork_cells/quotas.py
@@ -1,5 +1,8 @@
 """What client accounts may still start."""
 
+from collections import Counter
+from copy import copy
+
 from attrs import field, frozen
 
 from .specs import RoomLimit
@@ -10,6 +13,10 @@
 # read. Its work waits so long for its limit: as long as a version takes to be in force
 # everywhere on the slowest sites.
 UNKNOWN_ACCOUNT_MS = 3_000.0
+# Of an account at its limit, so many steps are kept in view, so that their tickets are
+# ready when a run ends: a handful of the widest steps is more than one end lets start.
+# Without the bound, each plan goes through all that a flooding account has waiting.
+MOST_IN_VIEW = 8
 NO_LIMIT = RoomLimit()
 NOTHING = RoomLimit(cpu_milli=1, memory_mb=1, accelerators=1)
 
@@ -47,6 +54,22 @@
         limit = self.limit(step.job, now_ms)
         return step.job.usage.tasks_left(step.spec, limit)
 
+    def in_view(self, steps, now_ms):
+        """Return the steps, in their order, without most of those held by a limit."""
+        planned, held_back, kept = {}, Counter(), []
+        for step in steps:
+            usage = step.job.usage
+            if usage.name:
+                usage = planned.setdefault(usage.name, copy(usage))
+                left = usage.tasks_left(step.spec, self.limit(step.job, now_ms))
+                held_back[usage.name] += not left
+                if not left and held_back[usage.name] > MOST_IN_VIEW:
+                    continue
+                if step.ready:
+                    usage.add(step.spec, min(left, len(step.waiting)))
+            kept.append(step)
+        return kept
+
     def can_ever_run(self, spec, account_name):
         """Tell whether each task, and each gang as a whole, fits an account's limit."""
         limit = self._last_limits.get(account_name)
--- a/packages/thymefork-cells/src/thymefork_cells/state/account_usage.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/account_usage.py
@@ -17,11 +17,11 @@
     memory_mb: int = 0
     accelerators: int = 0
 
-    def add(self, step):
-        """Take a run's room."""
-        self.cpu_milli += step.reserved_cpu_milli
-        self.memory_mb += step.memory_mb
-        self.accelerators += step.accelerators
+    def add(self, step, runs=1):
+        """Take the room of runs of a step."""
+        self.cpu_milli += runs * step.reserved_cpu_milli
+        self.memory_mb += runs * step.memory_mb
+        self.accelerators += runs * step.accelerators
 
     def remove(self, step):
         """Free a run's room."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
@@ -4,12 +4,15 @@
 from attrs import evolve
 
 from thymefork_cells import effects as fx
+from thymefork_cells.quotas import MOST_IN_VIEW
 from thymefork_cells.specs import AccountPolicy, RoomLimit
 
 from .harness import job_spec
 
 WIDE = {"count": 12, "cpu_milli": 1_000, "estimated_ms": 400}
 
+ADVICE = {"decision_ms": 26.0, "per_worker_ms": 0.4, "valid_ms": 2_500.0}
+
 
 def account(name="a", cpu_milli=0, memory_mb=0, accelerators=0, **fields):
     limit = RoomLimit(
@@ -224,3 +227,26 @@
     harness.cell.intake.cancel("r", A, account_name="b", now_ms=harness.now)
     harness.run(30)
     assert harness.replies["r"].outcome is fx.Outcome.NOT_ALLOWED
+
+
+def test_a_flood_at_its_limit_costs_no_plan_more_than_a_few_steps(make_harness):
+    harness = make_harness(workers=4, advice=ADVICE)
+    use_accounts(harness, account(cpu_milli=2_000))
+    for number in range(100):
+        harness.submit(f"{number:016x}", job_spec(WIDE), account_name="a")
+    harness.run(300)
+    asked = {step for step, _ in harness.asked}
+    assert 0 < len(asked) <= 2 + MOST_IN_VIEW
+
+
+def test_no_room_is_kept_for_a_step_that_its_limit_holds_back(make_harness):
+    harness = make_harness(workers=2)
+    use_accounts(harness, account(cpu_milli=6_000), account("b"))
+    large = {"count": 1, "cpu_milli": 6_000, "estimated_ms": 800}
+    harness.submit(A, job_spec(large), account_name="a")
+    harness.run(30)
+    harness.submit(B, job_spec(large), account_name="a")
+    harness.run(400)
+    harness.submit("c" * 16, job_spec({**large, "estimated_ms": 5_000}), "q", "b")
+    harness.run(60)
+    assert cpu_running(harness, "c" * 16) == 6_000
