Tell from logs that a job waited for its account's limit or beyond its share

Cause: explain called both a wait for room. Change: lines of waiting steps name the account, what it may still start and whether the job is beyond its share; two causes in the losses. Measured: two new cases failed before (the causes were not there).

--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -100,6 +100,7 @@
             with_room=len(with_room),
             with_ticket=len(with_ticket),
             account=step.job.account_name,
+            beyond_share=step.job.is_beyond_share,
             account_allows=self._quotas.tasks_left(step, now_ms),
             large_enough=len(could_hold),
             allowed=-1 if step.allowed is None else len(step.allowed),
--- a/packages/thymefork-cli/src/thymefork_cli/explain.py
+++ b/packages/thymefork-cli/src/thymefork_cli/explain.py
@@ -2,7 +2,14 @@
 
 from attrs import field, frozen
 
-from .log_lines import is_about, lacks_permission, lines_with, ms_between
+from .log_lines import (
+    is_about,
+    is_at_limit,
+    is_beyond_share,
+    lacks_permission,
+    lines_with,
+    ms_between,
+)
 
 __all__ = ["Story", "explain_subject"]
 
@@ -157,6 +164,10 @@
 
 def _wait_words(line):
     lacks = "room"
-    if lacks_permission(line):
+    if is_at_limit(line):
+        lacks = f"its account {line['account']}, which had all running that it may"
+    elif lacks_permission(line):
         lacks = "a permission of its policy"
+    elif is_beyond_share(line):
+        lacks = f"room behind others' shares: {line['account']} was beyond its own"
     return f"{line['step']} waited {line['for_ms']} ms for {lacks}"
--- a/packages/thymefork-cli/src/thymefork_cli/log_lines.py
+++ b/packages/thymefork-cli/src/thymefork_cli/log_lines.py
@@ -6,6 +6,8 @@
 
 __all__ = [
     "is_about",
+    "is_at_limit",
+    "is_beyond_share",
     "job_of",
     "lacks_permission",
     "lines_with",
@@ -63,3 +65,13 @@
 
 def _task_of(line):
     return str(line.get("task", "") or line.get("step", ""))
+
+
+def is_at_limit(wait):
+    """Tell whether a step waited since its account had all running that it may."""
+    return bool(wait.get("account")) and wait.get("account_allows") == 0
+
+
+def is_beyond_share(wait):
+    """Tell whether a step waited behind the shares of other accounts."""
+    return bool(wait.get("beyond_share"))
--- a/packages/thymefork-cli/src/thymefork_cli/losses/cause.py
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/cause.py
@@ -15,6 +15,8 @@
     CRASHES = "workers were lost under one of its tasks"
     NOT_ALLOWED = "its policy allows no worker"
     NO_PERMISSION = "it waited for its policy's permission"
+    ACCOUNT_LIMIT = "its account had all running that it may"
+    BEYOND_SHARE = "its account had sent more than its share"
     NO_ROOM = "it waited for room"
     START = "it waited for a start"
     SILENT_WORKER = "a worker with its runs fell silent"
--- a/packages/thymefork-cli/src/thymefork_cli/losses/cause_rules.py
+++ b/packages/thymefork-cli/src/thymefork_cli/losses/cause_rules.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-from ..log_lines import lacks_permission, ms_between
+from ..log_lines import is_at_limit, is_beyond_share, lacks_permission, ms_between
 from .cause import Cause
 
 __all__ = ["cause_of_delay", "cause_of_refusal", "cause_of_wait"]
@@ -21,7 +21,11 @@
 
 def cause_of_wait(wait):
     """Return what a step lacks by the line that says that it waits."""
-    return Cause.NO_PERMISSION if lacks_permission(wait) else Cause.NO_ROOM
+    if is_at_limit(wait):
+        return Cause.ACCOUNT_LIMIT
+    if lacks_permission(wait):
+        return Cause.NO_PERMISSION
+    return Cause.BEYOND_SHARE if is_beyond_share(wait) else Cause.NO_ROOM
 
 
 def cause_of_delay(job, ended, others):
--- a/packages/thymefork-cli/src/thymefork_cli/tests/test_losses.py
+++ b/packages/thymefork-cli/src/thymefork_cli/tests/test_losses.py
@@ -29,6 +29,8 @@
 
 
 WAITS = line(4, "step_waits", step=f"{JOB}.0.0", allowed=2, with_ticket=2)
+AT_LIMIT = {**WAITS, "account": "a", "account_allows": 0}
+BEYOND = {**WAITS, "account": "a", "account_allows": 5, "beyond_share": True}
 NOT_ALLOWED = {**WAITS, "allowed": 0, "with_ticket": 0}
 STARTED_LATE = line(5, "tasks_start", job=JOB, step=f"{JOB}.0.0", waited_ms=4_000)
 FAILED = line(
@@ -56,6 +58,16 @@
             Cause.NOT_ALLOWED,
         ),
         ([accepted(1), WAITS, STARTED_LATE, ended(9)], Outcome.LATE, Cause.NO_ROOM),
+        (
+            [accepted(1), AT_LIMIT, STARTED_LATE, ended(9)],
+            Outcome.LATE,
+            Cause.ACCOUNT_LIMIT,
+        ),
+        (
+            [accepted(1), BEYOND, STARTED_LATE, ended(9)],
+            Outcome.LATE,
+            Cause.BEYOND_SHARE,
+        ),
         ([accepted(1), STARTED_LATE, ended(9)], Outcome.LATE, Cause.START),
         (
             [accepted(1), SILENT, STARTED_LATE, ended(9)],
