Choose the workers of a call for advice when an instance is free for it

Workers were chosen as a call was queued, so seconds later they had no room, and calls left in the order they were queued in.

Change: the desk keeps what wants a call without its workers and makes as many calls as there are instances free, the longest wanted first with a second for each step of priority; work beyond its account's share comes 3 s later.

--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -1,5 +1,6 @@
 """Decisions of a cell, without I/O: the same code runs live and in tests."""
 
+from .advice_slots import LONG_CALL_MS, AdviceSlots
 from .cell import Cell
 from .codec import decode_spec, encode_spec
 from .context import STALE_MS
@@ -8,8 +9,10 @@
 from .reports import EndRow, RunRow, WorkerReport
 
 __all__ = [
+    "AdviceSlots",
     "Cell",
     "EndRow",
+    "LONG_CALL_MS",
     "OrderAnswer",
     "Refusal",
     "RunRow",
--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -1,5 +1,7 @@
 """When to ask the advice service about a step, and about which workers."""
 
+from operator import itemgetter
+
 from .advice_choice import AllowedShares, choose_workers, has_tickets_to_wait
 from .effects import AskAdvice
 from .state import Ticket
@@ -21,6 +23,13 @@
 # again after this long: a tenth of the shortest objective. In overload, with a hundred
 # steps that wait, checking them in each turn was half of what deciding cost.
 RECHECK_MS = 25.0
+# A call waits behind more urgent ones that are wanted up to this much later for each
+# step of priority, not behind all of them: under more load than the instances bear,
+# calls of the last queue were never made, and their steps never started beside free
+# workers.
+PRIORITY_STEP_MS = 1_000.0
+# A call for what is beyond its account's share comes later by so many steps.
+BEYOND_SHARE_STEPS = 3
 # A step is asked for before its turn by its call's cost and this much more.
 AHEAD_MS = 250.0
 
@@ -32,6 +41,7 @@
         self._context = context
         self._images = images
         self._shares = AllowedShares()
+        self._wanting = []
 
     def policy(self, step):
         """Return the advice policy of a step's queue, or None."""
@@ -57,32 +67,63 @@
             return True
         return step.ticket_for(worker.worker_id, now_ms) is not None
 
-    def plan(self, step, workers, now_ms, *, permits):
-        """Ask for a step if its tickets are missing and its turn is near.
+    def consider(self, step, workers, now_ms):
+        """Note that a step may want a call, if its tickets may be missing soon.
 
-        `workers` are given by id; `permits(step, worker, now_ms)` tells whether a
-        worker is not kept for another step.
+        `workers` are given by id.
         """
         policy = self.policy(step)
         if policy is None or step.advice_asked or now_ms < step.advice_not_before_ms:
             return
-        wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
-        if not wanted:
+        if not any(not task.done and not task.runs for task in step.tasks):
             return
         asked_about = min(MOST_WORKERS, len(workers))
         most_ms = policy.decision_ms + policy.per_worker_ms * asked_about
         if not self._is_near(step, most_ms, now_ms):
             return
-        self._forget_denials(step, now_ms)
-        candidates = self._candidates(step, workers, wanted, now_ms, permits)
-        if candidates:
-            self._ask(step, policy, candidates)
-        elif step.ready:
-            step.advice_not_before_ms = now_ms + RECHECK_MS
+        step.advice_wanted_ms = step.advice_wanted_ms or now_ms
+        due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * self._lateness(step)
+        self._wanting.append((due_ms, len(self._wanting), step, workers))
+
+    def _lateness(self, step):
+        """Return by how many steps of priority a step's call comes later."""
+        queue = self._context.queue(step.job)
+        return queue.priority + BEYOND_SHARE_STEPS * step.job.is_beyond_share
+
+    def ask(self, now_ms, *, permits):
+        """Make the calls that were wanted, as many as there are instances for.
+
+        The workers are chosen as a call is made: one that waits for an instance waits
+        without them. `permits(step, worker, now_ms)` tells whether a worker is not kept
+        for another step.
+        """
+        wanting, self._wanting = sorted(self._wanting, key=itemgetter(0, 1)), []
+        for _, _, step, workers in wanting:
+            policy = self.policy(step)
+            if not self._may_be_called(policy.decision_ms):
+                continue
+            self._forget_denials(step, now_ms)
+            wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
+            candidates = self._candidates(step, workers, wanted, now_ms, permits)
+            if candidates:
+                self._ask(step, policy, candidates)
+                continue
+            step.advice_wanted_ms = 0.0
+            if step.ready:
+                step.advice_not_before_ms = now_ms + RECHECK_MS
+
+    def _may_be_called(self, cost_ms):
+        """Tell whether there may be an instance for a call of such a cost or more."""
+        slots = self._context.advice_slots
+        return slots is None or slots.has_room(cost_ms)
 
     def _ask(self, step, policy, candidates):
         cost_ms = policy.decision_ms + policy.per_worker_ms * len(candidates)
+        slots = self._context.advice_slots
+        if slots is not None and not slots.take(cost_ms):
+            return
         step.advice_asked = True
+        step.advice_wanted_ms = 0.0
         queue = self._context.queue(step.job)
         self._context.count("advice_workers", queue.name, len(candidates))
         self._context.emit(
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -2,6 +2,7 @@
 
 from attrs import define, field
 
+from .advice_slots import AdviceSlots
 from .effects import Count, Note, Observe
 from .specs import Bounds, Configuration
 from .state import AccountUsage
@@ -20,6 +21,7 @@
 
     `usages` holds what each client account has running, by name; `owed_stops` holds,
     as keys in their order, the runs that a worker still has to be told to stop.
+    `advice_slots` tells how many calls for advice may be made now, None for any number.
     `workers_known_ms` is since when at the latest the list of workers may have changed
     unseen. Units: `*_ms` on the steady clock.
     """
@@ -39,6 +41,7 @@
     journal: object = None
     needs_plan: bool = True
     store_is_away: bool = False
+    advice_slots: AdviceSlots | None = None
     workers_known_ms: float = float("inf")
 
     def is_list_stale(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -71,7 +71,8 @@
                 self._place(step, workers, now_ms)
                 if now_ms - max(step.ready_ms, step.wait_noted_ms) > NOTE_WAIT_MS:
                     self._note_wait(step, workers, now_ms)
-            self._advice.plan(step, workers, now_ms, permits=self._reservations.permits)
+            self._advice.consider(step, workers, now_ms)
+        self._advice.ask(now_ms, permits=self._reservations.permits)
 
     def _note_wait(self, step, workers, now_ms):
         """Log why a step's tasks have not been started for a while."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -39,6 +39,7 @@
     asked_anew: int = 0
     _waiting: list | None = None
     advice_asked: bool = False
+    advice_wanted_ms: float = 0.0
     denials_in_row: int = 0
     advice_not_before_ms: float = 0.0
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -12,6 +12,7 @@
     effects as fx,
     encode_spec,
 )
+from thymefork_cells.advice_slots import AdviceSlots
 from thymefork_cells.looks import LEASE_MS
 from thymefork_cells.specs import (
     AdvicePolicy,
@@ -59,6 +60,8 @@
     starts are carried out and get none, `drop` which stops vanish without any outcome.
     `blur` decides which starts get an answer without the worker's clock.
     `late_ms` tells how much later an order without an answer is carried out, or 0.
+    `advisers` is how many instances
+    make calls to the advice service, each one at a time, None for as many as needed.
     An order to a worker whose address is not known goes nowhere, as in the daemon.
     `crashes_after_ms` tells of a task how long after its start it crashes its worker,
     None if it does not; the machine is back as another worker after `back_after_ms`,
@@ -75,6 +78,7 @@
         advice=None,
         max_attempts=2,
         hall=None,
+        advisers=None,
     ):
         self.env = simpy.Environment()
         self.workers = {
@@ -117,6 +121,7 @@
                 ),
             ),
         )
+        self.advisers = advisers and simpy.Resource(self.env, capacity=advisers)
         self.store = {}
         self.store_down = False
         self.lose = lambda effect: False
@@ -246,6 +251,10 @@
             yield self.env.timeout(5)
 
     def _decide(self, cell):
+        if self.advisers:
+            free = self.advisers.capacity - self.advisers.count
+            free -= len(self.advisers.queue)
+            cell.context.advice_slots = AdviceSlots(any_call=free, long_call=free)
         cell.turn(self.now)
 
     def _turn(self, cell):
@@ -468,8 +477,14 @@
             )
 
     def _advise(self, cell, effect):
-        self.asked.append((effect.step.name, effect.worker_ids))
-        yield self.env.timeout(effect.cost_ms)
+        if self.advisers:
+            with self.advisers.request() as turn:
+                yield turn
+                self.asked.append((effect.step.name, effect.worker_ids))
+                yield self.env.timeout(effect.cost_ms)
+        else:
+            self.asked.append((effect.step.name, effect.worker_ids))
+            yield self.env.timeout(effect.cost_ms)
         tickets = {
             worker_id: f"t-{worker_id}"
             for worker_id in effect.worker_ids
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -6,14 +6,13 @@
 
 from attrs import define
 
+from thymefork_cells import LONG_CALL_MS, AdviceSlots
 from thymefork_net import steady_ms
 from thymefork_net.peers import AdviceRequest
 
 __all__ = ["Advisers"]
 
-# Calls that cost more than this are long: they go to some of the instances only, so
-# that a short call never waits behind one everywhere.
-LONG_CALL_MS = 150.0
+# Long calls go to this share of the instances only.
 SHARE_FOR_LONG_CALLS = 0.7
 # A call is given up after its cost by the service's figures, times this, plus slack
 # for links: the service may be a little slow, and works on one call of an instance
@@ -96,6 +95,19 @@
             adviser.effect = None
             self._timers.cancel(adviser.timer_id)
 
+    @property
+    def slots(self):
+        """Return how many calls would be made at once, beside what waits already."""
+        now_ms = steady_ms()
+        free = sum(self._is_free(name, now_ms) for name in self._advisers)
+        for_long = sum(self._is_free(name, now_ms) for name in self._names_for_long())
+        waiting = len(self._waiting)
+        return AdviceSlots(any_call=free - waiting, long_call=for_long - waiting)
+
+    def _is_free(self, name, now_ms):
+        adviser = self._advisers[name]
+        return adviser.effect is None and now_ms >= adviser.paused_until_ms
+
     def ask(self, effect):
         """Queue a call."""
         if self._ended:
@@ -156,19 +168,26 @@
 
     def _free_adviser(self, effect):
         now_ms = steady_ms()
-        names = sorted(self._advisers)
-        first = int(self._turn * len(names))
-        names = names[first:] + names[:first]
         if effect.cost_ms > LONG_CALL_MS:
-            names = names[: max(1, int(len(names) * SHARE_FOR_LONG_CALLS))]
+            names = self._names_for_long()
         else:
-            names.reverse()
+            names = reversed(self._names_in_turn())
         for name in names:
-            adviser = self._advisers[name]
-            if adviser.effect is None and now_ms >= adviser.paused_until_ms:
-                return adviser
+            if self._is_free(name, now_ms):
+                return self._advisers[name]
         return None
 
+    def _names_in_turn(self):
+        """Return the instances in the order in which this owner begins with them."""
+        names = sorted(self._advisers)
+        first = int(self._turn * len(names))
+        return names[first:] + names[:first]
+
+    def _names_for_long(self):
+        """Return the instances that take long calls, too."""
+        names = self._names_in_turn()
+        return names[: max(1, int(len(names) * SHARE_FOR_LONG_CALLS))]
+
     def _send(self, adviser, effect):
         call_id = next(_CALL_IDS)
         adviser.effect, adviser.call_id = effect, call_id
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -184,6 +184,7 @@
             performer=self._performer,
             timers=self._daemon.timers,
             workers_known_ms=lambda: self._daemon.worker_list.known_ms,
+            advice_slots=lambda: self._advisers.slots,
         )
         self._requests = RequestHandler(
             intake=cell.intake,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
@@ -23,16 +23,28 @@
     """Let a cell take its turns; perform its effects and store its records.
 
     Performing an effect may lose the cell and so end the loop. `workers_known_ms()` is
-    since when at the latest the list of workers may have changed unseen.
+    since when at the latest the list of workers may have changed unseen;
+    `advice_slots()` is how many calls for advice may be made now.
     """
 
-    def __init__(self, *, cell, ownership, pump, performer, timers, workers_known_ms):
+    def __init__(
+        self,
+        *,
+        cell,
+        ownership,
+        pump,
+        performer,
+        timers,
+        workers_known_ms,
+        advice_slots=lambda: None,
+    ):
         self._cell = cell
         self._ownership = ownership
         self._pump = pump
         self._performer = performer
         self._timers = timers
         self._workers_known_ms = workers_known_ms
+        self._advice_slots = advice_slots
         self._ended = False
         self._turn_timer = 0
         self._turn_due_ms = 0.0
@@ -75,6 +87,7 @@
     def _decide(self, now_ms):
         self._cell.context.store_is_away = not self._ownership.is_renewed()
         self._cell.context.workers_known_ms = self._workers_known_ms()
+        self._cell.context.advice_slots = self._advice_slots()
         due_ms = self._cell.turn(now_ms)
         self._perform_effects()
         if self._lingers(now_ms):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -205,3 +205,21 @@
     advisers.ask(long_call("short", cost_ms=100.0))
     advisers.update([])
     assert not client.asked
+
+
+def test_a_call_takes_a_slot_until_it_is_answered(timers):
+    links = [FakeLink(f"edge-{number}") for number in range(9)]
+    advisers = make(timers, links, 0.0)
+    assert (advisers.slots.any_call, advisers.slots.long_call) == (10, 7)
+    advisers.ask(long_call())
+    assert (advisers.slots.any_call, advisers.slots.long_call) == (9, 6)
+    [asked] = [link.sent[0] for link in links if link.sent]
+    advisers.on_reply(reply_to(asked))
+    assert (advisers.slots.any_call, advisers.slots.long_call) == (10, 7)
+
+
+def test_a_paused_instance_has_no_slot(timers):
+    advisers = make(timers, [FakeLink("edge-0")], 0.0)
+    advisers.ask(long_call())
+    timers.run(3_300)  # it is not answered, and the instance is paused
+    assert (advisers.slots.any_call, advisers.slots.long_call) == (1, 0)
