Soak client accounts: limits, keys that come and go, strangers

The soak draws changes of limits and of a guest's key beside its faults; the ledger judges QUOTA at each start by the limits that may be in force, and callers judge CONFIG and ROUTE by their answers.

--- /dev/null
+++ b/soak/src/thymefork_soak/accounts.py
@@ -0,0 +1,134 @@
+"""Client accounts whose limits change and whose keys come and go."""
+
+import asyncio
+
+from thymefork_net import steady_ms
+
+from .callers import Caller, JobStory
+
+__all__ = [
+    "NAMES",
+    "STEADY",
+    "AccountChanges",
+    "Accounts",
+    "GuestCaller",
+    "StrangerCaller",
+]
+
+NAMES = ("a0", "a1", "a2")
+GUEST = "guest"
+# Its callers keep work that lasts; nothing limits it.
+STEADY = "steady"
+# From less than one job wants at once up to a third of all workers.
+LIMITS_CPU_MILLI = (2_000, 4_000, 8_000, 16_000)
+WIDEST_CPU_MILLI = 16_000
+# The pages' bounds: a version is in force everywhere so long after it was acknowledged,
+# and a machine is in touch after so long without a disturbance; and a bit.
+CONFIG_MS = 3_000.0
+CONTACT_MS = 3_000.0
+MARGIN_MS = 300.0
+NO_SUCH_JOB = 410
+UNKNOWN_KEY = 401
+
+
+def key_of(account):
+    """Return the key that an account's callers send."""
+    return f"key-of-{account}"
+
+
+class Accounts:
+    """Hold what the operators' configuration says of the accounts."""
+
+    def __init__(self):
+        self.limits_cpu_milli = dict.fromkeys(NAMES, WIDEST_CPU_MILLI)
+        self.guest_has_key = True
+        self.guest_changed_ms = 0.0
+
+    def rows(self):
+        """Return the accounts as the configuration lists them."""
+        rows = [
+            _row(name, cpu, [key_of(name)])
+            for name, cpu in self.limits_cpu_milli.items()
+        ]
+        keys = [key_of(GUEST)] if self.guest_has_key else []
+        return [*rows, _row(GUEST, 0, keys), _row(STEADY, 0, [key_of(STEADY)])]
+
+
+def _row(name, cpu_milli, keys):
+    limit = {"cpu": cpu_milli, "mem_mb": 0, "gpus": 0}
+    return {"name": name, "api_keys": keys, "weight": 10, "max_items": limit}
+
+
+class AccountChanges:
+    """Change limits, and take the guest's key away and give it back."""
+
+    def __init__(self, *, fleet, random):
+        self._fleet = fleet
+        self._random = random
+
+    async def work(self, until, now):
+        """Make one change after another, then give everything back."""
+        accounts = self._fleet.accounts
+        while now() < until:
+            await asyncio.sleep(self._random.choice((0.3, 1.0, 4.0, 8.0)))
+            if self._random.random() < 0.4:
+                await self._set_guest(not accounts.guest_has_key)
+            else:
+                name = self._random.choice(NAMES)
+                accounts.limits_cpu_milli[name] = self._random.choice(LIMITS_CPU_MILLI)
+                await self._fleet.configure()
+        accounts.limits_cpu_milli = dict.fromkeys(NAMES, WIDEST_CPU_MILLI)
+        await self._set_guest(True)
+
+    async def _set_guest(self, has_key):
+        accounts = self._fleet.accounts
+        accounts.guest_has_key = has_key
+        accounts.guest_changed_ms = float("inf")  # until the store has taken it
+        await self._fleet.configure()
+        accounts.guest_changed_ms = steady_ms()
+
+
+class GuestCaller(Caller):
+    """Ask with a key that comes and goes; note answers by the wrong version."""
+
+    def __init__(self, *, fleet, random):
+        super().__init__(fleet=fleet, random=random, account=GUEST)
+        self.broken = []
+
+    async def work(self, until, now):
+        """Ask for jobs that nobody knows until a moment."""
+        while now() < until:
+            await asyncio.sleep(self._random.uniform(0.05, 0.5))
+            accounts = self._fleet.accounts
+            had_key, changed_ms = accounts.guest_has_key, accounts.guest_changed_ms
+            calm_since_ms = (await self._fleet.steer("calm", {}))["calm_since_ms"]
+            due_ms = max(changed_ms + CONFIG_MS, calm_since_ms + CONTACT_MS + CONFIG_MS)
+            is_due = steady_ms() > due_ms + MARGIN_MS
+            status = await self.call("GET", f"{self._random.getrandbits(64):016x}")
+            changed = accounts.guest_changed_ms != changed_ms
+            if is_due and not changed:
+                self._judge(status, had_key)
+
+    def _judge(self, status, had_key):
+        if had_key and status == UNKNOWN_KEY:
+            self.broken.append("CONFIG: refused by a key that is there")
+        elif not had_key and status == NO_SUCH_JOB:
+            self.broken.append("CONFIG: served by a key that was taken away")
+
+
+class StrangerCaller(Caller):
+    """Hand jobs in by a key that no configuration ever held."""
+
+    def __init__(self, *, fleet, random):
+        super().__init__(fleet=fleet, random=random, account="nobody")
+        self.broken = []
+
+    async def work(self, until, now):
+        """Hand jobs in until a moment; none may be taken."""
+        while now() < until:
+            await asyncio.sleep(self._random.uniform(0.3, 1.5))
+            story = JobStory(job_id=f"{self._random.getrandbits(64):016x}")
+            self.stories.append(story)
+            status = await self.call("POST", story.job_id, self._job())
+            if status == 200:
+                self.broken.append(f"ROUTE: {story.job_id} by a key of nobody")
--- a/soak/src/thymefork_soak/callers.py
+++ b/soak/src/thymefork_soak/callers.py
@@ -34,8 +34,9 @@
 class Caller:
     """Submit jobs to daemons of its choice, one after the other."""
 
-    def __init__(self, *, fleet, random):
+    def __init__(self, *, fleet, random, account=""):
         self.stories = []
+        self._account = account
         self._fleet = fleet
         self._random = random
         self._connection = None
@@ -50,7 +51,7 @@
         story = JobStory(job_id=f"{self._random.getrandbits(64):016x}")
         self.stories.append(story)
         job = self._job()
-        await self._fleet.steer("job", {"id": story.job_id, "job": job})
+        await self._tell(story, job)
         for _ in range(1 + RETRIES):
             status = await self.call("POST", story.job_id, job)
             story.answers.append(status)
@@ -65,6 +66,11 @@
             # Without an answer it may have been done as well.
             await self.cancel(story)
 
+    async def _tell(self, story, job, **more):
+        """Tell the stand-in what is about to be submitted, and for whom."""
+        notice = {"id": story.job_id, "job": job, "account": self._account, **more}
+        await self._fleet.steer("job", notice)
+
     def _job(self):
         # Some tasks outlast a lease, so that what runs on silent workers matters.
         estimated_ms = 5_000 if self._random.random() < LONG_SHARE else 500
@@ -113,9 +119,11 @@
         body = json.dumps(document).encode() if document is not None else b""
         head = (
             f"{method} /jobs/{job_id} HTTP/1.1\r\nHost: lookup.example\r\n"
-            f"Content-Length: {len(body)}\r\n\r\n"
+            f"Content-Length: {len(body)}\r\n"
         )
-        writer.write(head.encode() + body)
+        if self._account:
+            head += f"Api-Key: key-of-{self._account}\r\n"
+        writer.write(f"{head}\r\n".encode() + body)
         answer = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
         length = int(answer.split("content-length: ")[1].split("\r\n")[0])
         content = await reader.readexactly(length)
--- a/soak/src/thymefork_soak/crashing.py
+++ b/soak/src/thymefork_soak/crashing.py
@@ -26,13 +26,12 @@
         story = JobStory(job_id=f"{self._random.getrandbits(64):016x}", crashing=True)
         self.stories.append(story)
         job = self._job()
-        notice = {
-            "id": story.job_id,
-            "job": job,
-            "crashing_task": f"{story.job_id}.0.0.0",
-            "crashes_after_ms": self._random.choice(CRASH_AFTER_MS),
-        }
-        await self._fleet.steer("job", notice)
+        await self._tell(
+            story,
+            job,
+            crashing_task=f"{story.job_id}.0.0.0",
+            crashes_after_ms=self._random.choice(CRASH_AFTER_MS),
+        )
         while not story.accepted:
             status = await self.call("POST", story.job_id, job)
             story.answers.append(status)
--- a/soak/src/thymefork_soak/faults.py
+++ b/soak/src/thymefork_soak/faults.py
@@ -3,8 +3,6 @@
 import asyncio
 import signal
 
-from .fleet import configuration
-
 __all__ = ["FaultPlan"]
 
 # The seeds in the tests showed their faults without outages within this time.
@@ -23,7 +21,6 @@
         self._fleet = fleet
         self._random = random
         self._workers = workers
-        self._version = 1
         self._running = set()
         self._open = asyncio.Event()
         self._open.set()
@@ -156,5 +153,4 @@
         await self._fleet.steer("crash", {"worker": worker})
 
     async def _configure(self):
-        self._version += self._random.randint(1, 3)
-        await self._fleet.steer("configure", configuration(self._version))
+        await self._fleet.configure(self._random.randint(1, 3))
--- a/soak/src/thymefork_soak/fleet.py
+++ b/soak/src/thymefork_soak/fleet.py
@@ -33,10 +33,18 @@
 }
 
 
-def configuration(version):
+def configuration(version, accounts=None):
     """Return a version of the operators' configuration."""
     service = {"name": "svc", "max_conns": 64, "headroom": False}
-    return {"version": version, "routes": [QUEUE], "services": [service], "limits": {}}
+    document = {
+        "version": version,
+        "routes": [QUEUE],
+        "services": [service],
+        "limits": {},
+    }
+    if accounts is not None:
+        document["tenants"] = accounts.rows()
+    return document
 
 
 class Daemon:
@@ -116,7 +124,9 @@
 class Fleet:
     """Start everything, steer the platform, and end everything by its id."""
 
-    def __init__(self, *, instances, workers, seed, folder):
+    def __init__(self, *, instances, workers, seed, folder, accounts=None):
+        self.accounts = accounts
+        self._version = 0
         self._host = loopback_host(seed, os.getpid())
         self.daemons = [
             Daemon(number=number, folder=folder, platform_host=self._host)
@@ -134,11 +144,16 @@
             + [str(argument) for argument in arguments]
         )
         await self._until_answered()
-        await self.steer("configure", configuration(1))
+        await self.configure()
         for daemon in self.daemons:
             await daemon.proxy.start()
             daemon.start()
 
+    async def configure(self, steps=1):
+        """Put a later version of the configuration in place."""
+        self._version += steps
+        await self.steer("configure", configuration(self._version, self.accounts))
+
     async def _until_answered(self):
         for _ in range(100):
             try:
--- a/soak/src/thymefork_soak/lasting.py
+++ b/soak/src/thymefork_soak/lasting.py
@@ -13,8 +13,8 @@
 class LastingCaller(Caller):
     """Keep one lasting job at a time; cancel it until that is acknowledged."""
 
-    def __init__(self, *, fleet, random):
-        super().__init__(fleet=fleet, random=random)
+    def __init__(self, *, fleet, random, account=""):
+        super().__init__(fleet=fleet, random=random, account=account)
         self._leaving = asyncio.Event()
 
     def leave(self):
@@ -39,7 +39,7 @@
         count = self._random.randint(1, 3)
         step = {"count": count, "cpu": 500, "mem_mb": 64, "long_running": True}
         job = {"spec": f"text {self._random.random()}", "steps": [step]}
-        await self._fleet.steer("job", {"id": story.job_id, "job": job})
+        await self._tell(story, job)
         # A job in doubt may run, so it is submitted until it is known to be accepted;
         # one that was refused each time never runs, and may be given up.
         while not story.accepted:
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -9,6 +9,14 @@
 
 import typer
 
+from .accounts import (
+    NAMES,
+    STEADY,
+    AccountChanges,
+    Accounts,
+    GuestCaller,
+    StrangerCaller,
+)
 from .callers import Caller
 from .crashing import CrashingCaller
 from .faults import FaultPlan
@@ -30,10 +38,16 @@
 MARGIN_S = 6.5
 
 
-async def soak(seed, seconds, instances, folder):
+async def soak(seed, seconds, instances, folder, *, with_accounts=True):
     """Run one soak; return what it broke, and a line on what it saw."""
     rng = random.Random(seed)
-    fleet = Fleet(instances=instances, workers=WORKERS, seed=seed, folder=folder)
+    fleet = Fleet(
+        instances=instances,
+        workers=WORKERS,
+        seed=seed,
+        folder=folder,
+        accounts=Accounts() if with_accounts else None,
+    )
     began_s = time.monotonic()
 
     def now():
@@ -43,23 +57,36 @@
         await fleet.start()
         await asyncio.sleep(SETTLE_S)
         callers = [
-            Caller(fleet=fleet, random=random.Random(rng.random()))
-            for _ in range(CALLERS)
+            Caller(
+                fleet=fleet,
+                random=random.Random(rng.random()),
+                account=NAMES[number % len(NAMES)] if with_accounts else "",
+            )
+            for number in range(CALLERS)
         ]
         plan = FaultPlan(
             fleet=fleet, random=random.Random(rng.random()), workers=WORKERS
         )
         lasting = [
-            LastingCaller(fleet=fleet, random=random.Random(f"{seed} lasting {number}"))
+            LastingCaller(
+                fleet=fleet,
+                random=random.Random(f"{seed} lasting {number}"),
+                account=STEADY if with_accounts else "",
+            )
             for number in range(LASTING_CALLERS)
         ]
-        crashing = CrashingCaller(fleet=fleet, random=random.Random(f"{seed} crashing"))
+        crashing = CrashingCaller(
+            fleet=fleet,
+            random=random.Random(f"{seed} crashing"),
+            account=STEADY if with_accounts else "",
+        )
         rooms = RoomChanges(
             fleet=fleet, random=random.Random(f"{seed} rooms"), workers=WORKERS
         )
         spoiler = EntrySpoiler(
             fleet=fleet, random=random.Random(f"{seed} spoiled"), workers=WORKERS
         )
+        askers = _askers(fleet, seed) if with_accounts else []
         kept = [asyncio.ensure_future(caller.work()) for caller in lasting]
         until = SETTLE_S + seconds
         await asyncio.gather(
@@ -69,12 +96,14 @@
             rooms.work(until, now),
             spoiler.work(until, now),
             *(caller.work(until, now) for caller in callers),
+            *(asker.work(until, now) for asker in askers),
         )
         (folder / "faults.txt").write_text("\n".join([*plan.done, ""]))
         callers += [*lasting, crashing]
         broken = await _leave(lasting, kept)
         await asyncio.sleep(MARGIN_S)
         broken += await _judge(fleet, callers, now)
+        broken += [line for asker in askers for line in getattr(asker, "broken", ())]
     finally:
         fleet.stop()
     stories = [story for caller in callers for story in caller.stories]
@@ -82,6 +111,15 @@
     return broken, f"{len(stories)} jobs, {accepted} accepted, {len(plan.done)} faults"
 
 
+def _askers(fleet, seed):
+    """Return what changes the accounts, and who asks by keys that may not serve."""
+    parts = (AccountChanges, GuestCaller, StrangerCaller)
+    return [
+        part(fleet=fleet, random=random.Random(f"{seed} {part.__name__}"))
+        for part in parts
+    ]
+
+
 async def _leave(lasting, kept):
     """End the lasting jobs; return whether some could not be ended."""
     for caller in lasting:
--- a/soak/src/thymefork_soak/standin/ledger.py
+++ b/soak/src/thymefork_soak/standin/ledger.py
@@ -14,6 +14,9 @@
 CANCEL_MS = 3_000.0
 STOP_TIMEOUT_MS = 200.0
 CONTACT_MS = 3_000.0
+# How long an older version may be in force, and by how much a limit may be passed.
+CONFIG_MS = 3_000.0
+QUOTA_OVERAGE = 0.1
 
 
 @define(kw_only=True)
@@ -32,6 +35,8 @@
     crashes_after_ms: dict = field(factory=dict)
     crashes: Counter = field(factory=Counter)
     starts_after_crashes: Counter = field(factory=Counter)
+    accounts: dict = field(factory=dict)
+    limits: list = field(factory=list)
 
     def on_start(self, worker, task, run_id, payload, now_ms):
         """Judge a start that the worker has carried out."""
@@ -57,6 +62,43 @@
         if worker.used_cpu() > worker.counted_cpu(now_ms):
             self._note(f"LIMIT: {where}")
         self.running.setdefault(task, set()).add(worker.worker_id)
+        self._judge_limit_of_account(job_id, step, where, now_ms)
+
+    def on_limits(self, limits_cpu_milli, now_ms):
+        """Note the accounts' limits of a configuration that was acknowledged."""
+        self.limits.append((now_ms, limits_cpu_milli))
+
+    def _judge_limit_of_account(self, job_id, step, where, now_ms):
+        account = self.accounts.get(job_id)
+        limits = [limit.get(account, 0) for limit in self._limits_in_force(now_ms)]
+        if not account or not limits or not all(limits):
+            return
+        used = sum(
+            len(workers) * self._cpu_of(task)
+            for task, workers in self.running.items()
+            if self.accounts.get(task.split(".")[0]) == account
+        )
+        one_more = self.jobs[job_id]["steps"][int(step)]["cpu"]
+        if used > max(limits) * (1 + QUOTA_OVERAGE) + one_more:
+            self._note(f"QUOTA: {where}: {account} has {used} of {max(limits)}")
+
+    def _cpu_of(self, task):
+        job_id, _, step, _ = task.split(".")
+        return self.jobs[job_id]["steps"][int(step)]["cpu"]
+
+    def _limits_in_force(self, now_ms):
+        """Return the versions of the limits that may be in force, the newest last.
+
+        An older one may be until machines in touch must have taken the next.
+        """
+        may_be = []
+        for (_, limits), (next_ms, _) in zip(
+            self.limits, self.limits[1:], strict=False
+        ):
+            due_ms = max(next_ms, self.calm_since_ms + CONTACT_MS) + CONFIG_MS
+            if self.faults or now_ms <= due_ms:
+                may_be.append(limits)
+        return [*may_be, *(limits for _, limits in self.limits[-1:])]
 
     def on_end(self, worker, task, how):
         """Note that a run is over."""
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -23,6 +23,8 @@
 # An entry goes after three heartbeats without a write.
 LAPSE_MS = 3 * BEAT_MS
 SERVERS = "keyed.servers"
+# A moment that never comes; JSON knows no infinity.
+LATEST_MS = 1e15
 
 
 class Platform:
@@ -91,10 +93,15 @@
         request.answer(200, orjson.dumps(document or {}))
 
     def _configure(self, body):
+        limits = {
+            row["name"]: row["max_items"]["cpu"] for row in body.get("tenants", ())
+        }
+        self._ledger.on_limits(limits, steady_ms())
         self.store.put("keyed.op", "config", body)
 
     def _job(self, body):
         self._ledger.jobs[body["id"]] = body["job"]
+        self._ledger.accounts[body["id"]] = body["account"]
         if "crashing_task" in body:
             after_ms = body["crashes_after_ms"]
             self._ledger.crashes_after_ms[body["crashing_task"]] = after_ms
@@ -126,6 +133,10 @@
     def _disturb(self, body):
         self._ledger.on_fault(body["change"], steady_ms())
 
+    def _calm(self, body):
+        since_ms = float("inf") if self._ledger.faults else self._ledger.calm_since_ms
+        return {"calm_since_ms": min(since_ms, LATEST_MS)}
+
     def _cancelled(self, body):
         self._ledger.on_cancelled(body["id"], body["acknowledged_ms"])
 
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -21,7 +21,12 @@
 
 @pytest.mark.parametrize(("seed", "seconds"), SEEDS)
 def test_the_promises_are_kept_among_faults(seed, seconds, tmp_path):
-    broken, seen = asyncio.run(soak(seed, seconds, 3, tmp_path))
+    broken, seen = asyncio.run(soak(seed, seconds, 3, tmp_path, with_accounts=False))
+    assert not broken, (broken, seen, tmp_path)
+
+
+def test_accounts_keep_their_limits_and_keys_among_faults(tmp_path):
+    broken, seen = asyncio.run(soak(5001, 12.0, 3, tmp_path))
     assert not broken, (broken, seen, tmp_path)
 
 
@@ -167,3 +172,36 @@
     ledger = ledger_of_one_job()
     ledger.on_start(Worker(used), "j.0.0.0", 1, "s", 0.0)
     assert [line.split(":")[0] for line in ledger.broken] == broken
+
+
+def ledger_of_an_account(*limits):
+    ledger = ledger_of_one_job()
+    ledger.jobs["j"]["steps"] = [{"count": 9, "cpu": 100}]
+    ledger.accounts["j"] = "a"
+    for at_ms, cpu_milli in limits:
+        ledger.on_limits({"a": cpu_milli}, at_ms)
+    return ledger
+
+
+def starts(ledger, count, now_ms):
+    for index in range(count):
+        ledger.on_start(Worker(), f"j.0.0.{index}", 1, "s", now_ms)
+    return [line.split(":")[0] for line in ledger.broken]
+
+
+# A limit of 200 may be passed by a tenth and one task: at 400 it is broken.
+@pytest.mark.parametrize(("count", "broken"), [(3, []), (4, ["QUOTA"])])
+def test_the_ledger_sees_an_account_over_its_limit(count, broken):
+    assert starts(ledger_of_an_account((0.0, 200)), count, 9_000.0) == broken
+
+
+@pytest.mark.parametrize(
+    ("started_ms", "broken"), [(13_000.0, []), (13_001.0, ["QUOTA"])]
+)
+def test_an_older_limit_counts_while_it_may_be_in_force(started_ms, broken):
+    ledger = ledger_of_an_account((0.0, 900), (10_000.0, 200))
+    assert starts(ledger, 4, started_ms) == broken
+
+
+def test_an_account_without_a_limit_breaks_none():
+    assert not starts(ledger_of_an_account((0.0, 0)), 9, 9_000.0)
