Let jobs that can't be in time any more wait behind those that can

Cause: past full load, work in the order of its objectives is all started once it is too late for it.

Change: among steps of one priority, one whose job is late even if it starts now lets the others go first, for 8 s at most; not lasting work, not gangs, not a step that lost a worker (each by an existing test that failed without the exception).

--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -5,6 +5,7 @@
 
 from .effects import StartRun
 from .gang_choice import workers_for_gang
+from .lateness import Lateness
 from .starvation import starved_ms
 from .state import JobState, Run, RunState
 from .worker_choice import (
@@ -36,6 +37,7 @@
         self._preemptor = preemptor
         self._reservations = reservations
         self._images = images
+        self._lateness = Lateness(images=images)
         self._advice = advice
         self._by_service = {}
         self._list_due_ms = 0.0
@@ -130,7 +132,12 @@
                 if not step.ready:
                     step.ready = job.is_turn(step, now_ms, early_ms)
                     step.ready_ms = now_ms
-                urgency = (-starved_ms(step, now_ms), job.objective_ms, step.index)
+                urgency = (
+                    -starved_ms(step, now_ms),
+                    self._lateness.lets_others_go_first(step, now_ms),
+                    job.objective_ms,
+                    step.index,
+                )
                 rank = (job.is_beyond_share, queue.priority, *urgency)
                 ranked.append((rank, step))
         ranked.sort(key=itemgetter(0))
--- a/soak/src/thymefork_soak/accounts.py
+++ b/soak/src/thymefork_soak/accounts.py
@@ -19,9 +19,9 @@
 GUEST = "guest"
 # Its callers keep work that lasts; nothing limits it.
 STEADY = "steady"
-# From less than one job wants at once up to a third of all workers.
-LIMITS_CPU_MILLI = (2_000, 4_000, 8_000, 16_000)
-WIDEST_CPU_MILLI = 16_000
+# From less than one job wants at once up to what an account's callers nearly fill.
+LIMITS_CPU_MILLI = (2_000, 4_000, 8_000)
+WIDEST_CPU_MILLI = 8_000
 # The pages' bounds: a version is in force everywhere so long after it was acknowledged,
 # and a machine is in touch after so long without a disturbance; and a bit.
 CONFIG_MS = 3_000.0
