--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -30,6 +30,8 @@
 PRIORITY_STEP_MS = 1_000.0
 # A call for what is beyond its account's share comes later by so many steps.
 BEYOND_SHARE_STEPS = 3
+# And one for a job that can't be in time any more by so many.
+LATE_STEPS = 3
 # A step is asked for before its turn by its call's cost and this much more.
 AHEAD_MS = 250.0
 
@@ -37,8 +39,9 @@
 class AdviceDesk:
     """Keep tickets ready for the steps whose turn comes."""
 
-    def __init__(self, *, context, images):
+    def __init__(self, *, context, images, lateness):
         self._context = context
+        self._lateness = lateness
         self._images = images
         self._shares = AllowedShares()
         self._wanting = []
@@ -82,13 +85,16 @@
         if not self._is_near(step, most_ms, now_ms):
             return
         step.advice_wanted_ms = step.advice_wanted_ms or now_ms
-        due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * self._lateness(step)
+        due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * self._steps_later(
+            step, now_ms
+        )
         self._wanting.append((due_ms, len(self._wanting), step, workers))
 
-    def _lateness(self, step):
+    def _steps_later(self, step, now_ms):
         """Return by how many steps of priority a step's call comes later."""
-        queue = self._context.queue(step.job)
-        return queue.priority + BEYOND_SHARE_STEPS * step.job.is_beyond_share
+        steps = self._context.queue(step.job).priority
+        steps += BEYOND_SHARE_STEPS * step.job.is_beyond_share
+        return steps + LATE_STEPS * self._lateness.lets_others_go_first(step, now_ms)
 
     def ask(self, now_ms, *, permits):
         """Make the calls that were wanted, as many as there are instances for.
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -12,6 +12,7 @@
 from .images import ImageTimes
 from .intake import Intake, chain_ms
 from .journal import Journal
+from .lateness import Lateness
 from .lifecycle import Lifecycle
 from .looks import Looks
 from .orders import Orders, Refusal
@@ -72,7 +73,10 @@
             shares=self.shares,
         )
         forecast = RoomForecast(context=self.context, images=self.images)
-        self.advice = AdviceDesk(context=self.context, images=self.images)
+        lateness = Lateness(images=self.images)
+        self.advice = AdviceDesk(
+            context=self.context, images=self.images, lateness=lateness
+        )
         self.orders = Orders(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -91,6 +95,7 @@
             ),
             trials=Trials(),
             quotas=self.quotas,
+            lateness=lateness,
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -5,7 +5,6 @@
 
 from .effects import StartRun
 from .gang_choice import workers_for_gang
-from .lateness import Lateness
 from .starvation import starved_ms
 from .state import JobState, Run, RunState
 from .worker_choice import (
@@ -29,7 +28,16 @@
     """Give waiting tasks to workers with room, most urgent queue first."""
 
     def __init__(
-        self, *, context, advice, images, preemptor, reservations, trials, quotas
+        self,
+        *,
+        context,
+        advice,
+        images,
+        preemptor,
+        reservations,
+        trials,
+        quotas,
+        lateness,
     ):
         self._context = context
         self._quotas = quotas
@@ -37,7 +45,7 @@
         self._preemptor = preemptor
         self._reservations = reservations
         self._images = images
-        self._lateness = Lateness(images=images)
+        self._lateness = lateness
         self._advice = advice
         self._by_service = {}
         self._list_due_ms = 0.0
