Ask for no more permissions than an account's limit lets tasks start

Measured: a step of 40 tasks, 4 of which may start, asked about more than 16 of 60 workers before, at most 16 now (virtual time).

--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -32,6 +32,11 @@
 BEYOND_SHARE_STEPS = 3
 # And one for a job that can't be in time any more by so many.
 LATE_STEPS = 3
+# A call for a step that its account's limit holds back comes later by so many, and is
+# for as many tasks as may start, or these few: they start one by one as others end,
+# and the tickets for all of them would lapse.
+HELD_BACK_STEPS = 3
+FEW_TASKS = 3
 # A step is asked for before its turn by its call's cost and this much more.
 AHEAD_MS = 250.0
 
@@ -70,10 +75,11 @@
             return True
         return step.ticket_for(worker.worker_id, now_ms) is not None
 
-    def consider(self, step, workers, now_ms):
+    def consider(self, step, workers, now_ms, *, may_start):
         """Note that a step may want a call, if its tickets may be missing soon.
 
-        `workers` are given by id.
+        `workers` are given by id; `may_start` is how many tasks of the step its account
+        may start now.
         """
         policy = self.policy(step)
         if policy is None or step.advice_asked or now_ms < step.advice_not_before_ms:
@@ -85,10 +91,11 @@
         if not self._is_near(step, most_ms, now_ms):
             return
         step.advice_wanted_ms = step.advice_wanted_ms or now_ms
-        due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * self._steps_later(
-            step, now_ms
+        steps_later = self._steps_later(step, now_ms) + HELD_BACK_STEPS * (
+            not may_start
         )
-        self._wanting.append((due_ms, len(self._wanting), step, workers))
+        due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * steps_later
+        self._wanting.append((due_ms, len(self._wanting), step, workers, may_start))
 
     def _steps_later(self, step, now_ms):
         """Return by how many steps of priority a step's call comes later."""
@@ -104,12 +111,13 @@
         for another step.
         """
         wanting, self._wanting = sorted(self._wanting, key=itemgetter(0, 1)), []
-        for _, _, step, workers in wanting:
+        for _, _, step, workers, may_start in wanting:
             policy = self.policy(step)
             if not self._may_be_called(policy.decision_ms):
                 continue
             self._forget_denials(step, now_ms)
             wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
+            wanted = min(wanted, max(may_start, FEW_TASKS))
             candidates = self._candidates(step, workers, wanted, now_ms, permits)
             if candidates:
                 self._ask(step, policy, candidates)
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -71,9 +71,11 @@
                 if fits_labels(step, worker)
             }
 
-        may_start = [step for step in steps if self._quotas.tasks_left(step, now_ms)]
+        may_start = {step: self._quotas.tasks_left(step, now_ms) for step in steps}
         self._reservations.review(
-            may_start, lambda step: workers_of(step).values(), now_ms
+            [step for step in steps if may_start[step]],
+            lambda step: workers_of(step).values(),
+            now_ms,
         )
         for step in steps:
             workers = workers_of(step)
@@ -81,7 +83,7 @@
                 self._place(step, workers, now_ms)
                 if now_ms - max(step.ready_ms, step.wait_noted_ms) > NOTE_WAIT_MS:
                     self._note_wait(step, workers, now_ms)
-            self._advice.consider(step, workers, now_ms)
+            self._advice.consider(step, workers, now_ms, may_start=may_start[step])
         self._advice.ask(now_ms, permits=self._reservations.permits)
 
     def _note_wait(self, step, workers, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
@@ -250,3 +250,12 @@
     harness.submit("c" * 16, job_spec({**large, "estimated_ms": 5_000}), "q", "b")
     harness.run(60)
     assert cpu_running(harness, "c" * 16) == 6_000
+
+
+def test_tickets_are_asked_for_as_many_tasks_as_the_limit_lets_start(make_harness):
+    """From cab-bogota, shifted: 100 workers were asked about again and again."""
+    harness = make_harness(workers=60, advice=ADVICE)
+    use_accounts(harness, account(cpu_milli=4_000))
+    harness.submit(A, job_spec({**WIDE, "count": 40}), account_name="a")
+    harness.run(500)
+    assert max(len(worker_ids) for _, worker_ids in harness.asked) <= 16
