Add a tool that compares variants of a decision on described loads

bench/experiments.py plays named variants with the same seeds on loads from JSON files, several processes at once, and prints worth, spread, difference by seed, and a plot.

--- /dev/null
+++ b/bench/experiments.py
@@ -0,0 +1,152 @@
+"""Named variants of a decision on described loads: the cell alone, on virtual time.
+
+`python -m bench.experiments --load bench/loads/full-all-day.json --variant "as it is"
+--variant "objectives only"` plays each variant with the same seeds and prints, for
+each, the mean worth, its spread, and the mean difference to the first variant seed by
+seed with its standard error. A load says what an operator knows from a sheet: workers,
+their sizes and speeds, kinds of jobs, accounts, and how many calls for advice go at
+once.
+"""
+
+import sys
+from concurrent.futures import ProcessPoolExecutor
+from contextlib import contextmanager
+from pathlib import Path
+from statistics import fmean, stdev
+from typing import Annotated
+
+import typer
+from attrs import frozen
+
+from thymefork_cells import advice_choice, intake, lateness, shares
+
+from .load_play import LoadPlay, read_load
+
+__all__ = ["VARIANTS", "Outcome", "compare", "main", "play"]
+
+# What a variant changes: module, name and value.
+VARIANTS = {
+    "as it is": (),
+    "objectives only": (
+        (lateness.Lateness, "lets_others_go_first", lambda *args: False),
+    ),
+    "late ones wait 2 s": ((lateness, "LATE_PATIENCE_MS", 2_000.0),),
+    "no shares": ((shares.Shares, "admits", lambda *args: True),),
+    "shares of 0.5 s": ((shares, "BURST_MS", 500.0),),
+    "shares of 10 s": ((shares, "BURST_MS", 10_000.0),),
+    "calls for little more than needed": ((advice_choice, "MARGIN", 1.2),),
+    "calls for three times what is needed": ((advice_choice, "MARGIN", 3.0),),
+    "calls grow slowly": ((advice_choice, "WIDER_AFTER_MS", 2_000.0),),
+    "calls for three times, grow slowly": (
+        (advice_choice, "MARGIN", 3.0),
+        (advice_choice, "WIDER_AFTER_MS", 2_000.0),
+    ),
+    "estimates doubled": (
+        (intake, "chain_ms", lambda spec, known=intake.chain_ms: 2 * known(spec)),
+    ),
+}
+
+
+@frozen(kw_only=True)
+class Outcome:
+    """Hold what one play of a load gave, as shares of the worth that was asked for."""
+
+    worth: float
+    in_time: float
+    worst_account: float
+    calls: int
+
+
+@contextmanager
+def _as_in(variant):
+    kept = [(owner, name, getattr(owner, name)) for owner, name, _ in VARIANTS[variant]]
+    for owner, name, value in VARIANTS[variant]:
+        setattr(owner, name, value)
+    try:
+        yield
+    finally:
+        for owner, name, value in kept:
+            setattr(owner, name, value)
+
+
+def play(path, variant, seed):
+    """Play a load once."""
+    with _as_in(variant):
+        result = LoadPlay(load=read_load(path), seed=seed).run()
+    return Outcome(**result)
+
+
+def compare(path, variants, seeds, processes):
+    """Return the outcomes of each variant by seed; progress goes to standard error."""
+    cases = [(variant, seed) for variant in variants for seed in range(1, seeds + 1)]
+    found = {variant: [] for variant in variants}
+    with ProcessPoolExecutor(processes) as pool:
+        plays = [pool.submit(play, path, variant, seed) for variant, seed in cases]
+        for number, ((variant, _), done) in enumerate(
+            zip(cases, plays, strict=True), 1
+        ):
+            found[variant].append(done.result())
+            print(f"\r{number} of {len(cases)} plays", end="", file=sys.stderr)
+    print(file=sys.stderr)
+    return found
+
+
+def _row(variant, outcomes, base):
+    worth = [outcome.worth for outcome in outcomes]
+    gains = [
+        outcome.worth - first.worth
+        for outcome, first in zip(outcomes, base, strict=True)
+    ]
+    spread = stdev(worth) if len(worth) > 1 else 0.0
+    error = stdev(gains) / len(gains) ** 0.5 if len(gains) > 1 else 0.0
+    return (
+        f"{variant:38} {fmean(worth):.3f} ({spread:.3f})  {fmean(gains):+.4f} "
+        f"({error:.4f})  {fmean(o.in_time for o in outcomes):.3f}    "
+        f"{fmean(o.worst_account for o in outcomes):.3f}         "
+        f"{fmean(o.calls for o in outcomes):.0f}"
+    )
+
+
+def _draw(found, path):
+    from matplotlib import pyplot  # only bench needs it, and only for a plot
+
+    figure, axes = pyplot.subplots(figsize=(8, 4))
+    axes.boxplot(
+        [[outcome.worth for outcome in outcomes] for outcomes in found.values()]
+    )
+    axes.set_xticks(range(1, len(found) + 1), list(found), rotation=20, ha="right")
+    axes.set_ylabel("share of the worth")
+    figure.tight_layout()
+    figure.savefig(path)
+
+
+def run(
+    load: Annotated[Path, typer.Option(exists=True, help="A load's JSON file.")],
+    variant: Annotated[list[str], typer.Option(help="Give several.")] = (),
+    seeds: Annotated[int, typer.Option(min=1, help="Plays of each variant.")] = 4,
+    processes: Annotated[int, typer.Option(min=1, help="Plays at once.")] = 4,
+    plot: Annotated[Path | None, typer.Option(help="Draw the spread here.")] = None,
+):
+    """Play variants of a decision on a load, with the same seeds."""
+    variants = list(variant) or list(VARIANTS)
+    unknown = [name for name in variants if name not in VARIANTS]
+    if unknown:
+        raise typer.BadParameter(f"{unknown[0]!r}; known: {', '.join(VARIANTS)}")
+    found = compare(load, variants, seeds, processes)
+    print(
+        f"{load.stem:38} worth (spread) difference (error)  in time  "
+        "worst account  calls"
+    )
+    for name, outcomes in found.items():
+        print(_row(name, outcomes, found[variants[0]]))
+    if plot is not None:
+        _draw(found, plot)
+
+
+def main():
+    """Enter from the command line."""
+    typer.run(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/load_play.py
@@ -0,0 +1,292 @@
+"""One play of a described load against a cell with virtual workers."""
+
+import random
+from pathlib import Path
+
+import orjson
+from attrs import evolve, frozen
+
+from thymefork_cells.specs import (
+    AccountPolicy,
+    AdvicePolicy,
+    Configuration,
+    QueuePolicy,
+    RoomLimit,
+)
+from thymefork_cells.tests.harness import Harness, job_spec
+from thymefork_cells.tests.virtual_worker import VirtualWorker
+
+__all__ = ["AccountLoad", "JobKind", "Load", "LoadPlay", "read_load"]
+
+# What a late answer is worth, up to three times the objective.
+LATE_WORTH = 0.2
+LATE_FACTOR = 3.0
+# After the last job has come, what still runs may end.
+SETTLE_MS = 20_000.0
+WIDEST = 60
+
+
+@frozen(kw_only=True)
+class JobKind:
+    """Describe one kind of job; means of draws. Units: ms, thousandths of a core."""
+
+    name: str
+    jobs_per_s: float
+    width: float
+    cpu_milli: int
+    work_ms: float
+    stretch: float
+    target_ms: float
+    worth: float
+    steps: int = 1
+    priority: int = 0
+    gang_share: float = 0.0
+    checkpoints: bool = False
+    advice: AdvicePolicy | None = None
+    allowed_share: float = 1.0
+
+
+@frozen(kw_only=True)
+class AccountLoad:
+    """Describe an account: its part of all jobs, and when it sends more."""
+
+    name: str
+    part: float
+    weight: float = 0.0
+    limit_cpu_milli: int = 0
+    flood_factor: float = 1.0
+    flood_from_s: float = 0.0
+    flood_until_s: float = 0.0
+
+    def part_at(self, now_s):
+        """Return the account's part at a moment, by its floods."""
+        floods = self.flood_from_s <= now_s < self.flood_until_s
+        return self.part * (self.flood_factor if floods else 1.0)
+
+
+@frozen(kw_only=True)
+class Load:
+    """Describe a deployment and what is asked of it."""
+
+    workers: int
+    cpu_milli: tuple[int, ...]
+    slowness: tuple[float, ...]
+    kinds: tuple[JobKind, ...]
+    accounts: tuple[AccountLoad, ...]
+    seconds: float
+    advisers: int | None = None
+    estimate_error: float = 0.3
+    cut_share: float = 0.0
+    cut_at_s: float = 0.0
+
+
+def read_load(path):
+    """Return a load from its JSON file; a field that is not known is an error."""
+    document = orjson.loads(Path(path).read_bytes())
+    kinds = []
+    for row in document.pop("kinds"):
+        advice = row.pop("advice", None)
+        advice = AdvicePolicy(**advice) if advice else None
+        kinds.append(JobKind(**row, advice=advice))
+    accounts = [AccountLoad(**row) for row in document.pop("accounts")]
+    sizes, slowness = document.pop("cpu_milli"), document.pop("slowness")
+    return Load(
+        **document,
+        kinds=tuple(kinds),
+        accounts=tuple(accounts),
+        cpu_milli=tuple(sizes),
+        slowness=tuple(slowness),
+    )
+
+
+class SizedWorker(VirtualWorker):
+    """Run each task for its own time."""
+
+    def __init__(self, *, durations_ms, **fields):
+        super().__init__(**fields)
+        self._durations_ms = durations_ms
+
+    def start(self, task, *order):
+        """Start a run of the length that was drawn for its task."""
+        self.work_ms = self._durations_ms[task]
+        return super().start(task, *order)
+
+
+@frozen(kw_only=True, eq=False)
+class _Sent:
+    kind: JobKind
+    account: str
+    objective_ms: float
+    is_owed: bool
+
+
+class LoadPlay:
+    """Send the jobs of a load by a seed and add up what they are worth."""
+
+    def __init__(self, *, load, seed):
+        self._load = load
+        self._random = random.Random(seed)
+        self._durations_ms = {}
+        self._sent = {}
+        self._owed_at_ms = {}
+        self._harness = self._deploy()
+
+    def _deploy(self):
+        load = self._load
+        harness = Harness(workers=load.workers, advisers=load.advisers)
+        harness.workers = {
+            f"w{number}": SizedWorker(
+                worker_id=f"w{number}",
+                durations_ms=self._durations_ms,
+                slow_factor=load.slowness[number % len(load.slowness)],
+            )
+            for number in range(load.workers)
+        }
+        harness.entries = [
+            evolve(entry, cpu_milli=load.cpu_milli[number % len(load.cpu_milli)])
+            for number, entry in enumerate(harness.entries)
+        ]
+        harness.rooms = {
+            entry.worker_id: [(float("-inf"), entry.cpu_milli)]
+            for entry in harness.entries
+        }
+        harness.configuration = self._configuration()
+        harness.allowed = self._allows
+        harness.take_over()
+        harness.run(500)
+        return harness
+
+    def _configuration(self):
+        queues = tuple(
+            QueuePolicy(
+                name=kind.name,
+                host="h",
+                path_prefix=f"/{kind.name}/",
+                service="s",
+                priority=kind.priority,
+                max_attempts=3,
+                stretch=kind.stretch,
+                target_latency_ms=kind.target_ms,
+                advice=kind.advice,
+            )
+            for kind in self._load.kinds
+        )
+        accounts = tuple(
+            AccountPolicy(
+                name=account.name,
+                weight=account.weight,
+                limit=RoomLimit(cpu_milli=account.limit_cpu_milli),
+            )
+            for account in self._load.accounts
+        )
+        return Configuration(version=1, queues=queues, accounts=accounts)
+
+    def _allows(self, step, worker_id):
+        kind = self._sent[step.split(".")[0]].kind
+        draw = random.Random(f"{step} {worker_id}").random()
+        return draw < kind.allowed_share
+
+    def run(self):
+        """Play the load; return the shares of what was owed."""
+        events = sorted(
+            (at_ms, kind_number)
+            for kind_number, kind in enumerate(self._load.kinds)
+            for at_ms in self._times(kind)
+        )
+        harness, began_ms = self._harness, self._harness.now
+        for number, (at_ms, kind_number) in enumerate(events):
+            harness.run(max(0.0, began_ms + at_ms - harness.now))
+            self._cut(at_ms)
+            self._send(f"{number:016x}", self._load.kinds[kind_number], at_ms / 1000.0)
+        harness.run(SETTLE_MS)
+        return self._result()
+
+    def _times(self, kind):
+        now_s = 0.0
+        while True:
+            rate = kind.jobs_per_s * sum(
+                account.part_at(now_s) for account in self._load.accounts
+            )
+            now_s += self._random.expovariate(rate)
+            if now_s >= self._load.seconds:
+                return
+            yield now_s * 1000.0
+
+    def _cut(self, at_ms):
+        load = self._load
+        if load.cut_share and at_ms >= load.cut_at_s * 1000.0:
+            count = int(load.cut_share * load.workers)
+            for worker in list(self._harness.workers.values())[:count]:
+                worker.cut = True
+
+    def _send(self, job_id, kind, now_s):
+        accounts = self._load.accounts
+        parts = [account.part_at(now_s) for account in accounts]
+        account = self._random.choices(accounts, parts)[0]
+        work_ms = kind.work_ms * self._random.lognormvariate(0.0, 0.4)
+        steps = []
+        for number in range(kind.steps):
+            width = min(WIDEST, 1 + int(self._random.expovariate(1.0 / kind.width)))
+            error = self._random.lognormvariate(0.0, self._load.estimate_error)
+            steps.append(
+                {
+                    "count": width,
+                    "cpu_milli": kind.cpu_milli,
+                    "memory_mb": 100,
+                    "estimated_ms": max(1, int(work_ms * error)),
+                    "image": kind.name,
+                    "gang": self._random.random() < kind.gang_share,
+                    "checkpoints": kind.checkpoints,
+                    "after": (number - 1,) if number else (),
+                }
+            )
+            for index in range(width):
+                even = self._random.uniform(0.7, 1.3)
+                self._durations_ms[f"{job_id}.0.{number}.{index}"] = work_ms * even
+        longest_ms = 1.3 * work_ms * kind.steps
+        self._sent[job_id] = _Sent(
+            kind=kind,
+            account=account.name,
+            objective_ms=kind.stretch * longest_ms + kind.target_ms,
+            is_owed=self._owes(account, now_s * 1000.0),
+        )
+        self._harness.submit(
+            job_id, job_spec(*steps), kind.name, account_name=account.name
+        )
+
+    def _owes(self, account, now_ms):
+        """Tell whether a job is among those a second that its account is promised."""
+        if not account.weight:
+            return True
+        recent = self._owed_at_ms.setdefault(account.name, [])
+        recent[:] = [at_ms for at_ms in recent if now_ms - at_ms < 1_000.0]
+        if len(recent) >= account.weight:
+            return False
+        recent.append(now_ms)
+        return True
+
+    def _result(self):
+        earned, owed, in_time = {}, {}, []
+        for job_id, sent in self._sent.items():
+            if not sent.is_owed:
+                continue
+            value = self._earns(job_id, sent)
+            in_time.append(value == 1.0)
+            earned.setdefault(sent.account, []).append(value * sent.kind.worth)
+            owed.setdefault(sent.account, []).append(sent.kind.worth)
+        shares = {name: sum(earned[name]) / sum(owed[name]) for name in owed}
+        return {
+            "worth": sum(map(sum, earned.values())) / sum(map(sum, owed.values())),
+            "in_time": sum(in_time) / len(in_time),
+            "worst_account": min(shares.values()),
+            "calls": len(self._harness.asked),
+        }
+
+    def _earns(self, job_id, sent):
+        job = self._harness.cell.context.jobs.get(job_id)
+        if job is None or str(job.state) != "succeeded":
+            return 0.0
+        took_ms = job.ended_ms - job.accepted_ms
+        if took_ms <= sent.objective_ms:
+            return 1.0
+        return LATE_WORTH if took_ms <= LATE_FACTOR * sent.objective_ms else 0.0
--- /dev/null
+++ b/bench/tests/test_experiments.py
@@ -0,0 +1,74 @@
+"""Plays of described loads."""
+
+import orjson
+import pytest
+from typer.testing import CliRunner
+
+from bench import experiments
+from bench.load_play import LoadPlay, read_load
+
+LOAD = {
+    "workers": 4,
+    "cpu_milli": [8_000],
+    "slowness": [1.0, 2.0],
+    "seconds": 2,
+    "accounts": [
+        {"name": "a", "part": 0.5, "weight": 2, "limit_cpu_milli": 8_000},
+        {"name": "b", "part": 0.5, "weight": 9},
+    ],
+    "kinds": [
+        {
+            "name": "lookup",
+            "jobs_per_s": 6,
+            "width": 3,
+            "cpu_milli": 1_000,
+            "work_ms": 300,
+            "stretch": 1.5,
+            "target_ms": 300,
+            "worth": 1.0,
+            "advice": {"decision_ms": 20, "per_worker_ms": 1, "valid_ms": 2_500},
+            "allowed_share": 0.8,
+        }
+    ],
+}
+
+
+@pytest.fixture
+def path(tmp_path):
+    path = tmp_path / "small.json"
+    path.write_bytes(orjson.dumps(LOAD))
+    return path
+
+
+def test_the_same_seed_gives_the_same_outcome(path):
+    first, second = (LoadPlay(load=read_load(path), seed=1).run() for _ in range(2))
+    assert first == second
+    assert 0 < first["worth"] <= 1
+
+
+def test_a_variant_is_undone_after_its_play(path):
+    before = experiments.advice_choice.MARGIN
+    experiments.play(path, "calls for three times what is needed", 1)
+    assert experiments.advice_choice.MARGIN == before
+
+
+def test_jobs_beyond_an_accounts_share_are_not_owed(path):
+    load_play = LoadPlay(load=read_load(path), seed=1)
+    load_play.run()
+    sent = [one for one in load_play._sent.values() if one.account == "a"]
+    assert sum(one.is_owed for one in sent) <= 2 * (LOAD["seconds"] + 1) < len(sent) + 7
+
+
+def test_a_field_that_is_not_known_is_named(path):
+    path.write_bytes(orjson.dumps({**LOAD, "wokers": 4}))
+    with pytest.raises(TypeError, match="wokers"):
+        read_load(path)
+
+
+def test_an_unknown_variant_is_named_with_those_that_are(path):
+    app = experiments.typer.Typer()
+    app.command()(experiments.run)
+    arguments = ["--load", str(path), "--variant", "none"]
+    done = CliRunner().invoke(app, arguments)
+    assert done.exit_code == 2
+    assert "none" in done.output
