--- a/bench/cell_costs.py
+++ b/bench/cell_costs.py
@@ -9,7 +9,10 @@
 import time
 from itertools import count
 
+from attrs import evolve
+
 from thymefork_cells.effects import StartRun
+from thymefork_cells.specs import AccountPolicy, RoomLimit
 from thymefork_cells.tests.harness import Harness, job_spec
 
 __all__ = ["main", "measure"]
@@ -39,16 +42,18 @@
         super()._perform(cell, effect)
 
 
-def _submit(harness, rate, numbers):
+def _submit(harness, rate, numbers, accounts=0):
     """Hand in steps of six tasks at a pace that wants `rate` starts a second."""
     spec = {"count": TASKS, "cpu_milli": 3_600, "estimated_ms": 800, "memory_mb": 500}
     pause_ms = 1_000.0 * TASKS / rate
     for _ in range(int(SPAN_MS / pause_ms)):
-        harness.submit(f"{next(numbers):016x}", job_spec(spec))
+        number = next(numbers)
+        account = f"a{number % accounts}" if accounts else ""
+        harness.submit(f"{number:016x}", job_spec(spec), account_name=account)
         harness.run(pause_ms)
 
 
-def measure(workers, rate, *, advice=None):
+def measure(workers, rate, *, advice=None, accounts=0):
     """Return a start's cost in ms, a turn's p99 in ms, and the starts a second."""
     harness = MeasuredHarness(
         workers=workers,
@@ -56,18 +61,30 @@
         advice=advice,
         hall=lambda number: f"hall-{number % 5}",
     )
+    if accounts:
+        harness.configuration = _with_accounts(harness.configuration, accounts)
     harness.take_over()
     harness.run(500)
     numbers = count()
-    _submit(harness, rate, numbers)
+    _submit(harness, rate, numbers, accounts)
     harness.turns_ms.clear()
     harness.starts = 0
-    _submit(harness, rate, numbers)
+    _submit(harness, rate, numbers, accounts)
     turns = sorted(harness.turns_ms)
     start_ms = sum(turns) / max(1, harness.starts)
     return start_ms, turns[int(0.99 * len(turns))], harness.starts * 1000.0 / SPAN_MS
 
 
+def _with_accounts(configuration, count):
+    """Return the configuration with accounts that share the whole room twice over."""
+    limit = RoomLimit(cpu_milli=2 * max(SIZES) * 16_000 // count + TASKS * 3_600)
+    accounts = tuple(
+        AccountPolicy(name=f"a{number}", weight=1.0, limit=limit)
+        for number in range(count)
+    )
+    return evolve(configuration, accounts=accounts)
+
+
 def main():
     """Print a row for each size, rate and kind of queue."""
     parser = argparse.ArgumentParser(description=__doc__)
