--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
@@ -30,8 +30,6 @@
 PRIORITY_STEP_MS = 1_000.0
 # A call for what is beyond its account's share comes later by so many steps.
 BEYOND_SHARE_STEPS = 3
-# And one for a job that can't be in time any more by so many.
-LATE_STEPS = 3
 # A call for a step that its account's limit holds back comes later by so many, and is
 # for as many tasks as may start, or these few: they start one by one as others end,
 # and the tickets for all of them would lapse.
@@ -44,9 +42,8 @@
 class AdviceDesk:
     """Keep tickets ready for the steps whose turn comes."""
 
-    def __init__(self, *, context, images, lateness):
+    def __init__(self, *, context, images):
         self._context = context
-        self._lateness = lateness
         self._images = images
         self._shares = AllowedShares()
         self._wanting = []
@@ -91,17 +88,15 @@
         if not self._is_near(step, most_ms, now_ms):
             return
         step.advice_wanted_ms = step.advice_wanted_ms or now_ms
-        steps_later = self._steps_later(step, now_ms) + HELD_BACK_STEPS * (
-            not may_start
-        )
+        steps_later = self._steps_later(step, may_start)
         due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * steps_later
         self._wanting.append((due_ms, len(self._wanting), step, workers, may_start))
 
-    def _steps_later(self, step, now_ms):
+    def _steps_later(self, step, may_start):
         """Return by how many steps of priority a step's call comes later."""
         steps = self._context.queue(step.job).priority
         steps += BEYOND_SHARE_STEPS * step.job.is_beyond_share
-        return steps + LATE_STEPS * self._lateness.lets_others_go_first(step, now_ms)
+        return steps + HELD_BACK_STEPS * (not may_start)
 
     def ask(self, now_ms, *, permits):
         """Make the calls that were wanted, as many as there are instances for.
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -12,7 +12,6 @@
 from .images import ImageTimes
 from .intake import Intake, chain_ms
 from .journal import Journal
-from .lateness import Lateness
 from .lifecycle import Lifecycle
 from .looks import Looks
 from .orders import Orders, Refusal
@@ -73,10 +72,7 @@
             shares=self.shares,
         )
         forecast = RoomForecast(context=self.context, images=self.images)
-        lateness = Lateness(images=self.images)
-        self.advice = AdviceDesk(
-            context=self.context, images=self.images, lateness=lateness
-        )
+        self.advice = AdviceDesk(context=self.context, images=self.images)
         self.orders = Orders(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -95,7 +91,6 @@
             ),
             trials=Trials(),
             quotas=self.quotas,
-            lateness=lateness,
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -37,7 +37,6 @@
         reservations,
         trials,
         quotas,
-        lateness,
     ):
         self._context = context
         self._quotas = quotas
@@ -45,7 +44,6 @@
         self._preemptor = preemptor
         self._reservations = reservations
         self._images = images
-        self._lateness = lateness
         self._advice = advice
         self._by_service = {}
         self._list_due_ms = 0.0
@@ -142,12 +140,7 @@
                 if not step.ready:
                     step.ready = job.is_turn(step, now_ms, early_ms)
                     step.ready_ms = now_ms
-                urgency = (
-                    -starved_ms(step, now_ms),
-                    self._lateness.lets_others_go_first(step, now_ms),
-                    job.objective_ms,
-                    step.index,
-                )
+                urgency = (-starved_ms(step, now_ms), job.objective_ms, step.index)
                 rank = (job.is_beyond_share, queue.priority, *urgency)
                 ranked.append((rank, step))
         ranked.sort(key=itemgetter(0))
