--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placer.py
@@ -1,12 +1,12 @@
 """Which waiting tasks start now, and on which workers."""
 
 from functools import partial
-from operator import itemgetter
 
 from .effects import StartRun
 from .gang_choice import workers_for_gang
-from .starvation import starved_ms
+from .placing_notes import PlacingNotes
 from .state import JobState, Run, RunState
+from .step_order import StepOrder
 from .worker_choice import (
     WorkerRanking,
     best_hall,
@@ -16,8 +16,6 @@
 
 __all__ = ["Placer"]
 
-# A step that has waited this long is logged with what it lacks, and so on.
-NOTE_WAIT_MS = 2_000.0
 # The list of workers that may be given tasks is made anew this often; each is checked
 # once more when it is chosen, so one that comes back waits this long at most. Made for
 # each plan, it took a quarter of what deciding cost among 640 workers.
@@ -28,22 +26,15 @@
     """Give waiting tasks to workers with room, most urgent queue first."""
 
     def __init__(
-        self,
-        *,
-        context,
-        advice,
-        images,
-        preemptor,
-        reservations,
-        trials,
-        quotas,
+        self, *, context, advice, images, preemptor, reservations, trials, quotas
     ):
         self._context = context
         self._quotas = quotas
         self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
-        self._images = images
+        self._order = StepOrder(context=context, images=images)
+        self._notes = PlacingNotes(context=context, advice=advice, quotas=quotas)
         self._advice = advice
         self._by_service = {}
         self._list_due_ms = 0.0
@@ -57,7 +48,7 @@
             self._list_due_ms = now_ms + LIST_MS
             self._by_service = self._workers_by_service(now_ms)
         by_service = self._by_service
-        steps = self._quotas.in_view(self._steps_in_order(now_ms), now_ms)
+        steps = self._quotas.in_view(self._order.steps(now_ms), now_ms)
 
         def workers_of(step):
             workers = by_service.get(self._context.service_of(step.job), {})
@@ -79,46 +70,10 @@
             workers = workers_of(step)
             if step.ready:
                 self._place(step, workers, now_ms)
-                if now_ms - max(step.ready_ms, step.wait_noted_ms) > NOTE_WAIT_MS:
-                    self._note_wait(step, workers, now_ms)
+                self._notes.note_wait(step, workers, now_ms)
             self._advice.consider(step, workers, now_ms, may_start=may_start[step])
         self._advice.ask(now_ms, permits=self._reservations.permits)
 
-    def _note_wait(self, step, workers, now_ms):
-        """Log why a step's tasks have not been started for a while."""
-        waiting = step.waiting
-        if not waiting:
-            return
-        step.wait_noted_ms = now_ms
-        with_room = [
-            worker for worker in workers.values() if worker.has_room(step.spec)
-        ]
-        with_ticket = self._advice.with_ticket(step, workers, now_ms)
-        could_hold = [
-            worker
-            for worker in with_ticket
-            if worker.could_hold(step.spec) and worker.entry
-        ]
-        self._context.note(
-            "step_waits",
-            step=step.name,
-            job=step.job.job_id,
-            tasks=len(waiting),
-            cpu_milli=step.spec.cpu_milli,
-            memory_mb=step.spec.memory_mb,
-            for_ms=round(now_ms - step.ready_ms),
-            workers=len(workers),
-            with_room=len(with_room),
-            with_ticket=len(with_ticket),
-            account=step.job.account_name,
-            beyond_share=step.job.is_beyond_share,
-            account_allows=self._quotas.tasks_left(step, now_ms),
-            large_enough=len(could_hold),
-            allowed=-1 if step.allowed is None else len(step.allowed),
-            denied=len(step.denied),
-            advice_asked=step.advice_asked,
-        )
-
     def _workers_by_service(self, now_ms):
         services = {}
         for worker in self._context.workers.values():
@@ -127,46 +82,10 @@
                 by_id[worker.worker_id] = worker
         return services
 
-    def _steps_in_order(self, now_ms):
-        ranked = []
-        early_ms = self._context.bounds.early_ms / 2
-        for job in self._context.live_jobs.values():
-            queue = self._context.queue(job)
-            if queue is None:
-                continue
-            for step in job.steps:
-                if step.is_done or not self._startable(step, now_ms):
-                    continue
-                if not step.ready:
-                    step.ready = job.is_turn(step, now_ms, early_ms)
-                    step.ready_ms = now_ms
-                urgency = (-starved_ms(step, now_ms), job.objective_ms, step.index)
-                rank = (job.is_beyond_share, queue.priority, *urgency)
-                ranked.append((rank, step))
-        ranked.sort(key=itemgetter(0))
-        return [step for _, step in ranked]
-
-    def _startable(self, step, now_ms):
-        """Return the tasks that have to be started, or started once more."""
-        if not step.spec.speculative:
-            return step.waiting
-        return [
-            task
-            for task in step.tasks
-            if task.is_waiting
-            or task.wants_copy(lambda run: self._is_behind(run, now_ms), now_ms)
-        ]
-
-    def _is_behind(self, run, now_ms):
-        """Tell whether a copy of a run would end sooner than the run itself."""
-        if run.worker.is_silent(now_ms):
-            return True
-        return self._images.late_ms(run, now_ms) > 0
-
     # Placing a step ----------------------------------------------------------
 
     def _place(self, step, workers, now_ms):
-        waiting = self._startable(step, now_ms)
+        waiting = self._order.startable(step, now_ms)
         allowed = self._quotas.tasks_left(step, now_ms)
         if step.spec.gang:
             if len(waiting) == len(step.tasks) <= allowed:
@@ -184,7 +103,7 @@
         missing = len(sound) - len(starts)
         if suspected:
             starts += self._place_suspected(step, suspected, permitted, now_ms)
-        self._note_starts(step, starts, len(waiting), now_ms)
+        self._notes.note_starts(step, starts, len(waiting), now_ms)
         if missing and self._preemptor.make_room(step, permitted, missing, now_ms):
             self._reservations.review_soon()  # what is freed is kept for the step
 
@@ -248,25 +167,6 @@
             and self._reservations.permits(step, worker, now_ms)
         ]
 
-    def _note_starts(self, step, starts, wanted, now_ms):
-        """Log one line for all tasks of a step that start together."""
-        if not starts:
-            return
-        waited_ms = now_ms - step.ready_ms
-        self._context.observe("queue_wait", waited_ms, kind=step.job.queue_name)
-        self._context.note(
-            "tasks_start",
-            job=step.job.job_id,
-            step=step.name,
-            tasks=len(starts),
-            copies=sum(len(task.runs) > 1 for task, _ in starts),
-            suspected=sum(bool(task.losses) for task, _ in starts),
-            left=wanted - len(starts),
-            workers=len({worker.worker_id for _, worker in starts}),
-            waited_ms=round(waited_ms),
-            configuration=self._context.configuration.version,
-        )
-
     def _place_gang(self, step, workers, now_ms):
         run_id = max(task.run_count for task in step.tasks) + 1
         permitted = self._permitted(step, workers, now_ms)
@@ -283,7 +183,7 @@
             self._intend(task, worker, run_id)
             for suspect in suspected:
                 self._trials.begin(suspect, worker, now_ms)
-        self._note_starts(step, starts, len(starts), now_ms)
+        self._notes.note_starts(step, starts, len(starts), now_ms)
 
     def _intend(self, task, worker, run_id):
         run = Run(task=task, run_id=run_id, worker=worker, state=RunState.INTENDED)
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/placing_notes.py
@@ -0,0 +1,74 @@
+"""Log lines on steps that start and steps that wait."""
+
+from attrs import field, frozen
+
+__all__ = ["PlacingNotes"]
+
+# A step that has waited this long is logged with what it lacks, and so on.
+NOTE_WAIT_MS = 2_000.0
+
+
+@frozen(kw_only=True)
+class PlacingNotes:
+    """Tell which tasks start together, and what a step lacks that waits."""
+
+    _context = field()
+    _advice = field()
+    _quotas = field()
+
+    def note_starts(self, step, starts, wanted, now_ms):
+        """Log one line for all tasks of a step that start together."""
+        if not starts:
+            return
+        waited_ms = now_ms - step.ready_ms
+        self._context.observe("queue_wait", waited_ms, kind=step.job.queue_name)
+        self._context.note(
+            "tasks_start",
+            job=step.job.job_id,
+            step=step.name,
+            tasks=len(starts),
+            copies=sum(len(task.runs) > 1 for task, _ in starts),
+            suspected=sum(bool(task.losses) for task, _ in starts),
+            left=wanted - len(starts),
+            workers=len({worker.worker_id for _, worker in starts}),
+            waited_ms=round(waited_ms),
+            configuration=self._context.configuration.version,
+        )
+
+    def note_wait(self, step, workers, now_ms):
+        """Log why a step's tasks have not been started for a while."""
+        if now_ms - max(step.ready_ms, step.wait_noted_ms) <= NOTE_WAIT_MS:
+            return
+        waiting = step.waiting
+        if not waiting:
+            return
+        step.wait_noted_ms = now_ms
+        with_ticket = self._advice.with_ticket(step, workers, now_ms)
+        self._context.note(
+            "step_waits",
+            step=step.name,
+            job=step.job.job_id,
+            tasks=len(waiting),
+            cpu_milli=step.spec.cpu_milli,
+            memory_mb=step.spec.memory_mb,
+            for_ms=round(now_ms - step.ready_ms),
+            account=step.job.account_name,
+            beyond_share=step.job.is_beyond_share,
+            account_allows=self._quotas.tasks_left(step, now_ms),
+            **_counts_of(step, workers, with_ticket),
+            allowed=-1 if step.allowed is None else len(step.allowed),
+            denied=len(step.denied),
+            advice_asked=step.advice_asked,
+        )
+
+
+def _counts_of(step, workers, with_ticket):
+    """Return how many workers a step may use, by what they lack."""
+    with_room = [worker for worker in workers.values() if worker.has_room(step.spec)]
+    large_enough = [worker for worker in with_ticket if worker.could_hold(step.spec)]
+    return {
+        "workers": len(workers),
+        "with_room": len(with_room),
+        "with_ticket": len(with_ticket),
+        "large_enough": len(large_enough),
+    }
