--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -18,18 +18,52 @@
 import typer
 from attrs import frozen
 
-from thymefork_cells import advice_choice, intake, shares
+from thymefork_cells import (
+    advice_choice,
+    images,
+    placer,
+    preemptor,
+    reservations,
+    shares,
+    step_order,
+)
 
 from .load_play import LoadPlay, read_load
 
 __all__ = ["VARIANTS", "Outcome", "compare", "main", "play"]
 
-# What a variant changes: module, name and value.
+
+def _emptiest_first(spec, worker):
+    """Rate the emptiest worker best, rather than the tightest fit."""
+    entry = worker.entry
+    free = worker.free_cpu_milli / max(1, entry.cpu_milli)
+    return -free + (2.0 if worker.health.failures_in_row else 0.0)
+
+
+def _shortest_first(order, now_ms, steps=step_order.StepOrder.steps):
+    """Order steps of one priority by the work that they still ask for."""
+
+    def rank(step):
+        priority = order._context.queue(step.job).priority
+        work_ms = len(step.waiting) * step.spec.estimated_ms
+        return step.job.is_beyond_share, priority, work_ms * step.spec.cpu_milli
+
+    return sorted(steps(order, now_ms), key=rank)
+
+
+# What a variant changes: module or class, name and value.
 VARIANTS = {
     "as it is": (),
     "no shares": ((shares.Shares, "admits", lambda *args: True),),
     "shares of 0.5 s": ((shares, "BURST_MS", 500.0),),
     "shares of 10 s": ((shares, "BURST_MS", 10_000.0),),
+    "shortest first": ((step_order.StepOrder, "steps", _shortest_first),),
+    "emptiest worker first": ((placer, "fit_score", _emptiest_first),),
+    "nobody makes way": ((preemptor.Preemptor, "make_room", lambda *args: False),),
+    "no room is kept": (
+        (reservations.Reservations, "_waits_for_room", lambda *args: False),
+    ),
+    "callers' estimates alone": ((images.ImageTimes, "learn", lambda *args: None),),
     "calls for little more than needed": ((advice_choice, "MARGIN", 1.2),),
     "calls for three times what is needed": ((advice_choice, "MARGIN", 3.0),),
     "calls grow slowly": ((advice_choice, "WIDER_AFTER_MS", 2_000.0),),
@@ -37,9 +71,6 @@
         (advice_choice, "MARGIN", 3.0),
         (advice_choice, "WIDER_AFTER_MS", 2_000.0),
     ),
-    "estimates doubled": (
-        (intake, "chain_ms", lambda spec, known=intake.chain_ms: 2 * known(spec)),
-    ),
 }
 
 
