Note a rise of short calls for advice at once

Cause: after five seconds without short calls the reserve compared against none and did not note any for five more. Found by reading. Measured: a test failed before (18 of 20 instances took long calls beside two short ones, 14 now).

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/short_call_reserve.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/short_call_reserve.py
@@ -30,7 +30,8 @@
     def note(self, under_way, now_ms):
         """Note how many short calls are under way."""
         is_old = now_ms - self._seen_ms > MEMORY_MS
-        if is_old or under_way >= (self._most_at_once or 0) > 0:
+        is_most = self._most_at_once is not None and under_way >= self._most_at_once
+        if is_old or is_most:
             self._most_at_once, self._seen_ms = under_way, now_ms
 
     def size(self, instances):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -242,3 +242,16 @@
     for _ in range(2):
         advisers.ask(long_call(cost_ms=60.0))
     assert advisers.slots.long_call == 15  # of 20, with five kept for twice two and one
+
+
+def test_short_calls_are_kept_room_for_as_soon_as_there_are_some(timers):
+    """After a time without any, a rise was not noted for five seconds."""
+    links = [FakeLink(f"edge-{number:02}") for number in range(19)]
+    advisers = make(timers, links, 0.0)
+    timers.run(5_100)
+    advisers.ask(long_call())
+    assert advisers.slots.long_call == 18
+    timers.run(100)
+    for _ in range(2):
+        advisers.ask(long_call(cost_ms=60.0))
+    assert advisers.slots.long_call == 14  # of 20, five are kept and one is under way
