Let the tool's tasks of one image behave alike, and keep their progress

Change: a kind has images, each with its own work; stopped tasks that keep their progress go on with what was left.

--- a/bench/load_play.py
+++ b/bench/load_play.py
@@ -24,6 +24,12 @@
 # After the last job has come, what still runs may end.
 SETTLE_MS = 20_000.0
 WIDEST = 60
+# What it takes to go on from a checkpoint.
+RESTORE_MS = 600.0
+# How much the work of one kind differs from image to image, and of an image from job to
+# job (sigma of the logarithm).
+IMAGE_SPREAD = 0.4
+JOB_SPREAD = 0.1
 
 
 @frozen(kw_only=True)
@@ -42,6 +48,7 @@
     priority: int = 0
     gang_share: float = 0.0
     checkpoints: bool = False
+    images: int = 18
     advice: AdvicePolicy | None = None
     allowed_share: float = 1.0
 
@@ -100,17 +107,26 @@
 
 
 class SizedWorker(VirtualWorker):
-    """Run each task for its own time."""
+    """Run each task for its own time; one that keeps its progress goes on from there."""
 
-    def __init__(self, *, durations_ms, **fields):
+    def __init__(self, *, durations_ms, keeps_progress, **fields):
         super().__init__(**fields)
         self._durations_ms = durations_ms
+        self._keeps_progress = keeps_progress
 
     def start(self, task, *order):
         """Start a run of the length that was drawn for its task."""
         self.work_ms = self._durations_ms[task]
         return super().start(task, *order)
 
+    def stop(self, task, run_id, fence, now_ms):
+        """Stop a run; what is left of its task is what it still had to do."""
+        run = self.running.get((task, run_id))
+        if run is not None and self._keeps_progress(task):
+            left_ms = max(0.0, run.ends_ms - now_ms) / self.slow_factor
+            self._durations_ms[task] = RESTORE_MS + left_ms
+        return super().stop(task, run_id, fence, now_ms)
+
 
 @frozen(kw_only=True, eq=False)
 class _Sent:
@@ -138,6 +154,7 @@
             f"w{number}": SizedWorker(
                 worker_id=f"w{number}",
                 durations_ms=self._durations_ms,
+                keeps_progress=self._keeps_progress,
                 slow_factor=load.slowness[number % len(load.slowness)],
             )
             for number in range(load.workers)
@@ -156,6 +173,9 @@
         harness.run(500)
         return harness
 
+    def _keeps_progress(self, task):
+        return self._sent[task.split(".")[0]].kind.checkpoints
+
     def _configuration(self):
         queues = tuple(
             QueuePolicy(
@@ -223,7 +243,9 @@
         accounts = self._load.accounts
         parts = [account.part_at(now_s) for account in accounts]
         account = self._random.choices(accounts, parts)[0]
-        work_ms = kind.work_ms * self._random.lognormvariate(0.0, 0.4)
+        image = f"{kind.name}-{self._random.randrange(kind.images)}"
+        work_ms = kind.work_ms * random.Random(image).lognormvariate(0.0, IMAGE_SPREAD)
+        work_ms *= self._random.lognormvariate(0.0, JOB_SPREAD)
         steps = []
         for number in range(kind.steps):
             width = min(WIDEST, 1 + int(self._random.expovariate(1.0 / kind.width)))
@@ -234,7 +256,7 @@
                     "cpu_milli": kind.cpu_milli,
                     "memory_mb": 100,
                     "estimated_ms": max(1, int(work_ms * error)),
-                    "image": kind.name,
+                    "image": image,
                     "gang": self._random.random() < kind.gang_share,
                     "checkpoints": kind.checkpoints,
                     "after": (number - 1,) if number else (),
