--- a/bench/load_play.py
+++ b/bench/load_play.py
@@ -107,7 +107,7 @@
 
 
 class SizedWorker(VirtualWorker):
-    """Run each task for its own time; one that keeps its progress goes on from there."""
+    """Run each task for its own time; one that keeps its progress goes on there."""
 
     def __init__(self, *, durations_ms, keeps_progress, **fields):
         super().__init__(**fields)
