--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -52,7 +52,7 @@
         "False",
     ),
     "copies": _returning(
-        f"{_CELLS}/placer.py", "def _startable(self, step, now_ms):", "step.waiting"
+        f"{_CELLS}/step_order.py", "def startable(self, step, now_ms):", "step.waiting"
     ),
     "hall_preference": Patch(
         path=f"{_CELLS}/worker_choice.py",
