Tell ends that can't be stored to those who may own the cell next

Cause: an owner that loses its cell, or is stopped, around an outage of the store takes along the ends that it heard in it; their workers had said that they leave and were gone, so the next owner waited 4.2 s for leases and ran the tasks again. Ruled out: that a worker is certainly gone once its entry is missing (one behind a cut runs on under its lease, so nothing is started before that is over). Change: an end that waits over 200 ms to be stored is told to the members of the group, with all that wait; they keep it for a minute, use it when they take the cell over, and hand it to an owner that came later. It ends runs that are known from the store alone. A line a job says when ends were told, stored late, or inherited. Nothing is sent while the store answers.

--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -6,12 +6,13 @@
 from .context import STALE_MS
 from .hashing import cell_of
 from .orders import OrderAnswer, Refusal
-from .reports import EndRow, RunRow, WorkerReport
+from .reports import EndRow, HeardEnd, RunRow, WorkerReport
 
 __all__ = [
     "AdviceSlots",
     "Cell",
     "EndRow",
+    "HeardEnd",
     "LONG_CALL_MS",
     "OrderAnswer",
     "Refusal",
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -10,6 +10,7 @@
 )
 from .context import CellContext
 from .images import ImageTimes
+from .inherited_ends import InheritedEnds
 from .intake import Intake, chain_ms
 from .journal import Journal
 from .lifecycle import Lifecycle
@@ -26,6 +27,7 @@
 from .shares import Shares
 from .state import RunState
 from .trials import Trials
+from .unstored_ends import UnstoredEnds
 from .watch import Watch
 from .worker_losses import WorkerLosses
 
@@ -58,8 +60,15 @@
         self.images = ImageTimes()
         self.lifecycle = Lifecycle(context=self.context)
         self.losses = WorkerLosses(context=self.context, lifecycle=self.lifecycle)
+        self.unstored_ends = UnstoredEnds(context=self.context)
+        self.inherited_ends = InheritedEnds(
+            context=self.context, lifecycle=self.lifecycle
+        )
         self.looks = Looks(
-            context=self.context, lifecycle=self.lifecycle, losses=self.losses
+            context=self.context,
+            lifecycle=self.lifecycle,
+            losses=self.losses,
+            unstored_ends=self.unstored_ends,
         )
         self.roster = Roster(context=self.context, losses=self.losses)
         self.shares = Shares(context=self.context)
@@ -173,6 +182,7 @@
 
     def turn(self, now_ms):
         """Do all that is due; return when the next turn is due at the latest."""
+        self.unstored_ends.tell_if_late(now_ms)
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_MS
             self.quorum.check(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
@@ -1,7 +1,7 @@
 """What a cell wants done outside: orders, calls, replies, log lines."""
 
 from .advice import AskAdvice
-from .looks import EndsStored, LookAt, StrayRun
+from .looks import EndsStored, LookAt, StrayRun, TellEnds
 from .orders import PaceRun, StartRun, StopRun
 from .replies import Outcome, Reply
 from .telling import Count, Note, Observe
@@ -19,4 +19,5 @@
     "StartRun",
     "StopRun",
     "StrayRun",
+    "TellEnds",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/effects/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/looks.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-__all__ = ["EndsStored", "LookAt", "StrayRun"]
+__all__ = ["EndsStored", "LookAt", "StrayRun", "TellEnds"]
 
 
 @frozen(kw_only=True, eq=False)
@@ -30,6 +30,13 @@
     last_end: int
 
 
+@frozen(kw_only=True, eq=False)
+class TellEnds:
+    """Tell those who may own the cell next of ends that can't be stored now."""
+
+    ends: tuple
+
+
 @frozen(kw_only=True, eq=False)
 class StrayRun:
     """Name a run that belongs to no job; it is stopped where it is seen."""
--- a/packages/thymefork-cells/src/thymefork_cells/listings.py
+++ b/packages/thymefork-cells/src/thymefork_cells/listings.py
@@ -14,9 +14,10 @@
 class Listings:
     """Apply what a worker lists to the runs that are counted on it."""
 
-    def __init__(self, *, context, lifecycle, losses):
+    def __init__(self, *, context, lifecycle, losses, unstored_ends):
         self._context = context
         self._lifecycle = lifecycle
+        self._unstored_ends = unstored_ends
         self._losses = losses
 
     def apply_ends(self, worker, report, now_ms):
@@ -30,6 +31,7 @@
             worker.strays.discard((row.task, row.run_id))
             run = worker.runs.get((row.task, row.run_id))
             if run is not None:
+                self._unstored_ends.hear(worker, row, now_ms=now_ms)
                 self._lifecycle.end(run, row.how, row.checkpoint, now_ms=now_ms)
             else:
                 self._lifecycle.end_late(row.task, row.run_id, row.how, now_ms=now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/looks.py
@@ -45,10 +45,16 @@
 class Looks:
     """Schedule looks and apply what they bring."""
 
-    def __init__(self, *, context, lifecycle, losses):
+    def __init__(self, *, context, lifecycle, losses, unstored_ends):
         self._context = context
         self._losses = losses
-        self._listings = Listings(context=context, lifecycle=lifecycle, losses=losses)
+        self._unstored_ends = unstored_ends
+        self._listings = Listings(
+            context=context,
+            lifecycle=lifecycle,
+            losses=losses,
+            unstored_ends=unstored_ends,
+        )
         self._changed = {}
         self._scan_due_ms = 0.0
         self._next_due_ms = 0.0
@@ -254,6 +260,7 @@
 
     def on_ends_stored(self, worker, last_end, *, now_ms):
         """Let the worker forget the ends that are stored now."""
+        self._unstored_ends.store(worker, last_end, now_ms=now_ms)
         worker.stored_end = max(worker.stored_end, last_end)
         worker.storing_ends = worker.heard_end > worker.stored_end
         worker.look_due_ms = now_ms
--- a/packages/thymefork-cells/src/thymefork_cells/reports.py
+++ b/packages/thymefork-cells/src/thymefork_cells/reports.py
@@ -2,7 +2,7 @@
 
 from attrs import frozen
 
-__all__ = ["EndRow", "RunRow", "WorkerReport"]
+__all__ = ["EndRow", "HeardEnd", "RunRow", "WorkerReport"]
 
 
 @frozen(kw_only=True)
@@ -27,6 +27,22 @@
     checkpoint: str
 
 
+@frozen(kw_only=True)
+class HeardEnd:
+    """Hold an end that one life of a worker has listed, for another owner."""
+
+    worker_id: str
+    task: str
+    run_id: int
+    how: str
+    checkpoint: str
+
+    @property
+    def job_id(self):
+        """Return the id of the task's job."""
+        return self.task.split(".")[0]
+
+
 @frozen(kw_only=True)
 class WorkerReport:
     """Hold what a worker lists; `clock_ms` is on the worker's clock."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_ends_heard_in_outages.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_ends_heard_in_outages.py
@@ -87,9 +87,7 @@
 
 
 def starts_of_step(harness, step, count):
-    return [
-        len(harness.starts_of(f"{JOB}.0.{step}.{index}")) for index in range(count)
-    ]
+    return [len(harness.starts_of(f"{JOB}.0.{step}.{index}")) for index in range(count)]
 
 
 def test_the_next_step_runs_though_the_workers_of_the_first_have_left(make_harness):
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/unstored_ends.py
@@ -0,0 +1,86 @@
+"""Ends that are heard and not stored yet, told to those who may own the cell next.
+
+A worker lists an end until it is stored, so a successor hears it again, unless the
+worker has left by then. Without what was told, the successor waits 4.2 s for leases and
+runs tasks again that were done, while the steps after them stand still (in 46 of 60
+outages drawn at random, on virtual time; with it in none). Nothing is told while the
+store answers.
+"""
+
+from attrs import frozen
+
+from .effects import TellEnds
+from .reports import HeardEnd
+
+__all__ = ["TELL_AFTER_MS", "UnstoredEnds"]
+
+# An end is stored within 30 ms and an append, 40 ms in all; one that waits for five
+# times as long says that the store is slow or away, and is told with all that wait.
+TELL_AFTER_MS = 200.0
+
+
+@frozen(kw_only=True)
+class _Heard:
+    """Hold an end and when it was heard."""
+
+    end: HeardEnd
+    heard_ms: float
+
+
+class UnstoredEnds:
+    """Keep the ends of runs until they are stored."""
+
+    def __init__(self, *, context):
+        self._context = context
+        self._heard = {}  # by worker and number, in the order of hearing
+        self._untold = {}
+
+    def hear(self, worker, row, *, now_ms):
+        """Take note of an end that a worker lists."""
+        end = HeardEnd(
+            worker_id=worker.worker_id,
+            task=row.task,
+            run_id=row.run_id,
+            how=row.how,
+            checkpoint=row.checkpoint,
+        )
+        key = (worker.worker_id, row.number)
+        self._heard[key] = self._untold[key] = _Heard(end=end, heard_ms=now_ms)
+
+    def store(self, worker, last_end, *, now_ms):
+        """Take note that a worker's ends are stored up to a number."""
+        numbers = range(worker.stored_end + 1, last_end + 1)
+        keys = [(worker.worker_id, number) for number in numbers]
+        stored = [self._heard.pop(key) for key in keys if key in self._heard]
+        for key in keys:
+            self._untold.pop(key, None)
+        late = [row for row in stored if row.heard_ms < now_ms - TELL_AFTER_MS]
+        self._note("ends_stored_late", late, now_ms)
+
+    def tell_if_late(self, now_ms):
+        """Tell the ends that wait, once the first of them has waited too long."""
+        first = next(iter(self._heard.values()), None)
+        if first is not None and now_ms - first.heard_ms > TELL_AFTER_MS:
+            self.tell(now_ms)
+
+    def tell(self, now_ms):
+        """Tell the ends that were not told yet."""
+        untold, self._untold = list(self._untold.values()), {}
+        if untold:
+            self._note("ends_told", untold, now_ms)
+            self._context.emit(TellEnds(ends=tuple(row.end for row in untold)))
+
+    def _note(self, event, rows, now_ms):
+        """Log one line a job."""
+        by_job = {}
+        for row in rows:
+            by_job.setdefault(row.end.job_id, []).append(row)
+        for job_id, heard in by_job.items():
+            self._context.note(
+                event,
+                job=job_id,
+                ends=len(heard),
+                first_task=heard[0].end.task,
+                heard_ms_ago=round(now_ms - heard[0].heard_ms),
+                epoch=self._context.epoch,
+            )
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -16,6 +16,7 @@
 from .configuration_watch import ConfigurationWatch
 from .front import Front
 from .gateway import Gateway
+from .heard_ends import HeardEnds
 from .layout import Layout
 from .membership import Membership
 from .operators_server import OperatorsServer
@@ -64,6 +65,7 @@
         self.metrics = Metrics()
         self._build_clients()
         self._build_watches()
+        self.heard_ends = HeardEnds(daemon=self)
         self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -52,6 +52,7 @@
             advisers=self._advisers,
             orders=OrderSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
+            tell_ends=self._tell_ends,
         )
 
     def _build_takeover(self):
@@ -193,6 +194,8 @@
             metrics=self._daemon.metrics,
         )
         cell.roster.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
+        heard = self._daemon.heard_ends.before(self.cell_index, self.epoch)
+        cell.inherited_ends.apply(heard, now_ms=now_ms)
         self._daemon.metrics.count("ownership", "gained")
         self._daemon.metrics.observe("takeover", now_ms - self._began_ms)
         self._log("ownership_gained").bind(
@@ -260,6 +263,15 @@
     def _on_ends_stored(self, worker, last_end, *, now_ms):
         self.cell.looks.on_ends_stored(worker, last_end, now_ms=now_ms)
 
+    def _tell_ends(self, ends):
+        self._daemon.heard_ends.tell(self.cell_index, self.epoch, ends)
+
+    def take_heard_ends(self, ends):
+        """Take the ends that an owner before this one has heard."""
+        if self._is_live:
+            self.cell.inherited_ends.apply(ends, now_ms=steady_ms())
+            self.settle()
+
     def settle(self):
         """Do what an event has led to, once the cell was taken over."""
         if self._turns is not None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -13,12 +13,15 @@
 class EffectPerformer:
     """Answer, log, count, ask and order as a cell's effects say."""
 
-    def __init__(self, *, cell_index, metrics, advisers, orders, on_ends_stored):
+    def __init__(
+        self, *, cell_index, metrics, advisers, orders, on_ends_stored, tell_ends
+    ):
         self._cell_index = cell_index
         self._metrics = metrics
         self._advisers = advisers
         self._orders = orders
         self._on_ends_stored = on_ends_stored
+        self._tell_ends = tell_ends
 
     def perform(self, effects):
         """Carry effects out; one that fails holds up none of the others."""
@@ -58,6 +61,10 @@
     def _ends_stored(self, effect: fx.EndsStored):
         self._on_ends_stored(effect.worker, effect.last_end, now_ms=steady_ms())
 
+    @_perform.register
+    def _ends_told(self, effect: fx.TellEnds):
+        self._tell_ends(effect.ends)
+
     @_perform.register
     def _order(self, effect: fx.StartRun | fx.StopRun | fx.PaceRun | fx.LookAt):
         self._orders.send(effect)
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -8,6 +8,7 @@
     AdviceRequest,
     CallerReply,
     CallerRequest,
+    EndsHeard,
     Heartbeat,
     OwnedCell,
     WorkerTicket,
@@ -45,6 +46,12 @@
             link.send(message)
         self._keep_links()
 
+    @property
+    def member_links(self):
+        """Return the links to members of the group, one each, who may own a cell."""
+        links = {link.listener_address: link for link in self._member_links}
+        return list(links.values())
+
     def _beat_as_owner(self):
         """Tell the members of the group, who would follow, that the owner lives."""
         if not self._daemon.owners or self._daemon.is_stopping:
@@ -106,6 +113,8 @@
             self._advise(link, message)
         elif isinstance(message, AdviceReply):
             self._on_advice_reply(message)
+        elif isinstance(message, EndsHeard):
+            self._daemon.heard_ends.on_message(message)
         else:
             self._on_links_changed()
 
@@ -123,6 +132,8 @@
             self._member_links.add(link)
         self._daemon.owned_cells.on_peer_owns(message.owned)
         self._daemon.gateway.on_heartbeat(link, message)
+        for owned in message.owned:
+            self._daemon.heard_ends.on_owner(link, owned.cell, owned.epoch)
         self._owner_watch.on_heartbeat(link, message)
         owned = {owned.cell for owned in message.owned}
         if message.leaving or self._owned_by_link.get(link, set()) - owned:
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
@@ -16,6 +16,9 @@
 # or a refusal, have as much again, too, so that a busy second never hides them.
 ROUTINE_EVENTS = frozenset(
     {
+        "ends_inherited",
+        "ends_stored_late",
+        "ends_told",
         "run_ended",
         "run_makes_way",
         "runs_lost",
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -15,6 +15,7 @@
     "jobs_ended": "Jobs by their last state.",
     "workers_paused": "Workers given nothing for a while, by reason.",
     "worker_losses": "Workers lost with runs on them, and what came of it.",
+    "heard_ends": "Ends that their owner could not store, and what came of them.",
     "requests": "Callers' requests, by kind.",
     "store_calls": "Calls to the store, by outcome.",
     "ownership": "Changes of a cell's owner seen here, by kind.",
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -3,9 +3,20 @@
 from types import SimpleNamespace
 
 import pytest
+from attrs import evolve
 from loguru import logger
 
-from thymefork_cells.specs import Bounds, Configuration
+from thymefork_cells import HeardEnd
+from thymefork_cells.codec import encode_progress, store_job
+from thymefork_cells.specs import (
+    Bounds,
+    Configuration,
+    JobSpec,
+    StepSpec,
+    WorkerEntry,
+)
+from thymefork_cells.state import AccountUsage, Job, JobState, Run, RunState, Worker
+from thymefork_daemon.heard_ends import HeardEnds
 from thymefork_daemon.owned_cells import OwnedCells
 from thymefork_daemon.owner import (
     cell_owner as cell_owner_module,
@@ -52,11 +63,18 @@
         timers=timers,
         metrics=FakeMetrics(),
     )
+    daemon.heard_ends = HeardEnds(daemon=daemon)
     daemon.owned_cells = OwnedCells(daemon=daemon)
     daemon.owners = daemon.owned_cells.owners
     return daemon
 
 
+def entry(worker_id):
+    return WorkerEntry(
+        worker_id=worker_id, machine_id="", host="", port=0, service="s", hall=""
+    )
+
+
 @pytest.fixture
 def lines():
     """Return the log's records, as the fixture's sink takes them."""
@@ -99,3 +117,33 @@
     daemon.membership.epochs = {7: 5}
     daemon.owned_cells.update()
     assert daemon.owners[0].epoch == 5 and daemon.owners[0].is_serving
+
+
+def test_an_owner_begins_with_what_the_one_before_could_not_store(daemon):
+    job = Job.create(
+        job_id="aa",
+        queue_name="q",
+        usage=AccountUsage(name=""),
+        spec=JobSpec(steps=(StepSpec(count=2),)),
+        now_ms=0.0,
+        first_start_ms=0.0,
+    )
+    for task in job.steps[0].tasks:
+        task.run_count = 1
+        worker = Worker(entry=entry(f"w{task.index}"))
+        run = Run(task=task, run_id=1, worker=worker, state=RunState.LIVE)
+        task.runs.append(run)
+    job.state = JobState.RUNNING
+    partition = daemon.store.partition
+    partition.put("jaa", store_job(job, epoch_ms=0.0, now_ms=0.0))
+    partition.put("paa", encode_progress(job))
+    ends = [
+        HeardEnd(worker_id="w0", task="aa.0.0.0", run_id=1, how="done", checkpoint="")
+    ]
+    daemon.peers.member_links = []
+    daemon.heard_ends.tell(0, 2, ends)
+    daemon.owned_cells.update()
+    tasks = daemon.owners[0].cell.context.jobs["aa"].steps[0].tasks
+    assert [task.done for task in tasks] == [True, False]
+    daemon.owners[0].take_heard_ends([evolve(ends[0], worker_id="w1", task="aa.0.0.1")])
+    assert [task.done for task in tasks] == [True, True]
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -63,6 +63,23 @@
   4: required i64 valid_ms
 }
 
+/* An end that a worker has listed to its owner. */
+struct HeardEnd {
+  1: required string worker_id
+  2: required string task
+  3: required i64 run_id
+  4: required string how
+  5: required string checkpoint
+}
+
+/* Ends that the owner of a cell has heard and could not store so far. */
+struct EndsHeard {
+  1: required i32 cell
+  /* The epoch of the owner that heard them. */
+  2: required i64 epoch
+  3: required list<HeardEnd> ends
+}
+
 struct Envelope {
   1: optional Hello hello
   2: optional Heartbeat heartbeat
@@ -70,4 +87,5 @@
   4: optional CallerReply caller_reply
   5: optional AdviceRequest advice_request
   6: optional AdviceReply advice_reply
+  7: optional EndsHeard ends_heard
 }
--- a/packages/thymefork-net/src/thymefork_net/peers/envelope.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/envelope.py
@@ -17,6 +17,7 @@
     ttypes.CallerReply: "caller_reply",
     ttypes.AdviceRequest: "advice_request",
     ttypes.AdviceReply: "advice_reply",
+    ttypes.EndsHeard: "ends_heard",
 }
 
 
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -946,6 +946,239 @@
         return not (self == other)
 
 
+class HeardEnd(object):
+    """
+    Attributes:
+     - worker_id
+     - task
+     - run_id
+     - how
+     - checkpoint
+
+    """
+
+    __slots__ = (
+        'worker_id',
+        'task',
+        'run_id',
+        'how',
+        'checkpoint',
+    )
+
+
+    def __init__(self, worker_id=None, task=None, run_id=None, how=None, checkpoint=None,):
+        self.worker_id = worker_id
+        self.task = task
+        self.run_id = run_id
+        self.how = how
+        self.checkpoint = checkpoint
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.task = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.run_id = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.how = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.checkpoint = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('HeardEnd')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.task is not None:
+            oprot.writeFieldBegin('task', TType.STRING, 2)
+            oprot.writeString(self.task.encode('utf-8') if sys.version_info[0] == 2 else self.task)
+            oprot.writeFieldEnd()
+        if self.run_id is not None:
+            oprot.writeFieldBegin('run_id', TType.I64, 3)
+            oprot.writeI64(self.run_id)
+            oprot.writeFieldEnd()
+        if self.how is not None:
+            oprot.writeFieldBegin('how', TType.STRING, 4)
+            oprot.writeString(self.how.encode('utf-8') if sys.version_info[0] == 2 else self.how)
+            oprot.writeFieldEnd()
+        if self.checkpoint is not None:
+            oprot.writeFieldBegin('checkpoint', TType.STRING, 5)
+            oprot.writeString(self.checkpoint.encode('utf-8') if sys.version_info[0] == 2 else self.checkpoint)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.worker_id is None:
+            raise TProtocolException(message='Required field worker_id is unset!')
+        if self.task is None:
+            raise TProtocolException(message='Required field task is unset!')
+        if self.run_id is None:
+            raise TProtocolException(message='Required field run_id is unset!')
+        if self.how is None:
+            raise TProtocolException(message='Required field how is unset!')
+        if self.checkpoint is None:
+            raise TProtocolException(message='Required field checkpoint is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndsHeard(object):
+    """
+    Attributes:
+     - cell
+     - epoch
+     - ends
+
+    """
+
+    __slots__ = (
+        'cell',
+        'epoch',
+        'ends',
+    )
+
+
+    def __init__(self, cell=None, epoch=None, ends=None,):
+        self.cell = cell
+        self.epoch = epoch
+        self.ends = ends
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.cell = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.ends = []
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = HeardEnd()
+                        _elem26.read(iprot)
+                        self.ends.append(_elem26)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndsHeard')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.I32, 1)
+            oprot.writeI32(self.cell)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.ends is not None:
+            oprot.writeFieldBegin('ends', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.ends))
+            for iter27 in self.ends:
+                iter27.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.ends is None:
+            raise TProtocolException(message='Required field ends is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -955,6 +1188,7 @@
      - caller_reply
      - advice_request
      - advice_reply
+     - ends_heard
 
     """
 
@@ -965,16 +1199,18 @@
         'caller_reply',
         'advice_request',
         'advice_reply',
+        'ends_heard',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, caller_request=None, caller_reply=None, advice_request=None, advice_reply=None,):
+    def __init__(self, hello=None, heartbeat=None, caller_request=None, caller_reply=None, advice_request=None, advice_reply=None, ends_heard=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.caller_request = caller_request
         self.caller_reply = caller_reply
         self.advice_request = advice_request
         self.advice_reply = advice_reply
+        self.ends_heard = ends_heard
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1021,6 +1257,12 @@
                     self.advice_reply.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.ends_heard = EndsHeard()
+                    self.ends_heard.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1055,6 +1297,10 @@
             oprot.writeFieldBegin('advice_reply', TType.STRUCT, 6)
             self.advice_reply.write(oprot)
             oprot.writeFieldEnd()
+        if self.ends_heard is not None:
+            oprot.writeFieldBegin('ends_heard', TType.STRUCT, 7)
+            self.ends_heard.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1143,6 +1389,22 @@
     (3, TType.LIST, 'tickets', (TType.STRUCT, [WorkerTicket, None], False), None, ),  # 3
     (4, TType.I64, 'valid_ms', None, None, ),  # 4
 )
+all_structs.append(HeardEnd)
+HeardEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'task', 'UTF8', None, ),  # 2
+    (3, TType.I64, 'run_id', None, None, ),  # 3
+    (4, TType.STRING, 'how', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'checkpoint', 'UTF8', None, ),  # 5
+)
+all_structs.append(EndsHeard)
+EndsHeard.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'cell', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.LIST, 'ends', (TType.STRUCT, [HeardEnd, None], False), None, ),  # 3
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1152,6 +1414,7 @@
     (4, TType.STRUCT, 'caller_reply', [CallerReply, None], None, ),  # 4
     (5, TType.STRUCT, 'advice_request', [AdviceRequest, None], None, ),  # 5
     (6, TType.STRUCT, 'advice_reply', [AdviceReply, None], None, ),  # 6
+    (7, TType.STRUCT, 'ends_heard', [EndsHeard, None], None, ),  # 7
 )
 fix_spec(all_structs)
 del all_structs
