Show that an owner that stops gives up its cells in an outage

Cause: it gives its cells back 0.5 s after SIGTERM, though nobody can take them, and all that it heard and could not store goes with it, 5 s before it would be killed. Change: tests only, failing on this code.

--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_shutdown.py
@@ -0,0 +1,138 @@
+"""An instance that stops keeps its cells while the store is away.
+
+The story, from the large deployment's day scale-2: a roll stops one instance after the
+other, and the store falls silent meanwhile. An owner that was asked to stop gave its
+cells back after 0.5 s though nobody could take them: leases were not renewed any more,
+and what it had heard of ends, and could not store, went with it 5 s before it had to.
+"""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_daemon import shutdown as shutdown_module
+from thymefork_daemon.shutdown import Shutdown
+
+from .fakes import FakeTimers, use_clock
+
+CLOCKED = (shutdown_module,)
+GRACE_MS = 6_000.0
+
+
+class FakeOwner:
+    """Own a cell; an append is under way while `has_unstored` is set."""
+
+    def __init__(self, log):
+        self.has_unstored = True
+        self.store_answers = True
+        self.ended = False
+        self._log = log
+
+    @property
+    def has_pending_append(self):
+        return self.has_unstored
+
+    def tell_ends(self):
+        self._log.append("told")
+
+    def end(self, reason):
+        self.ended = True
+        self._log.append("ended")
+
+
+@pytest.fixture
+def daemon(timers):
+    log = []
+    daemon = SimpleNamespace(
+        log=log,
+        owners={0: FakeOwner(log)},
+        timers=timers,
+        settings=SimpleNamespace(stop_grace_ms=GRACE_MS),
+        front=SimpleNamespace(
+            server=SimpleNamespace(drain=lambda: None, open_requests=0)
+        ),
+        gateway=SimpleNamespace(open_requests=0),
+        membership=SimpleNamespace(
+            store_lost=False, leave=lambda on_done: log.append("left")
+        ),
+        peers=SimpleNamespace(send_heartbeats=lambda: None),
+        directory=SimpleNamespace(refresh=lambda: None),
+    )
+    daemon.owner = daemon.owners[0]
+    daemon.shutdown = Shutdown(daemon=daemon)
+    return daemon
+
+
+def test_cells_are_given_back_once_all_is_stored(daemon, timers):
+    daemon.shutdown.begin()
+    timers.run(100)
+    assert not daemon.owner.ended
+    daemon.owner.has_unstored = False
+    timers.run(100)
+    assert daemon.owner.ended and "left" in daemon.log
+
+
+def test_a_busy_owner_gives_its_cells_back_soon_all_the_same(daemon, timers):
+    daemon.shutdown.begin()
+    timers.run(600)
+    assert daemon.owner.ended and "left" in daemon.log
+
+
+@pytest.mark.parametrize("away_by", ["joins", "appends"])
+def test_an_owner_keeps_its_cells_while_the_store_is_away(daemon, timers, away_by):
+    daemon.membership.store_lost = away_by == "joins"
+    daemon.owner.store_answers = away_by != "appends"
+    daemon.shutdown.begin()
+    timers.run(4_000)
+    assert not daemon.owner.ended
+    assert not daemon.shutdown.is_over()
+    daemon.membership.store_lost = False
+    daemon.owner.store_answers = True
+    timers.run(100)
+    assert not daemon.owner.ended  # what it heard is being stored
+    daemon.owner.has_unstored = False
+    timers.run(100)
+    assert daemon.owner.ended and "left" in daemon.log
+    assert daemon.shutdown.is_over()
+
+
+def test_an_owner_without_the_store_keeps_cells_though_nothing_waits(daemon, timers):
+    """What runs in them needs its leases renewed."""
+    daemon.owner.has_unstored = False
+    daemon.membership.store_lost = True
+    daemon.shutdown.begin()
+    timers.run(3_000)
+    assert not daemon.owner.ended
+
+
+def test_it_tells_what_it_heard_and_ends_before_it_is_killed(daemon, timers):
+    daemon.membership.store_lost = True
+    daemon.shutdown.begin()
+    timers.run(GRACE_MS - 600)
+    assert daemon.log[:2] == ["told", "ended"]
+    timers.run(200)
+    assert daemon.shutdown.is_over()
+
+
+def test_an_instance_whose_cells_are_another_s_does_not_wait(daemon, timers):
+    daemon.membership.store_lost = True
+    daemon.shutdown.begin()
+    timers.run(1_000)
+    daemon.owners.clear()
+    timers.run(100)
+    assert "left" in daemon.log
+
+
+def test_an_instance_without_cells_stops_at_once(monkeypatch):
+    timers = FakeTimers()
+    use_clock(monkeypatch, timers, shutdown_module)
+    left = []
+    daemon = SimpleNamespace(
+        owners={},
+        timers=timers,
+        settings=SimpleNamespace(stop_grace_ms=GRACE_MS),
+        front=SimpleNamespace(server=SimpleNamespace(drain=lambda: None)),
+        membership=SimpleNamespace(store_lost=True, leave=left.append),
+    )
+    Shutdown(daemon=daemon).begin()
+    assert left
