Keep the cells of an instance that stops while the store is away

Symptom: an owner that was rolled in an outage gave its cells back after 0.5 s; nobody renewed their leases, and what it had heard and could not store went with it. Cause: it waited 0.5 s for an append, whatever the reason that none was answered. Change: it stays owner while joins or appends are not answered, up to 1 s before it would be killed, stores what waits once they are, and tells the members what is left before it goes. A stopping owner beats on, and says that it leaves only once it has no cell. Ruled out: that this holds up others: a cell dealt to another instance is given up at once, also by an instance that stops.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
@@ -17,10 +17,12 @@
 
     def update(self):
         """Follow the deal: give up what is another's now, take over what is new."""
-        if not self._daemon.layout.cells or self._daemon.is_stopping:
+        if not self._daemon.layout.cells:
             return
         epochs = self._dealt_epochs()
         self._end_others(epochs)
+        if self._daemon.is_stopping:
+            return
         self._daemon.worker_list.want(bool(epochs))
         for cell, epoch in epochs.items():
             if cell not in self.owners:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -24,6 +24,9 @@
 # were told "unknown" at once came back within 0.2 s, had used up their tries by the
 # time the store or another owner answered, and were lost (0.01 of a day's worth).
 AWAY_MS = 1_000.0
+# An append that has been under way for 40 times the usual time says that the store does
+# not answer; an owner that stops keeps its cell then rather than lose what it heard.
+UNANSWERED_MS = 400.0
 # Ten times the usual append is slow, three times is quick again.
 SLOW_MS = 100.0
 QUICK_MS = 30.0
@@ -71,6 +74,13 @@
         """Tell whether an append is under way."""
         return self._flight is not None
 
+    @property
+    def is_answered(self):
+        """Tell whether the store takes appends, as far as is known."""
+        if self._failing:
+            return False
+        return not self.is_busy or steady_ms() - self._flight.began_ms < UNANSWERED_MS
+
     @property
     def store_is_away(self):
         """Tell whether the store has not taken an append for too long."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -99,9 +99,16 @@
         return self._is_live and self._ownership.is_possible()
 
     @property
-    def has_pending_append(self):
-        """Tell whether something is being stored."""
-        return self._pump.is_busy
+    def has_unstored(self):
+        """Tell whether something waits to be stored, or is being stored."""
+        if self._pump.is_busy:
+            return True
+        return self._is_live and not self.cell.journal.is_empty
+
+    @property
+    def store_answers(self):
+        """Tell whether appends are answered, as far as is known here."""
+        return self._pump.is_answered
 
     @property
     def _is_live(self):
@@ -266,6 +273,12 @@
     def _tell_ends(self, ends):
         self._daemon.heard_ends.tell(self.cell_index, self.epoch, ends)
 
+    def tell_ends(self):
+        """Tell those who may own the cell next of all ends that are not stored."""
+        if self._is_live:
+            self.cell.unstored_ends.tell(steady_ms())
+            self.settle()
+
     def take_heard_ends(self, ends):
         """Take the ends that an owner before this one has heard."""
         if self._is_live:
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -54,7 +54,7 @@
 
     def _beat_as_owner(self):
         """Tell the members of the group, who would follow, that the owner lives."""
-        if not self._daemon.owners or self._daemon.is_stopping:
+        if not self._daemon.owners:
             return
         message = self._heartbeat()
         for link in list(self._member_links):  # one that breaks leaves the set
@@ -71,7 +71,7 @@
         return Heartbeat(
             owned=owned,
             config_version=current.version if current is not None else 0,
-            leaving=self._daemon.is_stopping,
+            leaving=self._daemon.is_stopping and not self._daemon.owners,
             in_group=membership.in_group,
             store_lost=membership.store_lost,
         )
--- a/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
@@ -11,7 +11,14 @@
 # A stopping process stays at least this long, so that the balancer, which asks every
 # second and takes two misses, has noticed.
 STOP_AT_LEAST_MS = 2_200.0
-# While an append is under way, the cells are given back this often tried again.
+# An owner stores what it has heard before it gives its cells back. Where the store
+# answers, that takes two appends of 10 ms; a busy owner always has something to store.
+STORE_MOST_MS = 500.0
+# While the store is away nobody can take the cells, so an owner keeps them, renews what
+# runs and stores what it heard once the store is back. It gives up this long before it
+# would be killed: time for its last words, and for the answers that are still open.
+GIVE_UP_BEFORE_MS = 1_000.0
+# Whether the cells can be given back is tried this often.
 LEAVE_AGAIN_MS = 5.0
 
 
@@ -21,6 +28,8 @@
     def __init__(self, *, daemon):
         self._daemon = daemon
         self._began_ms = 0.0
+        self._store_away_ms = 0.0
+        self._has_left = False
 
     @property
     def has_begun(self):
@@ -38,15 +47,34 @@
         self._leave()
 
     def _leave(self):
-        if any(owner.has_pending_append for owner in self._daemon.owners.values()):
-            if steady_ms() - self._began_ms < STOP_MARGIN_MS:
-                self._daemon.timers.after(LEAVE_AGAIN_MS, self._leave)
-                return
-        for owner in self._daemon.owners.values():
+        if self._has_to_stay():
+            self._daemon.timers.after(LEAVE_AGAIN_MS, self._leave)
+            return
+        self._has_left = True
+        for owner in list(self._daemon.owners.values()):
+            owner.tell_ends()
             owner.end("this instance stops")
         self._daemon.owners.clear()
         self._daemon.membership.leave(self._on_left)
 
+    def _has_to_stay(self):
+        """Tell whether the cells are better kept for now."""
+        owners, now_ms = self._daemon.owners.values(), steady_ms()
+        give_up_ms = self._daemon.settings.stop_grace_ms - GIVE_UP_BEFORE_MS
+        if not owners or now_ms - self._began_ms > max(STORE_MOST_MS, give_up_ms):
+            return False
+        if self._store_is_away():
+            self._store_away_ms = now_ms
+            return True
+        store_by_ms = max(self._began_ms, self._store_away_ms) + STORE_MOST_MS
+        has_unstored = any(owner.has_unstored for owner in owners)
+        return has_unstored and now_ms < store_by_ms
+
+    def _store_is_away(self):
+        if self._daemon.membership.store_lost:
+            return True
+        return not all(owner.store_answers for owner in self._daemon.owners.values())
+
     def _on_left(self, answer):
         self._daemon.peers.send_heartbeats()
         self._daemon.directory.refresh()
@@ -58,7 +86,8 @@
         daemon, spent_ms = self._daemon, steady_ms() - self._began_ms
         busy = daemon.front.server.open_requests or daemon.gateway.open_requests
         over = spent_ms > daemon.settings.stop_grace_ms - STOP_MARGIN_MS
-        if over or (spent_ms > STOP_AT_LEAST_MS and not busy):
+        is_done = self._has_left and not busy
+        if over or (spent_ms > STOP_AT_LEAST_MS and is_done):
             logger.bind(event="stopped", open_requests=busy).info("stopped")
             return True
         return False
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_shutdown.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_shutdown.py
@@ -28,10 +28,6 @@
         self.ended = False
         self._log = log
 
-    @property
-    def has_pending_append(self):
-        return self.has_unstored
-
     def tell_ends(self):
         self._log.append("told")
 
