Show that a newcomer takes the cell from an owner that came through an outage

Cause: an instance started in the outage joins without letting the owner join first: it is no member yet and knows neither the cells nor their owner. Change: tests only.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -284,3 +284,15 @@
     joins = len(store.joins)
     timers.run(70)
     assert len(store.joins) == joins
+
+
+def test_a_newcomer_that_has_to_wait_sends_no_join(make, store, timers):
+    """Its join would be carried out on the store's return, before the owner's."""
+    waits = [True]
+    membership = make(has_to_wait=lambda: bool(waits))
+    membership.start()
+    timers.run(2_000)
+    assert not store.joins
+    waits.clear()
+    timers.run(50)
+    assert len(store.joins) == 1
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_first.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_first.py
@@ -20,6 +20,7 @@
         peers=SimpleNamespace(has_store=lambda address: address not in daemon.without),
         store_answers_since_ms=None,
         without={"owner-1"},
+        membership=SimpleNamespace(in_group=True),
     )
     return daemon
 
@@ -50,3 +51,66 @@
     assert first.waits()
     timers.run(200)
     assert not first.waits()
+
+
+class Newcomer:
+    """An instance that was started in an outage, or without one.
+
+    The story, from the large deployment's day scale-2: an instance was started while
+    the store was silent. It knew no owner to wait for, so its join was the first one
+    answered, and the cell was dealt to it. The owner, which had come through the whole
+    outage, lost it with all that it had heard. In the logs of four plays
+    `takeover_begins` comes right after the outage in two, each time from an instance
+    that was `started` in it.
+    """
+
+    def __init__(self, daemon, timers):
+        self.daemon = daemon
+        self.timers = timers
+        daemon.layout.cells = 0
+        daemon.readiness.hears_owners = False
+        daemon.membership = SimpleNamespace(in_group=False)
+        self._first = OwnerFirst(daemon=daemon)
+
+    def read_is_answered(self):
+        self.daemon.store_answers_since_ms = self.timers.now_ms
+
+    def waits(self):
+        return self._first.waits()
+
+
+@pytest.fixture
+def newcomer(daemon, timers):
+    return Newcomer(daemon, timers)
+
+
+def test_a_newcomer_sends_no_join_while_the_store_is_away(newcomer, timers):
+    """A join without an answer may be carried out on the store's return."""
+    for _ in range(100):
+        assert newcomer.waits()
+        timers.run(50)
+
+
+def test_a_newcomer_joins_after_the_owner_had_time_to(newcomer, timers):
+    assert newcomer.waits()
+    timers.run(2_000)
+    newcomer.read_is_answered()
+    timers.run(300)
+    assert newcomer.waits()
+    timers.run(200)
+    assert not newcomer.waits()
+
+
+def test_a_newcomer_that_is_answered_at_once_does_not_wait(newcomer, timers):
+    assert newcomer.waits()
+    timers.run(10)
+    newcomer.read_is_answered()
+    assert not newcomer.waits()
+
+
+def test_one_that_steps_in_later_while_the_store_answers_does_not_wait(
+    newcomer, timers
+):
+    newcomer.read_is_answered()
+    timers.run(5_000)
+    assert not newcomer.waits()
