Let a newcomer join after the owner where the store was away at its start

Cause: only members waited for their owner; a newcomer, that knows no owner, did not, and the join that it had sent could even be carried out on the store's return. Change: a newcomer sends no join before its first read is answered; where that took over 100 ms, it joins 400 ms after, as members do whose owner does not come. Ruled out: a wait at each start: a read that is answered at once costs 10 ms.

--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -28,6 +28,8 @@
 HEDGE_MS = 90.0
 # An instance that lets another one join first looks this often whether it has.
 WAITING_MS = 40.0
+# A newcomer waits for the answer to its first read, which takes 5 to 7 ms.
+FIRST_WAIT_MS = 10.0
 # Without an answered join for this long, the store counts as lost to this instance: a
 # join that is due (280 ms) and two hedges of it, the second with 40 ms to spare.
 STORE_LOST_MS = 500.0
@@ -125,8 +127,8 @@
         self._join_timer = 0
         if self._left:
             return
-        if self.store_lost and self._has_to_wait():
-            self._join_after(WAITING_MS)
+        if (self.store_lost or not self.in_group) and self._has_to_wait():
+            self._join_after(WAITING_MS if self.in_group else FIRST_WAIT_MS)
             return
         sent_ms = steady_ms()
         self._asked_ms = sent_ms
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_first.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_first.py
@@ -7,6 +7,9 @@
 # Once the store answers this instance's reads for this long, an owner that still has
 # not joined is cut off by itself: two of its tries to join, and the beat that tells.
 PATIENCE_MS = 400.0
+# A read is answered in 5 to 7 ms; where the first one took longer than this, the store
+# was away when this instance was started.
+FIRST_ANSWER_MS = 100.0
 
 
 class OwnerFirst:
@@ -15,15 +18,38 @@
     Memberships may have run out in the outage. Whoever joins first is dealt the cells.
     The owner knows the addresses of all workers; entries of theirs that lapsed come
     back up to two seconds later, and a successor can start nothing there until then.
+    The owner also knows what ended in the outage.
     """
 
     def __init__(self, *, daemon):
         self._daemon = daemon
+        self._first_asked_ms = None
 
     def waits(self):
         """Tell whether this instance's own join has to wait."""
+        if self._daemon.owners:
+            return False
+        if not self._daemon.membership.in_group:
+            return self._waits_as_newcomer()
+        return self._waits_as_member()
+
+    def _waits_as_newcomer(self):
+        """Tell whether the members, whom a newcomer can't know yet, go first.
+
+        It sends nothing until its reads are answered: the store may carry out, on its
+        return, a join that it did not answer.
+        """
+        now_ms = steady_ms()
+        self._first_asked_ms = self._first_asked_ms or now_ms
+        back_ms = self._daemon.store_answers_since_ms
+        if back_ms is None:
+            return True
+        was_away = back_ms - self._first_asked_ms > FIRST_ANSWER_MS
+        return was_away and now_ms - back_ms <= PATIENCE_MS
+
+    def _waits_as_member(self):
         daemon = self._daemon
-        if daemon.owners or not daemon.layout.cells or self._store_is_back():
+        if not daemon.layout.cells or self._store_is_back():
             return False
         if not daemon.readiness.hears_owners:
             return False
