Show that an instance without a link is not heard for a lease

Cause: a whole heartbeat counts as told though no link took it; four short ones follow, 2.4 s long, which say nothing to an instance that has just started. So instance 1 did not hear instance 2 within its 2.5 s and took its worker as well. Change: tests only; the virtual world can cut one direction.

--- a/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
+++ b/packages/thymefork-standin/src/thymefork_standin/virtual/world.py
@@ -231,7 +231,8 @@
     def _send_peer(self, effect: fx.SendPeer, name):
         self.messages += 1
         pair = frozenset((name, effect.peer))
-        if pair in self.cut:
+        one_way = (name, effect.peer)
+        if pair in self.cut or one_way in self.cut:
             return
         if effect.peer not in self.nodes:
             self._later(name, m.PeerRefused(peer=effect.peer))
