Send whole heartbeats to an instance of the hall until one was heard there

Cause: a whole heartbeat counted as told when it was sent, though there was no link. Change: short ones follow only once the peer has echoed the whole one or a later one. Ruled out: longer waits before workers are taken (all takeovers would wait).

--- a/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
+++ b/packages/thymefork-core/src/thymefork_core/node/heartbeats.py
@@ -46,6 +46,7 @@
         self._sent_mono_ms = {}
         self._echo = {}
         self._told = {}
+        self._heard_by = {}
 
     def hurry(self):
         """Tell the peers at the next tick what can't wait."""
@@ -65,15 +66,31 @@
             ctx.emit(SendPeer(peer=name, message=self._message(name)))
 
     def _message(self, name):
-        """Return a whole heartbeat if it is due or tells something that matters."""
+        """Return a whole heartbeat if it is due or tells something that matters.
+
+        To an instance of the hall it is due until it was heard there. Else one that has
+        just started, and to which no link was open yet, would hear short ones alone for
+        2.4 s, and take this instance's share of the workers after 2.5 s.
+        """
         whole = self._heartbeat(name)
         told = self._told.get(name)
+        if told is not None and not self._was_heard(name, told.whole):
+            told = None
         if told is not None and told.beats < _beats_between(told.whole, whole):
             told.beats += 1
             return Beat(seq=whole.seq, echo=whole.echo)
         self._told[name] = _Told(whole=whole)
         return whole
 
+    def _was_heard(self, name, whole):
+        """Tell whether a peer of the hall has echoed a heartbeat or a later one.
+
+        Peers of other halls are heard by turns, and own nothing here.
+        """
+        if name not in self.ctx.members.hall_peers():
+            return True
+        return self._heard_by.get(name, -1) >= whole.seq
+
     def on_beat(self, name, message):
         """Take a short heartbeat; it says nothing to one that has just started."""
         member = self.ctx.members.heard.get(name)
@@ -84,6 +101,7 @@
     def _hear(self, name, incarnation, message):
         mono_ms = self.ctx.now.mono_ms
         self._echo[name] = message.seq
+        self._heard_by[name] = message.echo
         self.ctx.silence.heard_on_link(incarnation, mono_ms)
         sent_ms = self._sent_mono_ms.get(message.echo)
         if sent_ms is not None:
@@ -95,6 +113,7 @@
         known = ctx.members.heard.get(message.name)
         if known is None or known.incarnation != message.incarnation:
             self._told.pop(message.name, None)
+            self._heard_by.pop(message.name, None)
         ctx.members.update_member(
             Member(
                 name=message.name,
