Show that small instances keep links and a watch that they have no use for

Cause, part of it: an instance that is no member of the group can't judge an owner, yet checks 20 times a second whether one is silent, and keeps links to three members, which then hear from 20 small ones each, four times a second. Change: tests only.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -4,13 +4,17 @@
 
 import pytest
 
-from thymefork_daemon import peer_desk as peer_desk_module
+from thymefork_daemon import (
+    owner_watch as owner_watch_module,
+    peer_desk as peer_desk_module,
+)
 from thymefork_daemon.peer_desk import PeerDesk
+from thymefork_net import Address
 from thymefork_net.peers import AdviceReply, Hello
 
 from .fakes import FakeMetrics
 
-CLOCKED = (peer_desk_module,)
+CLOCKED = (owner_watch_module, peer_desk_module)
 
 
 class FakeOwner:
@@ -60,3 +64,54 @@
         )
     PeerDesk(daemon=daemon).on_message(None, Hello(instance="edge-0"))
     assert told == [0, 1, 2]
+
+
+def make_daemon(timers, *, in_group, opened, asked=None):
+    """Return a daemon that notes the links it opens and the silence it asks about."""
+    asked = [] if asked is None else asked
+    own = Address(host="10.0.0.1", port=7000)
+    owner = Address(host="10.0.0.2", port=7000)
+    others = {Address(host=f"10.0.0.{n}", port=7000) for n in range(3, 9)}
+    return SimpleNamespace(
+        timers=timers,
+        owners={},
+        configuration=None,
+        is_stopping=False,
+        layout=SimpleNamespace(cells=1),
+        settings=SimpleNamespace(peer=own),
+        directory=SimpleNamespace(
+            members={owner, *others}, owner_of=lambda cell: owner, refresh=lambda: None
+        ),
+        links=SimpleNamespace(
+            all=[], to=opened.append, is_silent=lambda address, ms: asked.append(ms)
+        ),
+        membership=SimpleNamespace(in_group=in_group, store_lost=False),
+        metrics=FakeMetrics(),
+    )
+
+
+def test_an_instance_outside_the_group_keeps_links_to_owners_alone(timers):
+    """From the sweep at 300 instances: each large one heard from 20 small ones more.
+
+    Who is no member judges no owner, so it has no use for the others' word.
+    """
+    opened = []
+    daemon = make_daemon(timers, in_group=False, opened=opened)
+    PeerDesk(daemon=daemon).send_heartbeats()
+    assert opened == [daemon.directory.owner_of(0)]
+
+
+def test_an_instance_outside_the_group_watches_no_owner(timers):
+    asked = []
+    PeerDesk(daemon=make_daemon(timers, in_group=False, opened=[], asked=asked))
+    timers.run(1_000)
+    assert not asked
+
+
+def test_an_instance_watches_owners_once_it_is_a_member(timers):
+    asked = []
+    daemon = make_daemon(timers, in_group=False, opened=[], asked=asked)
+    PeerDesk(daemon=daemon)
+    daemon.membership.in_group = True
+    timers.run(300)
+    assert asked
