--- a/soak/src/thymefork_soak/faults.py
+++ b/soak/src/thymefork_soak/faults.py
@@ -16,8 +16,9 @@
 class FaultPlan:
     """Draw faults and carry them out until a moment."""
 
-    def __init__(self, *, fleet, random, workers):
+    def __init__(self, *, fleet, random, workers, rolls=None):
         self.done = []
+        self._rolls = rolls
         self._fleet = fleet
         self._random = random
         self._workers = workers
@@ -71,9 +72,14 @@
 
     async def _outage(self, random):
         mode = random.choice(("silent", "silent", "busy", "reset"))
+        if self._rolls is not None:
+            await self._rolls.begin()
         await self._fleet.steer("outage", {"mode": mode})
+        roll = asyncio.ensure_future(self._rolls.roll()) if self._rolls else None
         await asyncio.sleep(random.uniform(3.0, 8.0))
         await self._fleet.steer("outage_end", {})
+        if roll is not None:
+            await roll
 
     async def _carry_out(self, fault):
         await self._fleet.steer("disturb", {"change": 1})
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -22,6 +22,7 @@
 from .faults import FaultPlan
 from .fleet import Fleet
 from .lasting import LastingCaller
+from .rolls import OutageRolls
 from .rooms import RoomChanges
 from .spoiling import EntrySpoiler
 
@@ -38,7 +39,9 @@
 MARGIN_S = 6.5
 
 
-async def soak(seed, seconds, instances, folder, *, with_accounts=True):
+async def soak(
+    seed, seconds, instances, folder, *, with_accounts=True, with_rolls=False
+):
     """Run one soak; return what it broke, and a line on what it saw."""
     rng = random.Random(seed)
     fleet = Fleet(
@@ -64,8 +67,14 @@
             )
             for number in range(CALLERS)
         ]
+        rolls = OutageRolls(
+            fleet=fleet, random=random.Random(f"{seed} rolls"), workers=WORKERS
+        )
         plan = FaultPlan(
-            fleet=fleet, random=random.Random(rng.random()), workers=WORKERS
+            fleet=fleet,
+            random=random.Random(rng.random()),
+            workers=WORKERS,
+            rolls=rolls if with_rolls else None,
         )
         lasting = [
             LastingCaller(
@@ -165,10 +174,11 @@
     seed: Annotated[int, typer.Option(help="Draws jobs and faults.")] = 1,
     seconds: Annotated[float, typer.Option(help="How long faults come.")] = 20.0,
     instances: Annotated[int, typer.Option(help="How many daemons.")] = 3,
+    rolls: Annotated[bool, typer.Option(help="Roll instances in outages.")] = True,
 ):
     """Run the daemons among faults and print one verdict line."""
     folder = Path(tempfile.mkdtemp(prefix="thymefork-soak-"))
-    broken, seen = asyncio.run(soak(seed, seconds, instances, folder))
+    broken, seen = asyncio.run(soak(seed, seconds, instances, folder, with_rolls=rolls))
     for line in broken[:20]:
         typer.echo(line)
     word = "broken" if broken else "kept"
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -72,7 +72,7 @@
                 continue
             if old and old != worker.worker_id:
                 self.store.put(SERVERS, old, None)
-            told = (worker.worker_id, worker.cpu_milli)
+            told = (worker.worker_id, worker.cpu_milli, worker.draining)
             if self._told.get(worker.name) != told or old != worker.worker_id:
                 self.store.put(SERVERS, worker.worker_id, worker.entry())
                 self._listed[worker.name] = worker.worker_id
@@ -154,6 +154,9 @@
         self.store.put_raw(SERVERS, worker.worker_id, body["value"].encode())
         self._loop.timers.after(BEAT_MS, lambda: self._told.pop(worker.name, None))
 
+    def _leave(self, body):
+        self._workers[body["worker"]].leave(body["after_ms"])
+
     def _crash(self, body):
         self._workers[body["worker"]].crash()
 
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -70,6 +70,7 @@
     def _reset(self, life):
         self.worker_id = f"{self.name}-{life}"
         self.life = life
+        self.draining = False
         self._fence = 0
         self._lease_until_ms = 0.0
         self._running = {}
@@ -78,6 +79,15 @@
         self._next_end = 1
         self._waiters = []
 
+    def leave(self, after_ms):
+        """Say that this life ends, and end it after a while."""
+        self.draining, life = True, self.life
+        self._loop.timers.after(after_ms, lambda: self._end_life(life))
+
+    def _end_life(self, life):
+        if self.life == life:
+            self.crash(self._random.uniform(*DOWN_MS))
+
     def crash(self, down_ms=0.0):
         """Begin a new life, out of reach for a while: everything is lost."""
         tasks = {task for task, _ in self._running}
@@ -119,7 +129,7 @@
             "machine_id": self.name,
             "address": self.address,
             "zone": "hall-1",
-            "state": "ready",
+            "state": "draining" if self.draining else "ready",
             "capacity": {"cpu": self.cpu_milli, "mem_mb": 64_000, "gpus": 0},
             "labels": ["a", "r1-1"],
         }
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -30,6 +30,13 @@
     assert not broken, (broken, seen, tmp_path)
 
 
+def test_promises_are_kept_where_workers_leave_and_owners_are_rolled_in_outages(
+    tmp_path,
+):
+    broken, seen = asyncio.run(soak(7001, 12.0, 3, tmp_path, with_rolls=True))
+    assert not broken, (broken, seen, tmp_path)
+
+
 def test_soaks_with_like_seeds_have_addresses_of_their_own():
     """From seeds 101 and 9101, played at once: an address was in use already."""
     assert loopback_host(101, 4_000) != loopback_host(9_101, 4_001)
