--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/intake.py
@@ -42,9 +42,7 @@
     def _refuse_over_limit(self, request_id, job_id, account_name):
         """Refuse a job with a task or gang that its account may never run."""
         self._context.count("refusals", "over_limit")
-        self._context.note(
-            "job_over_limit", level="INFO", job=job_id, account=account_name
-        )
+        self._context.note("job_over_limit", job=job_id, account=account_name)
         self._lifecycle.reply(request_id, Outcome.OVER_LIMIT)
 
     def _refuse_other(self, request_id, job, account_name):
--- a/packages/thymefork-cells/src/thymefork_cells/quotas.py
+++ b/packages/thymefork-cells/src/thymefork_cells/quotas.py
@@ -6,6 +6,7 @@
 from attrs import field, frozen
 
 from .specs import RoomLimit
+from .state import AccountUsage
 
 __all__ = ["Quotas"]
 
@@ -76,14 +77,8 @@
         if limit is None:
             return True
         share = limit.share(self._context.cell_count)
-        return all(_fits(step, share) for step in spec.steps)
-
-
-def _fits(step, limit):
-    copies = step.count if step.gang else 1
-    wants = (
-        (step.reserved_cpu_milli, limit.cpu_milli),
-        (step.memory_mb, limit.memory_mb),
-        (step.accelerators, limit.accelerators),
-    )
-    return all(not most or copies * want <= most for want, most in wants)
+        idle = AccountUsage(name=account_name)
+        return all(
+            idle.tasks_left(step, share) >= (step.count if step.gang else 1)
+            for step in spec.steps
+        )
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -7,6 +7,7 @@
 from attrs import define
 
 from thymefork_cells import LONG_CALL_MS, AdviceSlots
+from thymefork_cells.advice_desk import PRIORITY_STEP_MS
 from thymefork_net import steady_ms
 from thymefork_net.peers import AdviceRequest
 
@@ -19,10 +20,6 @@
 # after another, so that another owner's call there may come first.
 PATIENCE_FACTOR = 2.5
 PATIENCE_SLACK_MS = 500.0
-# A call waits behind more urgent ones that come up to this much later for each step
-# of priority, not behind all of them: under more load than the instances bear, calls of
-# the last queue were never made, and their steps never started beside free workers.
-PRIORITY_STEP_MS = 1_000.0
 # An instance that did not answer gets no calls for this long.
 PAUSE_MS = 1_500.0
 # Calls are numbered across all owners of this process, from a number of its own: an
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/short_call_reserve.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/short_call_reserve.py
@@ -17,10 +17,9 @@
 class ShortCallReserve:
     """Keep as many instances for short calls as those have needed of late.
 
-    A fixed share of three in ten left nine of 29 instances with less than two short
-    calls under way, while all others worked on long ones without a pause and steps
-    waited for their tickets for seconds (by an owner's logs and the service's own
-    count of 1,489 s of work in 75 s).
+    Where long calls come without a pause, a fixed share leaves instances idle that
+    they could use, and steps wait for their tickets for seconds: of 29 instances nine
+    were kept, of which fewer than two had a short call under way (an owner's log).
     """
 
     def __init__(self, *, now_ms):
