--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -28,7 +28,8 @@
     step_order,
 )
 
-from .load_play import LoadPlay, read_load
+from .described_load import read_load
+from .load_play import LoadPlay
 
 __all__ = ["VARIANTS", "Outcome", "compare", "main", "play"]
 
--- a/bench/load_play.py
+++ b/bench/load_play.py
@@ -1,14 +1,11 @@
 """One play of a described load against a cell with virtual workers."""
 
 import random
-from pathlib import Path
 
-import orjson
 from attrs import evolve, frozen
 
 from thymefork_cells.specs import (
     AccountPolicy,
-    AdvicePolicy,
     Configuration,
     QueuePolicy,
     RoomLimit,
@@ -16,7 +13,9 @@
 from thymefork_cells.tests.harness import Harness, job_spec
 from thymefork_cells.tests.virtual_worker import VirtualWorker
 
-__all__ = ["AccountLoad", "JobKind", "Load", "LoadPlay", "read_load"]
+from .described_load import JobKind
+
+__all__ = ["LoadPlay"]
 
 # What a late answer is worth, up to three times the objective.
 LATE_WORTH = 0.2
@@ -32,80 +31,6 @@
 JOB_SPREAD = 0.1
 
 
-@frozen(kw_only=True)
-class JobKind:
-    """Describe one kind of job; means of draws. Units: ms, thousandths of a core."""
-
-    name: str
-    jobs_per_s: float
-    width: float
-    cpu_milli: int
-    work_ms: float
-    stretch: float
-    target_ms: float
-    worth: float
-    steps: int = 1
-    priority: int = 0
-    gang_share: float = 0.0
-    checkpoints: bool = False
-    images: int = 18
-    advice: AdvicePolicy | None = None
-    allowed_share: float = 1.0
-
-
-@frozen(kw_only=True)
-class AccountLoad:
-    """Describe an account: its part of all jobs, and when it sends more."""
-
-    name: str
-    part: float
-    weight: float = 0.0
-    limit_cpu_milli: int = 0
-    flood_factor: float = 1.0
-    flood_from_s: float = 0.0
-    flood_until_s: float = 0.0
-
-    def part_at(self, now_s):
-        """Return the account's part at a moment, by its floods."""
-        floods = self.flood_from_s <= now_s < self.flood_until_s
-        return self.part * (self.flood_factor if floods else 1.0)
-
-
-@frozen(kw_only=True)
-class Load:
-    """Describe a deployment and what is asked of it."""
-
-    workers: int
-    cpu_milli: tuple[int, ...]
-    slowness: tuple[float, ...]
-    kinds: tuple[JobKind, ...]
-    accounts: tuple[AccountLoad, ...]
-    seconds: float
-    advisers: int | None = None
-    estimate_error: float = 0.3
-    cut_share: float = 0.0
-    cut_at_s: float = 0.0
-
-
-def read_load(path):
-    """Return a load from its JSON file; a field that is not known is an error."""
-    document = orjson.loads(Path(path).read_bytes())
-    kinds = []
-    for row in document.pop("kinds"):
-        advice = row.pop("advice", None)
-        advice = AdvicePolicy(**advice) if advice else None
-        kinds.append(JobKind(**row, advice=advice))
-    accounts = [AccountLoad(**row) for row in document.pop("accounts")]
-    sizes, slowness = document.pop("cpu_milli"), document.pop("slowness")
-    return Load(
-        **document,
-        kinds=tuple(kinds),
-        accounts=tuple(accounts),
-        cpu_milli=tuple(sizes),
-        slowness=tuple(slowness),
-    )
-
-
 class SizedWorker(VirtualWorker):
     """Run each task for its own time; one that keeps its progress goes on there."""
 
--- a/bench/tests/test_experiments.py
+++ b/bench/tests/test_experiments.py
@@ -5,7 +5,8 @@
 from typer.testing import CliRunner
 
 from bench import experiments
-from bench.load_play import LoadPlay, read_load
+from bench.described_load import read_load
+from bench.load_play import LoadPlay
 
 LOAD = {
     "workers": 4,
