Show that an intent is sent to a worker whose entry has lapsed

Cause: a start that was decided in an outage leaves once its append is answered; whether the worker's entry lapsed meanwhile was looked at as work is planned, not as it leaves. Change: a test only. Measured: it fails.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_room_changes.py
@@ -227,3 +227,28 @@
 
 def _jobs(harness):
     return harness.cell.context.jobs.values()
+
+
+def test_an_intent_of_an_outage_is_not_sent_where_the_entry_has_lapsed(make_harness):
+    """From the soak, seed 7017 with rolls: LIMIT, a start on a worker that had shrunk.
+
+    The start was decided 2.6 s into an outage, by a list that was young enough. The
+    store came back; the list was read anew and said that the worker's entry had lapsed,
+    so that its room was not known; 50 ms later the append was answered, and the start
+    left all the same (`workers_may_return` 50 ms before `ends_stored_late`). The worker
+    had no room left; its entry came 0.8 s after.
+    """
+    harness = make_harness(workers=2)
+    first = {"count": 1, "cpu_milli": 500, "estimated_ms": 800}
+    harness.submit("c" * 16, job_spec(first, {**first, "after": (0,)}))
+    harness.run(100)
+    harness.store_down = True
+    harness.run(2_000)
+    entries = harness.entries
+    harness.list_workers([evolve(entry, is_lapsed=True) for entry in entries])
+    harness.store_down = False
+    harness.run(500)
+    assert not harness.starts_of(f"{'c' * 16}.0.1.0")
+    harness.list_workers(entries)
+    harness.run(1_000)
+    assert len(harness.starts_of(f"{'c' * 16}.0.1.0")) == 1
