Send no start to a worker whose entry has lapsed since it was decided

Change: a lapsed entry is an obstacle as a start leaves, as it is when work is planned; the intent is dropped, counted as entry_lapsed, and planned anew.

--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/orders.py
@@ -85,6 +85,8 @@
         if self._context.is_list_stale(now_ms):
             return "list_stale"
         for member in _not_sent_with(run):
+            if member.worker.entry.is_lapsed:
+                return "entry_lapsed"  # how much room it has now is not known
             if member.worker.is_overfull:
                 return "worker_shrank"
             if not self._advice.has_ticket(run.task.step, member.worker, now_ms):
