Show that a stopping owner that is cut off holds a cell for a second too long

Before, its process was gone by then, and refused connections had it taken out; now the others can't judge it by its silence within 0.4 s of their own return, its link is closed, and the cell goes on when the membership has lapsed, 1.05 s after the store's return. Change: tests only. Measured: 2 of 3 new ones fail.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -34,9 +34,12 @@
         membership=SimpleNamespace(
             is_well=True,
             in_group=True,
+            store_lost=False,
             renewed_ms=timers.now_ms + 1,
             hurry=lambda: hurried.append(1),
         ),
+        peers=SimpleNamespace(is_leaving=lambda address: daemon.owner_leaves),
+        owner_leaves=False,
         hurried=hurried,
         is_stopping=False,
         timers=timers,
@@ -59,6 +62,32 @@
     assert len(daemon.hurried) == 2
 
 
+def test_a_silent_owner_that_leaves_is_taken_out_as_soon_as_the_store_is_back(
+    daemon, timers
+):
+    """From cab-bogota, trouble-2: its hall was cut off while it kept cells for others.
+
+    It stops, and keeps its cells since the store is away. Others that have just regained
+    the store wait 0.4 s before they judge an owner; by then its link was closed for its
+    silence, and the cell went on 1.05 s after the store's return, when its membership
+    had lapsed. An owner that leaves is no loss: whoever has the store may replace it.
+    """
+    daemon.membership.is_well = False
+    timers.run(500)
+    assert not daemon.removed
+    daemon.owner_leaves = True
+    timers.run(100)
+    assert daemon.removed == [OWNER]
+
+
+def test_nobody_without_the_store_takes_out_an_owner_that_leaves(daemon, timers):
+    daemon.owner_leaves = True
+    daemon.membership.is_well = False
+    daemon.membership.store_lost = True
+    timers.run(1_000)
+    assert not daemon.removed
+
+
 def test_an_owner_that_is_heard_is_let_be(daemon, timers):
     for _ in range(20):
         daemon.heard_ms[OWNER] = timers.now_ms
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -10,7 +10,7 @@
 )
 from thymefork_daemon.peer_desk import PeerDesk
 from thymefork_net import Address
-from thymefork_net.peers import AdviceReply, Hello
+from thymefork_net.peers import AdviceReply, Heartbeat, Hello, OwnedCell
 
 from .fakes import FakeMetrics
 
@@ -101,6 +101,30 @@
     assert opened == [daemon.directory.owner_of(0)]
 
 
+def beat_of(desk, address, **fields):
+    message = Heartbeat(
+        owned=[OwnedCell(cell=0, epoch=1)], config_version=1, in_group=True, **fields
+    )
+    desk.on_message(SimpleNamespace(listener_address=address), message)
+
+
+def test_an_owner_that_stops_is_known_to_leave_and_hurries_nobody(timers):
+    """It keeps its cells for now; a join of each member for each of its beats is dear."""
+    daemon = make_daemon(timers, in_group=True, opened=[])
+    hurried = []
+    daemon.membership.hurry = lambda: hurried.append(1)
+    nothing = lambda *arguments: None
+    daemon.owned_cells = SimpleNamespace(on_peer_owns=nothing)
+    daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
+    daemon.heard_ends = SimpleNamespace(on_owner=nothing)
+    desk = daemon.peers = PeerDesk(daemon=daemon)
+    owner = daemon.directory.owner_of(0)
+    beat_of(desk, owner, leaving=True, store_lost=True)
+    assert desk.is_leaving(owner) and not hurried
+    beat_of(desk, owner, leaving=False, store_lost=False)
+    assert not desk.is_leaving(owner)
+
+
 def test_an_instance_outside_the_group_watches_no_owner(timers):
     asked = []
     PeerDesk(daemon=make_daemon(timers, in_group=False, opened=[], asked=asked))
