Sort the modules of a cell into subpackages by what they decide

Over thirty modules stood side by side, so a new part had no home. They are moved into jobs, workers, estimates, accounts, placing and advice; each imports only from those named before it, and from specs, state and effects. The slots for advice go to the state, where the context finds them without importing advice. Unit tests of one module move beside it; tests that drive a whole cell stay.

Ruled out: renaming classes or files beyond the prefix that the folder now tells (advice_choice, advice_desk); that would hide the move in the diff.

No behaviour changes.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -44,18 +44,22 @@
 
 MECHANISMS = {
     "reservations": _returning(
-        f"{_CELLS}/reservations.py", "def _waits_for_room(self, step, now_ms):", "False"
+        f"{_CELLS}/placing/reservations.py",
+        "def _waits_for_room(self, step, now_ms):",
+        "False",
     ),
     "preemption": _returning(
-        f"{_CELLS}/preemptor.py",
+        f"{_CELLS}/placing/preemptor.py",
         "def make_room(self, step, workers, wanted, now_ms):",
         "False",
     ),
     "copies": _returning(
-        f"{_CELLS}/step_order.py", "def startable(self, step, now_ms):", "step.waiting"
+        f"{_CELLS}/placing/step_order.py",
+        "def startable(self, step, now_ms):",
+        "step.waiting",
     ),
     "hall_preference": Patch(
-        path=f"{_CELLS}/worker_choice.py",
+        path=f"{_CELLS}/placing/worker_choice.py",
         old="OTHER_HALL_PENALTY = 1.6",
         new="OTHER_HALL_PENALTY = 0.0",
     ),
@@ -65,17 +69,19 @@
         new="        return False",
     ),
     "slow_pauses_and_moves": _returning(
-        f"{_CELLS}/watch.py", "def _judge_speed(self, worker, now_ms):", "None"
+        f"{_CELLS}/workers/watch.py", "def _judge_speed(self, worker, now_ms):", "None"
     ),
     "standstill_stops": _returning(
-        f"{_CELLS}/watch.py", "def _stands_still(self, run):", "False"
+        f"{_CELLS}/workers/watch.py", "def _stands_still(self, run):", "False"
+    ),
+    "pacing": _returning(
+        f"{_CELLS}/workers/pacing.py", "def check(self, now_ms):", "None"
     ),
-    "pacing": _returning(f"{_CELLS}/pacing.py", "def check(self, now_ms):", "None"),
     "learned_times": _returning(
-        f"{_CELLS}/images.py", "def learn(self, image, took_ms):", "None"
+        f"{_CELLS}/estimates/images.py", "def learn(self, image, took_ms):", "None"
     ),
     "advice_ahead": _returning(
-        f"{_CELLS}/advice_desk.py",
+        f"{_CELLS}/advice/desk.py",
         "def _is_near(self, step, cost_ms, now_ms):",
         "step.ready",
     ),
@@ -83,7 +89,7 @@
         f"{_DAEMON}/owner/advisers.py", "def update(self, links):", "None"
     ),
     "look_before_stop": Patch(
-        path=f"{_CELLS}/orders.py",
+        path=f"{_CELLS}/workers/orders.py",
         old="            self._looks.doubt_hall(run.worker, now_ms)\n",
         new="            self._looks.doubt_hall(run.worker, now_ms)\n"
         '            self._lifecycle.stop(run, "its start was not answered")\n',
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -18,15 +18,10 @@
 import typer
 from attrs import frozen
 
-from thymefork_cells import (
-    advice_choice,
-    images,
-    placer,
-    preemptor,
-    reservations,
-    shares,
-    step_order,
-)
+from thymefork_cells.accounts import shares
+from thymefork_cells.advice import choice as advice_choice
+from thymefork_cells.estimates import images
+from thymefork_cells.placing import placer, preemptor, reservations, step_order
 
 from .described_load import read_load
 from .load_play import LoadPlay
--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -1,12 +1,12 @@
 """Decisions of a cell, without I/O: the same code runs live and in tests."""
 
-from .advice_slots import LONG_CALL_MS, AdviceSlots
 from .cell import Cell
-from .codec import decode_spec, encode_spec
 from .context import STALE_MS
 from .hashing import cell_of
-from .orders import OrderAnswer, Refusal
+from .jobs.codec import decode_spec, encode_spec
 from .reports import EndRow, HeardEnd, RunRow, WorkerReport
+from .state import LONG_CALL_MS, AdviceSlots
+from .workers.orders import OrderAnswer, Refusal
 
 __all__ = [
     "AdviceSlots",
--- a/packages/thymefork-cells/src/thymefork_cells/quotas.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/quotas.py
@@ -5,8 +5,8 @@
 
 from attrs import field, frozen
 
-from .specs import RoomLimit
-from .state import AccountUsage
+from ..specs import RoomLimit
+from ..state import AccountUsage
 
 __all__ = ["Quotas"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/advice_desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
@@ -2,9 +2,9 @@
 
 from operator import itemgetter
 
-from .advice_choice import AllowedShares, choose_workers, has_tickets_to_wait
-from .effects import AskAdvice
-from .state import Ticket
+from ..effects import AskAdvice
+from ..state import Ticket
+from .choice import AllowedShares, choose_workers, has_tickets_to_wait
 
 __all__ = ["AdviceDesk"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -1,36 +1,36 @@
 """One cell: a share of the workers of every hall and a share of the jobs."""
 
-from .advice_desk import AdviceDesk
-from .codec import (
+from .accounts.quotas import Quotas
+from .accounts.shares import Shares
+from .advice.desk import AdviceDesk
+from .context import CellContext
+from .estimates.images import ImageTimes
+from .estimates.room_forecast import RoomForecast
+from .jobs.codec import (
     JOB_KEY,
     PROGRESS_KEY,
     decode_progress,
     load_ended_job,
     load_job,
 )
-from .context import CellContext
-from .images import ImageTimes
-from .inherited_ends import InheritedEnds
-from .intake import Intake, chain_ms
-from .journal import Journal
-from .lifecycle import Lifecycle
-from .lives import LifeVerdict, Lives
-from .looks import Looks
-from .orders import Orders, Refusal
-from .pacing import Pacing
-from .placer import Placer
-from .preemptor import Preemptor
-from .quorum import Quorum
-from .quotas import Quotas
-from .reservations import Reservations
-from .room_forecast import RoomForecast
-from .roster import Roster
-from .shares import Shares
+from .jobs.inherited_ends import InheritedEnds
+from .jobs.intake import Intake, chain_ms
+from .jobs.journal import Journal
+from .jobs.lifecycle import Lifecycle
+from .jobs.unstored_ends import UnstoredEnds
+from .placing.placer import Placer
+from .placing.preemptor import Preemptor
+from .placing.reservations import Reservations
+from .placing.trials import Trials
 from .state import RunState
-from .trials import Trials
-from .unstored_ends import UnstoredEnds
-from .watch import Watch
-from .worker_losses import WorkerLosses
+from .workers.lives import LifeVerdict, Lives
+from .workers.looks import Looks
+from .workers.orders import Orders, Refusal
+from .workers.pacing import Pacing
+from .workers.quorum import Quorum
+from .workers.roster import Roster
+from .workers.watch import Watch
+from .workers.worker_losses import WorkerLosses
 
 __all__ = ["Cell"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -2,10 +2,9 @@
 
 from attrs import define, field
 
-from .advice_slots import AdviceSlots
 from .effects import Count, Note, Observe
 from .specs import Bounds, Configuration
-from .state import AccountUsage
+from .state import AccountUsage, AdviceSlots
 
 __all__ = ["STALE_MS", "CellContext"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/room_forecast.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/room_forecast.py
@@ -1,7 +1,7 @@
 """When room comes free on a worker, by what is left of its runs."""
 
+from ..state import RunState
 from .room import Room
-from .state import RunState
 
 __all__ = ["RoomForecast"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -3,8 +3,8 @@
 import attrs
 import orjson
 
-from .specs import JobSpec, StepSpec
-from .state import Job, JobState, Loss, Run, RunState
+from ..specs import JobSpec, StepSpec
+from ..state import Job, JobState, Loss, Run, RunState
 
 __all__ = [
     "JOB_KEY",
--- a/packages/thymefork-cells/src/thymefork_cells/inherited_ends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/inherited_ends.py
@@ -1,6 +1,6 @@
 """Ends that another owner of the cell heard and could not store."""
 
-from .state import RunState
+from ..state import RunState
 
 __all__ = ["InheritedEnds"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
@@ -2,9 +2,9 @@
 
 import time
 
+from ..effects import Outcome, Reply
+from ..state import Job, JobState
 from .codec import decode_spec
-from .effects import Outcome, Reply
-from .state import Job, JobState
 
 __all__ = ["STORE_AWAY_RETRY_MS", "Intake"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -4,9 +4,9 @@
 
 from attrs import define, field, frozen
 
+from ..effects import EndsStored, Reply
+from ..state import JobState
 from .codec import JOB_KEY, PROGRESS_KEY, encode_progress, store_job
-from .effects import EndsStored, Reply
-from .state import JobState
 
 __all__ = ["Batch", "Journal"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -1,7 +1,7 @@
 """How tasks end, are tried again, and bring their job to its end."""
 
-from .effects import Reply
-from .state import JobState, RunState
+from ..effects import Reply
+from ..state import JobState, RunState
 
 __all__ = ["Lifecycle"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/unstored_ends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/unstored_ends.py
@@ -8,8 +8,8 @@
 
 from attrs import frozen
 
-from .effects import TellEnds
-from .reports import HeardEnd
+from ..effects import TellEnds
+from ..reports import HeardEnd
 
 __all__ = ["TELL_AFTER_MS", "UnstoredEnds"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -2,10 +2,10 @@
 
 from functools import partial
 
-from .effects import StartRun
+from ..effects import StartRun
+from ..state import JobState, Run, RunState
 from .gang_choice import workers_for_gang
 from .placing_notes import PlacingNotes
-from .state import JobState, Run, RunState
 from .step_order import StepOrder
 from .worker_choice import (
     WorkerRanking,
--- a/packages/thymefork-cells/src/thymefork_cells/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/preemptor.py
@@ -1,7 +1,7 @@
 """Making room for urgent steps by stopping less urgent work that keeps its progress."""
 
-from .room import Room
-from .state import RunState
+from ..estimates.room import Room
+from ..state import RunState
 
 __all__ = ["Preemptor"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/tests/test_worker_choice.py
@@ -5,9 +5,13 @@
 
 import pytest
 
+from thymefork_cells.placing.worker_choice import (
+    OTHER_HALL_PENALTY,
+    WorkerRanking,
+    fit_score,
+)
 from thymefork_cells.specs import JobSpec, StepSpec, WorkerEntry
 from thymefork_cells.state import Job, Run, RunState, Worker
-from thymefork_cells.worker_choice import OTHER_HALL_PENALTY, WorkerRanking, fit_score
 
 HALLS = ("a", "b", "c")
 
--- a/packages/thymefork-cells/src/thymefork_cells/trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/trials.py
@@ -9,9 +9,9 @@
 
 from functools import partial
 
-from .state import Trial, are_alike
+from ..state import Trial, are_alike
+from ..workers.worker_losses import MOST_CRASHES, MOST_LOSSES, trial_ms
 from .worker_choice import DOUBT_PENALTY, REMOTE_PENALTY
-from .worker_losses import MOST_CRASHES, MOST_LOSSES, trial_ms
 
 __all__ = ["APART_AFTER", "Trials"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -1,6 +1,7 @@
 """What a cell knows of jobs, runs and workers while they live."""
 
 from .account_usage import AccountUsage
+from .advice_slots import LONG_CALL_MS, AdviceSlots
 from .job import Job, JobState
 from .loss import SOON_MS, Loss, are_alike
 from .run import Run, RunState
@@ -12,8 +13,10 @@
 
 __all__ = [
     "AccountUsage",
+    "AdviceSlots",
     "Job",
     "JobState",
+    "LONG_CALL_MS",
     "Loss",
     "Run",
     "RunState",
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -6,9 +6,9 @@
 from attrs import evolve
 
 from thymefork_cells import Cell, effects as fx, encode_spec
-from thymefork_cells.advice_slots import AdviceSlots
-from thymefork_cells.looks import LEASE_MS
 from thymefork_cells.specs import Bounds
+from thymefork_cells.state.advice_slots import AdviceSlots
+from thymefork_cells.workers.looks import LEASE_MS
 
 from .machine_faults import MachineFaults
 from .order_carrier import OrderCarrier
--- a/packages/thymefork-cells/src/thymefork_cells/tests/order_carrier.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/order_carrier.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from thymefork_cells import OrderAnswer, Refusal, effects as fx
-from thymefork_cells.looks import LEASE_MS
+from thymefork_cells.workers.looks import LEASE_MS
 
 __all__ = ["OrderCarrier"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_accounts.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 
 from thymefork_cells import effects as fx
-from thymefork_cells.quotas import MOST_IN_VIEW
+from thymefork_cells.accounts.quotas import MOST_IN_VIEW
 from thymefork_cells.specs import AccountPolicy, RoomLimit
 
 from .harness import job_spec
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_at_size.py
@@ -9,7 +9,7 @@
 
 import pytest
 
-from thymefork_cells.advice_choice import AllowedShares, choose_workers
+from thymefork_cells.advice.choice import AllowedShares, choose_workers
 from thymefork_cells.specs import WorkerEntry
 from thymefork_cells.state import Job, Worker
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_backlog.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_advice_backlog.py
@@ -11,7 +11,7 @@
 
 from attrs import evolve
 
-from thymefork_cells.advice_slots import AdviceSlots
+from thymefork_cells.state.advice_slots import AdviceSlots
 
 from .harness import job_spec
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crashes_at_random.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crashes_at_random.py
@@ -6,7 +6,7 @@
 
 from thymefork_cells.effects import StartRun
 from thymefork_cells.state import JobState
-from thymefork_cells.worker_losses import MOST_LOSSES
+from thymefork_cells.workers.worker_losses import MOST_LOSSES
 
 from .harness import Harness, job_spec
 from .test_trials import THREE_HALLS, crash_by, reachable, set_work_ms
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_restarts_under_an_id.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_restarts_under_an_id.py
@@ -30,7 +30,7 @@
 
 from thymefork_cells.effects import LookAt, StartRun, StopRun
 from thymefork_cells.state import JobState
-from thymefork_cells.worker_losses import MOST_CRASHES
+from thymefork_cells.workers.worker_losses import MOST_CRASHES
 
 from .harness import job_spec
 from .run_rules import longest_absence_ms, twice_run
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_stored_lives.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_stored_lives.py
@@ -2,7 +2,7 @@
 
 import orjson
 
-from thymefork_cells.codec import decode_progress, encode_progress
+from thymefork_cells.jobs.codec import decode_progress, encode_progress
 from thymefork_cells.state import JobState, Loss
 
 from .harness import EPOCH_MS, job_spec
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_trials.py
@@ -4,7 +4,7 @@
 
 from thymefork_cells import OrderAnswer, Refusal
 from thymefork_cells.state import JobState, Loss
-from thymefork_cells.worker_losses import SHORTEST_TRIAL_MS, SOUND_MS
+from thymefork_cells.workers.worker_losses import SHORTEST_TRIAL_MS, SOUND_MS
 
 from .harness import job_spec
 
--- a/packages/thymefork-cells/src/thymefork_cells/listings.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/listings.py
@@ -1,7 +1,7 @@
 """What a worker lists: runs, ends, and runs that are not there."""
 
-from .effects import StopRun, StrayRun
-from .state import RunState
+from ..effects import StopRun, StrayRun
+from ..state import RunState
 
 __all__ = ["DOUBT_REASON", "Listings"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/lives.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
@@ -10,8 +10,8 @@
 
 from attrs import evolve
 
+from ..state import Run, RunState, Worker
 from .quorum import lease_span_ms
-from .state import Run, RunState, Worker
 
 __all__ = ["LifeVerdict", "Lives"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/looks.py
@@ -1,6 +1,6 @@
 """When to ask a worker what it runs, and what its answer, or silence, means."""
 
-from .effects import EndsStored, LookAt
+from ..effects import EndsStored, LookAt
 from .listings import Listings
 
 __all__ = ["Looks"]
--- a/packages/thymefork-cells/src/thymefork_cells/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
@@ -4,9 +4,9 @@
 
 from attrs import frozen
 
-from .effects import StopRun
+from ..effects import StopRun
+from ..state import RunState
 from .listings import DOUBT_REASON
-from .state import RunState
 
 __all__ = ["OrderAnswer", "Orders", "Refusal"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/pacing.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/pacing.py
@@ -1,8 +1,8 @@
 """Holding back tasks that fill idle processors while they disturb others."""
 
-from .effects import PaceRun
+from ..effects import PaceRun
+from ..state import RunState
 from .orders import Refusal
-from .state import RunState
 
 __all__ = ["Pacing"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/roster.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/roster.py
@@ -1,10 +1,10 @@
 """The cell's workers: who is listed, who leaves, whose life is over."""
 
-from .hashing import cell_of
+from ..hashing import cell_of
+from ..specs import WorkerEntry
+from ..state import Worker
 from .lives import LifeVerdict
 from .looks import MISSES_TO_SUSPECT
-from .specs import WorkerEntry
-from .state import Worker
 
 __all__ = ["Roster"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
@@ -1,6 +1,6 @@
 """Runs that stand still or whose worker is slow."""
 
-from .state import RunState
+from ..state import RunState
 
 __all__ = ["Watch"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -8,7 +8,7 @@
 
 from attrs import evolve
 
-from .state import JobState, Loss, are_alike
+from ..state import JobState, Loss, are_alike
 
 __all__ = ["MOST_CRASHES", "MOST_LOSSES", "SOUND_MS", "WorkerLosses", "trial_ms"]
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -7,7 +7,7 @@
 from attrs import define
 
 from thymefork_cells import LONG_CALL_MS, AdviceSlots
-from thymefork_cells.advice_desk import PRIORITY_STEP_MS
+from thymefork_cells.advice.desk import PRIORITY_STEP_MS
 from thymefork_net import steady_ms
 from thymefork_net.peers import AdviceRequest
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/order_sender.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from thymefork_cells import Refusal, effects as fx
-from thymefork_cells.looks import LEASE_MS
+from thymefork_cells.workers.looks import LEASE_MS
 from thymefork_net import steady_ms
 
 __all__ = ["OrderSender"]
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/ownership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/ownership.py
@@ -1,6 +1,6 @@
 """How certain it is that a cell is still owned here."""
 
-from thymefork_cells.quorum import OUTAGE_GRACE_MS
+from thymefork_cells.workers.quorum import OUTAGE_GRACE_MS
 
 __all__ = ["Ownership"]
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -1,7 +1,7 @@
 """Callers' requests at the owner of their cell."""
 
 from thymefork_cells import effects as fx
-from thymefork_cells.intake import STORE_AWAY_RETRY_MS
+from thymefork_cells.jobs.intake import STORE_AWAY_RETRY_MS
 from thymefork_net import steady_ms
 
 __all__ = ["RequestHandler"]
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pump.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from thymefork_cells.journal import Batch
+from thymefork_cells.jobs.journal import Batch
 from thymefork_daemon.owner import append_pump
 from thymefork_daemon.owner.append_pump import AppendPump
 from thymefork_daemon.owner.cell_partition import CellPartition
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from thymefork_cells import HeardEnd
-from thymefork_cells.codec import encode_progress, store_job
+from thymefork_cells.jobs.codec import encode_progress, store_job
 from thymefork_cells.specs import (
     Bounds,
     Configuration,
