Let the soak draw workers of unlike speed and instances of unlike size

Cause: all workers and instances of the soak were alike, so what decides by speed or by an instance's size was never played among faults.

Ruled out: drawing them for all seeds; the seeds that once failed would then be other cases. It is a switch (--uneven), and off for the seeds that stand.

--- a/soak/src/thymefork_soak/fleet.py
+++ b/soak/src/thymefork_soak/fleet.py
@@ -10,6 +10,7 @@
 from pathlib import Path
 
 from .proxy import Proxy
+from .unevenness import EVEN, instance_sizes, worker_speeds
 
 __all__ = ["Daemon", "Fleet"]
 
@@ -50,9 +51,10 @@
 class Daemon:
     """Own one daemon's process, settings, log and proxy."""
 
-    def __init__(self, *, number, folder, platform_host):
+    def __init__(self, *, number, folder, platform_host, size=EVEN):
         self.host = f"{platform_host.rpartition('.')[0]}.{number + 2}"
         self._platform_host = platform_host
+        self._size = size
         self.name = f"entry-{number}"
         self.process = None
         self.stopped = False
@@ -75,8 +77,7 @@
             "port_range": f"{PEERS},{PEERS + 15}",
             "platform.address": f"{self.host}:{PROXY}",
             "advice": f"{self._platform_host}:{ADVICE}",
-            "limits.cpu_share": "1",
-            "limits.cores": "1",
+            **self._size.settings(),
         }
         lines = [f"{name}={value}" for name, value in fields.items()]
         self._settings.write_text("\n".join(lines) + "\n")
@@ -124,21 +125,24 @@
 class Fleet:
     """Start everything, steer the platform, and end everything by its id."""
 
-    def __init__(self, *, instances, workers, seed, folder, accounts=None):
+    def __init__(
+        self, *, instances, workers, seed, folder, accounts=None, is_uneven=False
+    ):
         self.accounts = accounts
         self._version = 0
         self._host = loopback_host(seed, os.getpid())
+        sizes = instance_sizes(instances, seed) if is_uneven else [EVEN] * instances
         self.daemons = [
-            Daemon(number=number, folder=folder, platform_host=self._host)
-            for number in range(instances)
+            Daemon(number=number, folder=folder, platform_host=self._host, size=size)
+            for number, size in enumerate(sizes)
         ]
-        self._workers = workers
+        self._speeds = worker_speeds(workers, seed) if is_uneven else [1.0] * workers
         self._seed = seed
         self._platform = None
 
     async def start(self):
         """Start the stand-in, then the daemons."""
-        arguments = (self._host, FIRST_PORT, self._workers, self._seed)
+        arguments = (self._host, FIRST_PORT, self._seed, *self._speeds)
         self._platform = subprocess.Popen(
             [sys.executable, "-m", "thymefork_soak.standin.process"]
             + [str(argument) for argument in arguments]
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -40,7 +40,14 @@
 
 
 async def soak(
-    seed, seconds, instances, folder, *, with_accounts=True, with_rolls=False
+    seed,
+    seconds,
+    instances,
+    folder,
+    *,
+    with_accounts=True,
+    with_rolls=False,
+    is_uneven=False,
 ):
     """Run one soak; return what it broke, and a line on what it saw."""
     rng = random.Random(seed)
@@ -50,6 +57,7 @@
         seed=seed,
         folder=folder,
         accounts=Accounts() if with_accounts else None,
+        is_uneven=is_uneven,
     )
     began_s = time.monotonic()
 
@@ -175,10 +183,15 @@
     seconds: Annotated[float, typer.Option(help="How long faults come.")] = 20.0,
     instances: Annotated[int, typer.Option(help="How many daemons.")] = 3,
     rolls: Annotated[bool, typer.Option(help="Roll instances in outages.")] = True,
+    uneven: Annotated[
+        bool, typer.Option(help="Workers and instances of unlike size.")
+    ] = False,
 ):
     """Run the daemons among faults and print one verdict line."""
     folder = Path(tempfile.mkdtemp(prefix="thymefork-soak-"))
-    broken, seen = asyncio.run(soak(seed, seconds, instances, folder, with_rolls=rolls))
+    broken, seen = asyncio.run(
+        soak(seed, seconds, instances, folder, with_rolls=rolls, is_uneven=uneven)
+    )
     for line in broken[:20]:
         typer.echo(line)
     word = "broken" if broken else "kept"
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -30,7 +30,7 @@
 class Platform:
     """Hold the stand-ins and carry out what the soak asks for."""
 
-    def __init__(self, *, loop, host, first_port, workers, seed):
+    def __init__(self, *, loop, host, first_port, speeds, seed):
         self._loop = loop
         self._ledger = Ledger()
         self._random = random.Random(f"{seed} relist")
@@ -53,8 +53,9 @@
                 cpu_milli=8_000,
                 seed=seed + number,
                 random=random.Random(seed * 1_000 + number),
+                speed=speed,
             )
-            for number in range(workers)
+            for number, speed in enumerate(speeds)
         ]
         self._listed = {}
         self._told = {}
@@ -177,10 +178,11 @@
 
 
 def main():
-    """Serve until killed: HOST FIRST_PORT WORKERS SEED."""
-    host, first_port, workers, seed = sys.argv[1], *map(int, sys.argv[2:5])
+    """Serve until killed: HOST FIRST_PORT SEED, and a speed for each worker."""
+    host, first_port, seed = sys.argv[1], int(sys.argv[2]), int(sys.argv[3])
+    speeds = [float(text) for text in sys.argv[4:]]
     loop = Loop()
-    Platform(loop=loop, host=host, first_port=first_port, workers=workers, seed=seed)
+    Platform(loop=loop, host=host, first_port=first_port, speeds=speeds, seed=seed)
     loop.run()
 
 
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -58,9 +58,21 @@
     """Run tasks under leases by its own clock, and list what runs and has ended."""
 
     def __init__(
-        self, *, loop, host, port, name, life, ledger, cpu_milli, seed, random
+        self,
+        *,
+        loop,
+        host,
+        port,
+        name,
+        life,
+        ledger,
+        cpu_milli,
+        seed,
+        random,
+        speed=1.0,
     ):
         self.name = name
+        self._speed = speed
         self._id_number = life
         self._id_random = random_module.Random(f"{seed} {name} ids")
         self.born_epoch_ms = 0
@@ -260,6 +272,7 @@
 
     def _ending(self, step):
         works_ms = self._random.uniform(0.2, 1.8) * step["estimated_ms"]
+        works_ms /= self._speed
         return works_ms, "failed" if self._random.random() < 0.02 else "done"
 
     def _lasting(self):
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -40,6 +40,13 @@
     assert not broken, (broken, seen, tmp_path)
 
 
+def test_promises_are_kept_by_instances_and_workers_of_unlike_size(tmp_path):
+    broken, seen = asyncio.run(
+        soak(9301, 15.0, 5, tmp_path, with_rolls=True, is_uneven=True)
+    )
+    assert not broken, (broken, seen, tmp_path)
+
+
 def test_soaks_with_like_seeds_have_addresses_of_their_own():
     """From seeds 101 and 9101, played at once: an address was in use already."""
     assert loopback_host(101, 4_000) != loopback_host(9_101, 4_001)
