--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -4,17 +4,16 @@
 import time
 
 import orjson
-from attrs import define, field
 
 from thymefork_net import steady_ms
 
 from .http_face import Face, Faults
+from .worker_run import Waiter, WorkerRun
 
 __all__ = ["Worker"]
 
 TICK_MS = 10.0
-# Tasks that last are at work after this time, and a few fail within the longest one.
-LASTING_BEGIN_MS = 200.0
+# A few tasks that last fail within the longest time.
 LASTING_FAIL_SHARE = 0.1
 LASTING_FAIL_MS = 8_000.0
 # A room that has shrunk counts after the time of contact and a heartbeat.
@@ -28,32 +27,6 @@
 MAX_HOLD_MS = 10_000.0
 
 
-@define(kw_only=True)
-class _Run:
-    task: str
-    run_id: int
-    cpu_milli: int
-    began_ms: float
-    ends_ms: float
-    how: str
-    lasting: bool = False
-
-    def percent(self, now_ms):
-        """Return the progress, as a worker tells it."""
-        if self.lasting:
-            return 100 if now_ms > self.began_ms + LASTING_BEGIN_MS else 0
-        share = (now_ms - self.began_ms) / max(1.0, self.ends_ms - self.began_ms)
-        return min(99, int(100 * share))
-
-
-@define(kw_only=True, eq=False)
-class _Waiter:
-    answer: object
-    until_ms: float
-    last_seen: int
-    answered: bool = field(default=False)
-
-
 class Worker:
     """Run tasks under leases by its own clock, and list what runs and has ended."""
 
@@ -254,7 +227,7 @@
         now_ms = steady_ms()
         lasting = step.get("long_running", False)
         works_ms, how = self._lasting() if lasting else self._ending(step)
-        self._running[key] = _Run(
+        self._running[key] = WorkerRun(
             task=task,
             run_id=run_id,
             cpu_milli=step["cpu"],
@@ -299,7 +272,7 @@
         if self._ended or not body.get("wait_ms"):
             answer(200, self._listing())
             return
-        waiter = _Waiter(
+        waiter = Waiter(
             answer=answer,
             until_ms=now_ms + body["wait_ms"],
             last_seen=body["last_seen"],
