Count jobs as waiting until a worker has told of a run of them

Cause: a job left the count with the decision to start a task, before its intent was stored, the start was sent or a worker took it. Under an owner whose appends take long, or whose starts get lost, jobs wait for seconds in between.

Ruled out: counting by the state that callers see; it turns to running at that moment, too, and a job whose only run was refused stays running.

Change: a job counts as begun once a worker has confirmed, listed or ended a run of it; a new owner knows that of stored ends, and hears the rest from the workers.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -164,12 +164,15 @@
         for index in indices:
             step.tasks[index].done = True
         step.left = len(step.tasks) - len(indices)
+        job.has_run = job.has_run or bool(indices) or step.gang_failures > 0
         for index, *row in tasks:
             _load_task(step.tasks[index], row, worker_of)
 
 
 def _load_task(task, row, worker_of):
     task.run_count, task.failures, task.checkpoint, runs, *more = row
+    if task.failures or task.checkpoint:
+        task.step.job.has_run = True
     losses = more[0] if more else []
     births = iter(more[1] if len(more) > 1 else [0] * (len(runs) + len(losses)))
     for run_id, worker_id in runs:
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
@@ -155,9 +155,8 @@
             1
             for job in self._context.live_jobs.values()
             if job.queue_name == queue_name
-            and job.state is JobState.QUEUED
             and job.shown_state is not None
-            and not job.has_begun
+            and not job.has_run
         )
         self._lifecycle.reply(request_id, Outcome.COUNTED, count=count)
 
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -30,6 +30,7 @@
         """Apply an end that a worker has listed."""
         task, step, worker = run.task, run.task.step, run.worker
         job = step.job
+        job.has_run = True
         if checkpoint:
             task.checkpoint = checkpoint
         self.release(run, now_ms=now_ms)
@@ -61,6 +62,7 @@
         if task is None or task.done or task.step.spec.long_running:
             return
         job = task.step.job
+        job.has_run = True
         if how == "done":
             self._complete(task, run_id, now_ms)
             self._finish_if_done(job, now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -32,7 +32,8 @@
 
     `state` is what was decided, `shown_state` what is stored and so may be told.
     `usage` is what all jobs of its client account hold; `is_beyond_share` tells that
-    the account had sent more than its share when the job came.
+    the account had sent more than its share when the job came; `has_run` that a worker
+    has told of a run of it.
     Units: `*_ms` on the steady clock.
     """
 
@@ -43,6 +44,7 @@
     account_name: str = ""
     usage: AccountUsage = field(factory=AccountUsage)
     is_beyond_share: bool = False
+    has_run: bool = False
     first_start_ms: float = 0.0
     objective_ms: float = 0.0
     state: JobState = JobState.QUEUED
@@ -113,7 +115,7 @@
 
     @property
     def has_begun(self):
-        """Tell whether any task was ever started."""
+        """Tell whether a start of any task was ever decided."""
         return any(task.run_count for step in self.steps for task in step.tasks)
 
     @property
--- a/packages/thymefork-cells/src/thymefork_cells/workers/listings.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/listings.py
@@ -107,6 +107,7 @@
     def _take_in(self, run):
         """Note that a run is on its worker; maybe begun late on a new life."""
         run.state = RunState.LIVE
+        run.task.step.job.has_run = True
         if run.is_of_earlier_life:
             run.born_epoch_ms = run.worker.born_epoch_ms
             run.is_carried_over = False
--- a/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
@@ -121,6 +121,7 @@
         run.confirmed_clock_ms = answer.clock_ms
         if run.state is RunState.SENT:
             run.state = RunState.LIVE
+            run.task.step.job.has_run = True
             run.percent_changed_ms = now_ms
         self._looks.want(run.worker, now_ms)
 
