--- a/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
@@ -109,6 +109,9 @@
             policy = self.policy(step)
             if not self._may_be_called(policy.decision_ms):
                 continue
+            if self._context.delays_early_advice and not step.ready:
+                self._context.count("owner_shed", "early_advice")
+                continue
             self._forget_denials(step, now_ms)
             wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
             wanted = min(wanted, max(may_start, FEW_TASKS))
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -22,7 +22,8 @@
     as keys in their order, the runs that a worker still has to be told to stop.
     `advice_slots` tells how many calls for advice may be made now, None for any number.
     `workers_known_ms` is since when at the latest the list of workers may have changed
-    unseen. Units: `*_ms` on the steady clock.
+    unseen. `delays_*` say what an overloaded owner puts off. Units: `*_ms` on the
+    steady clock.
     """
 
     cell: int
@@ -42,6 +43,8 @@
     store_is_away: bool = False
     advice_slots: AdviceSlots | None = None
     workers_known_ms: float = float("inf")
+    delays_idle_looks: bool = False
+    delays_early_advice: bool = False
 
     def is_list_stale(self, now_ms):
         """Tell whether the list of workers is too old to start work by.
--- a/packages/thymefork-cells/src/thymefork_cells/workers/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/looks.py
@@ -123,6 +123,8 @@
             return True
         if worker.doubted_ms > worker.last_answer_ms or self._context.store_is_away:
             return True
+        if self._context.delays_idle_looks:
+            return False  # it keeps its ends until it is told that they are stored
         return worker.stored_end > worker.told_end
 
     def _look_quickly(self, worker, now_ms):
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
@@ -0,0 +1,19 @@
+"""How well an instance can own cells, and how much its cells ask of it now."""
+
+from .handover_rule import HandoverRule
+from .member_word import MemberWord
+from .owner_load import OwnerLoad, Pressure
+from .owning_capacity import OwningCapacity
+from .shedding import Sheddable, Shedding
+from .tier import Tier
+
+__all__ = [
+    "HandoverRule",
+    "MemberWord",
+    "OwnerLoad",
+    "OwningCapacity",
+    "Pressure",
+    "Sheddable",
+    "Shedding",
+    "Tier",
+]
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_rule.py
@@ -0,0 +1,138 @@
+"""When an instance gives its cells to a member that is better placed."""
+
+from .tier import Tier
+
+__all__ = ["HandoverRule"]
+
+# A member that comes back has joined, has links and knows the store by then.
+SETTLED_MS = 1_000.0
+# Others of a lower rank would be dealt the cell; they leave first, or have this long.
+OTHERS_LEAVE_MS = 2_000.0
+# An owner is overloaded for good, not by one burst, after this long.
+DROWNED_MS = 1_500.0
+# A takeover is a load of its own, which is over by then.
+LEAST_HELD_MS = 5_000.0
+# A member that takes a cell from an overloaded one has at least this much less to do.
+LESS_LOAD = 0.5
+# After a handover the next one by this instance is this far off, then twice as far.
+FIRST_PAUSE_MS = 5_000.0
+MOST_PAUSE_MS = 60_000.0
+# An instance that had no cause for so long begins anew with the shortest pause.
+FORGET_MS = 120_000.0
+
+
+class HandoverRule:
+    """Decide on leaving the group; `pause_ms` grows with each time in a row.
+
+    One takeover costs callers some tenths of a second; a bad owner costs as long as it
+    is owner, and one that comes and goes costs a takeover each time.
+    """
+
+    def __init__(self, *, tier):
+        self._tier = tier
+        self._pause_ms = 0.0
+        self._left_ms = float("-inf")
+        self._well_since_ms = None
+        self._better_since_ms = None
+        self._drowned_since_ms = None
+        self._owns_since_ms = None
+
+    @property
+    def rest_until_ms(self):
+        """Return until when an instance that handed over better stays out."""
+        return self._left_ms + self._pause_ms
+
+    def on_left(self, now_ms):
+        """Take note that the cells were handed over."""
+        if now_ms - self._left_ms > FORGET_MS:
+            self._pause_ms = 0.0
+        self._pause_ms = min(MOST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
+        self._left_ms = now_ms
+
+    def reason(self, now_ms, *, owns, is_well, load, words):
+        """Return why to leave the group now, or None; called often by a member.
+
+        `is_well` tells that the store answers and nothing here is half done.
+        """
+        self._follow(now_ms, owns=owns, is_well=is_well, load=load)
+        better = self._better_is_well(now_ms, words, owns=owns)
+        self._better_since_ms = _since(self._better_since_ms, better, now_ms)
+        if self._well_since_ms is None or now_ms - self._well_since_ms < SETTLED_MS:
+            return None
+        if better and self._may_step_back(now_ms, words, owns=owns):
+            return "better_tier"
+        if owns and self._is_drowned(now_ms) and self._has_relief(now_ms, load, words):
+            return "overload"
+        return None
+
+    def best_tier(self, now_ms, words):
+        """Return the best rank among members that are well, as far as was heard."""
+        tiers = [
+            word.tier
+            for word in words
+            if word.tier is not None and word.is_well_for(SETTLED_MS, now_ms)
+        ]
+        return max(tiers, default=None)
+
+    def _follow(self, now_ms, *, owns, is_well, load):
+        self._well_since_ms = _since(self._well_since_ms, is_well, now_ms)
+        self._owns_since_ms = _since(self._owns_since_ms, owns, now_ms)
+        drowned = owns and load.is_drowned
+        self._drowned_since_ms = _since(self._drowned_since_ms, drowned, now_ms)
+
+    def _better_is_well(self, now_ms, words, *, owns):
+        """Tell whether a better member can own, by its own word or by an owner's."""
+        best = self.best_tier(now_ms, words)
+        if best is not None and best > self._tier:
+            return True
+        if owns or self._tier == Tier.FULL:
+            return False
+        return any(
+            word.owns
+            and word.is_fresh(now_ms)
+            and word.best_tier is not None
+            and word.best_tier > self._tier
+            for word in words
+        )
+
+    def _may_step_back(self, now_ms, words, *, owns):
+        if not owns:
+            return True
+        if now_ms - self._better_since_ms < self._pause_ms_left(now_ms):
+            return False
+        others = any(
+            word.in_group
+            and word.tier is not None
+            and word.tier <= self._tier
+            and word.is_fresh(now_ms)
+            for word in words
+        )
+        return not others or now_ms - self._better_since_ms > OTHERS_LEAVE_MS
+
+    def _pause_ms_left(self, now_ms):
+        """Return for how long better members have to stay before the next handover."""
+        return 0.0 if now_ms - self._left_ms > FORGET_MS else self._pause_ms
+
+    def _is_drowned(self, now_ms):
+        if self._drowned_since_ms is None or now_ms < self.rest_until_ms:
+            return False
+        if now_ms - self._owns_since_ms < LEAST_HELD_MS:
+            return False
+        return now_ms - self._drowned_since_ms >= DROWNED_MS
+
+    def _has_relief(self, now_ms, load, words):
+        return any(
+            word.tier is not None
+            and word.tier >= self._tier
+            and not word.owns
+            and word.load_percent <= load.percent * LESS_LOAD
+            and word.is_well_for(SETTLED_MS, now_ms)
+            for word in words
+        )
+
+
+def _since(since_ms, holds, now_ms):
+    """Return since when something holds, None if it does not."""
+    if not holds:
+        return None
+    return now_ms if since_ms is None else since_ms
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_word.py
@@ -0,0 +1,38 @@
+"""What an instance last said of itself as a member of the group."""
+
+from attrs import define
+
+from .tier import Tier
+
+__all__ = ["MemberWord"]
+
+# Two heartbeats and some; what was said before may not hold any more.
+FRESH_MS = 650.0
+
+
+@define(kw_only=True)
+class MemberWord:
+    """Hold a peer's last heartbeat as far as it bears on who should own cells.
+
+    `best_tier` is the best rank that the sender knows among members that are well;
+    `well_since_ms` is since when each heartbeat has said that it can own, else None.
+    """
+
+    tier: Tier | None
+    best_tier: Tier | None
+    load_percent: int
+    in_group: bool
+    can_own: bool
+    owns: bool
+    heard_ms: float
+    well_since_ms: float | None
+
+    def is_fresh(self, now_ms):
+        """Tell whether it was said a moment ago."""
+        return now_ms - self.heard_ms < FRESH_MS
+
+    def is_well_for(self, span_ms, now_ms):
+        """Tell whether the peer has been able to own for a while, and is now."""
+        if self.well_since_ms is None or not self.is_fresh(now_ms):
+            return False
+        return now_ms - self.well_since_ms >= span_ms
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/tier.py
@@ -0,0 +1,18 @@
+"""The ranks of instances as owners of cells."""
+
+from enum import IntEnum
+
+__all__ = ["Tier"]
+
+
+class Tier(IntEnum):
+    """Rank instances by what they can hold; the numbers are sent to peers."""
+
+    LEAST = 1
+    PARTIAL = 2
+    FULL = 3
+
+    @classmethod
+    def read(cls, number):
+        """Return the tier that a peer told, or None if it told none that is known."""
+        return cls(number) if number in cls._value2member_map_ else None
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -13,21 +13,24 @@
 from thymefork_net.http import HttpPool, HttpServer
 from thymefork_net.peers import Links
 
+from .capacity import OwningCapacity
 from .configuration_watch import ConfigurationWatch
 from .front import Front
 from .gateway import Gateway
+from .handover import Handover
 from .heard_ends import HeardEnds
-from .layout import Layout
+from .layout import WORKERS_PER_CELL, Layout
 from .membership import Membership
 from .operators_server import OperatorsServer
 from .owned_cells import OwnedCells
 from .owner_directory import OwnerDirectory
 from .owner_first import OwnerFirst
+from .owner_load_watch import OwnerLoadWatch
 from .peer_desk import PeerDesk
 from .readiness import Readiness
 from .settings_watch import SettingsWatch
 from .shutdown import Shutdown
-from .standby import LARGE_CORES, Standby
+from .standby import Standby
 from .telling import Metrics
 from .worker_list_watch import WorkerListWatch
 
@@ -60,6 +63,7 @@
             timers=self.timers,
             on_change=self.owned_cells.on_settings,
         )
+        self.capacity = _capacity(settings)
         self._shutdown = Shutdown(daemon=self)
         self.sockets = Sockets().register(self)
         self.metrics = Metrics()
@@ -74,6 +78,8 @@
             address=settings.peer,
             listener=self.peers,
         )
+        self.owner_load = OwnerLoadWatch(daemon=self, link_mbps=settings.link_mbps)
+        self.handover = Handover(daemon=self, tier=self.capacity.tier)
         self.readiness = Readiness(daemon=self)
         self.gateway = Gateway(daemon=self)
         self.front = Front(daemon=self)
@@ -126,8 +132,8 @@
             timers=self.timers,
             most_cells=self.settings.store.partitions,
             worker_list=self.worker_list,
-            is_large=self._is_large,
-            on_known=self.owned_cells.update,
+            tier=self.capacity.tier,
+            on_known=self._on_layout,
         )
         self.membership = Membership(
             store=self.store,
@@ -145,11 +151,14 @@
             on_change=self._on_owners,
             on_removed=self.membership.hurry,
         )
-        self._standby = Standby(
+        self.standby = Standby(
             timers=self.timers,
             membership=self.membership,
             directory=self.directory,
             layout=self.layout,
+            tier=self.capacity.tier,
+            owner_tier=lambda: self.peers.members_heard.owner_tier(),
+            rest_until_ms=lambda: self.handover.rest_until_ms,
         )
 
     @property
@@ -157,11 +166,6 @@
         """Return the settings in force."""
         return self._settings_watch.current
 
-    @property
-    def _is_large(self):
-        """Tell whether this instance can own cells beside its callers."""
-        return self.settings.speed_cores >= LARGE_CORES
-
     @property
     def configuration(self):
         """Return the configuration in force, or None before it was read."""
@@ -191,17 +195,16 @@
 
     @handler("started", channel="*")
     def _on_started(self, manager):
-        logger.bind(event="started", life=self._life).info("started")
+        line = logger.bind(event="started", life=self._life)
+        line = line.bind(tier=self.capacity.tier.name, lacks=self.capacity.lacks)
+        line.info("started")
         if self.settings.orders_by_heartbeat:
             line = logger.bind(event="not_supported", setting="orders")
             line.error("workers take no calls here, so nothing can be run")
         self._configuration_watch.start()
         self.directory.refresh()
         self.layout.start()
-        if self._is_large:
-            self.membership.start()
-        else:
-            self._standby.start()
+        self.standby.start()
 
     @handler("signal", channel="*", priority=100)
     def _on_signal(self, event, number, *args):
@@ -222,6 +225,10 @@
             self._log_writer.write_waiting()
             self.stop()
 
+    def _on_layout(self):
+        self.owned_cells.update()
+        self.standby.check()
+
     def _on_owners(self):
         """Have this instance's previous lives, certainly over, removed until out."""
         if not self._own_past_is_told:
@@ -234,3 +241,13 @@
 
     def _on_ready_request(self, request):
         request.answer(200 if self.readiness.check() else 503)
+
+
+def _capacity(settings):
+    """Return how well an instance with these settings can own a cell."""
+    return OwningCapacity(
+        cores=settings.speed_cores,
+        link_mbps=settings.link_mbps,
+        memory_mb=settings.memory_mb,
+        cell_workers=WORKERS_PER_CELL,
+    )
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -6,12 +6,16 @@
 from thymefork_machines.store import AppendOutcome
 from thymefork_net import steady_ms
 
-__all__ = ["Layout"]
+from .capacity import Tier
+
+__all__ = ["WORKERS_PER_CELL", "Layout"]
 
 TOPIC = "keyed.layout"
 CELLS_KEY = "cells"
-# Says that large instances take part, whom small ones wait for after a loss of all.
+# Says that instances above the least rank take part; each rank has a key of its own
+# beside it, so that others know whom to wait for after a loss of all.
 LARGE_KEY = "large"
+TIER_KEYS = {Tier.PARTIAL: "partial", Tier.FULL: "full"}
 # One Python process decides for as many (docs/CAPACITY.md). Wide steps want as many
 # workers in one cell as that allows: a policy's few workers, with a bound a worker, may
 # not be found in a smaller one.
@@ -24,13 +28,13 @@
 class Layout:
     """Read the number of cells, or be the one instance that writes it.
 
-    `has_large` tells whether a large instance has ever been there.
+    `tiers` are the ranks of which an instance has ever been there.
     """
 
-    def __init__(self, *, store, timers, most_cells, worker_list, is_large, on_known):
+    def __init__(self, *, store, timers, most_cells, worker_list, tier, on_known):
         self.cells = 0
-        self.has_large = is_large
-        self._is_large = is_large
+        self.tiers = {Tier.LEAST, tier}
+        self._tier = tier
         self._store = store
         self._timers = timers
         self._most_cells = most_cells
@@ -48,6 +52,11 @@
         """
         return self._most_cells - 1 - cell * self._most_cells // max(1, self.cells)
 
+    @property
+    def best_tier(self):
+        """Return the best rank of which an instance has ever been there."""
+        return max(self.tiers)
+
     def start(self):
         """Look for the agreed number."""
         self._store.newest(topic=TOPIC, on_result=self._on_newest)
@@ -60,10 +69,10 @@
             self._again()
             return
         values = {record.key: record.value for record in result.records}
-        if self._is_large and not values.get(LARGE_KEY):
-            self._announce_large()
+        if not all(values.get(key) for key in self._own_keys()):
+            self._announce_tier()
             return
-        self.has_large = bool(values.get(LARGE_KEY))
+        self._read_tiers(values)
         if values.get(CELLS_KEY):
             self._read_cells(values[CELLS_KEY])
             return
@@ -90,12 +99,24 @@
         line.error("the number of cells can't be read")
         self._again()
 
-    def _announce_large(self):
-        """Write, once for the life of the system, that large instances take part."""
+    def _own_keys(self):
+        """Return the keys that say that instances of this one's rank take part."""
+        own_key = TIER_KEYS.get(self._tier)
+        return [LARGE_KEY, own_key] if own_key else []
+
+    def _read_tiers(self, values):
+        """Take the ranks; who wrote before there were any wrote the first key alone."""
+        told = {tier for tier, key in TIER_KEYS.items() if values.get(key)}
+        if values.get(LARGE_KEY) and not told:
+            told = {Tier.PARTIAL}
+        self.tiers = {Tier.LEAST, self._tier, *told}
+
+    def _announce_tier(self):
+        """Write, once for the life of the system, that this rank takes part."""
         self._store.append(
             topic=TOPIC,
             partition=0,
-            records=[(LARGE_KEY, b"true")],
+            records=[(key, b"true") for key in self._own_keys()],
             on_result=lambda result: self._again(),
         )
 
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
@@ -0,0 +1,56 @@
+"""What the instances that are heard say of themselves as members of the group."""
+
+from thymefork_net import steady_ms
+
+from .capacity import MemberWord, Tier
+
+__all__ = ["MembersHeard"]
+
+
+class MembersHeard:
+    """Keep each peer's last word, by its address."""
+
+    def __init__(self):
+        self._words = {}
+
+    @property
+    def words(self):
+        """Return the last word of each peer that has a link to this instance."""
+        return list(self._words.values())
+
+    def on_heartbeat(self, address, message):
+        """Take a peer's word; one from before there were ranks tells none."""
+        if address is None:
+            return  # a link whose Hello has not come
+        now_ms = steady_ms()
+        in_group = bool(message.in_group)
+        can_own = in_group and not message.store_lost and not message.leaving
+        before = self._words.get(address)
+        self._words[address] = MemberWord(
+            tier=Tier.read(message.tier),
+            best_tier=Tier.read(message.best_tier),
+            load_percent=message.load_percent or 0,
+            in_group=in_group,
+            can_own=can_own,
+            owns=bool(message.owned),
+            heard_ms=now_ms,
+            well_since_ms=_well_since(before, now_ms) if can_own else None,
+        )
+
+    def forget(self, address):
+        """Drop a peer whose link broke."""
+        self._words.pop(address, None)
+
+    def owner_tier(self):
+        """Return the best rank among owners that were heard lately, None if unknown."""
+        now_ms = steady_ms()
+        tiers = [
+            word.tier for word in self.words if word.owns and word.is_fresh(now_ms)
+        ]
+        return max(tiers) if tiers and None not in tiers else None
+
+
+def _well_since(before, now_ms):
+    if before is None or before.well_since_ms is None or not before.is_fresh(now_ms):
+        return now_ms
+    return before.well_since_ms
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -89,9 +89,19 @@
         self._answering = True
 
     def start(self):
-        """Join, and go on joining."""
+        """Join, and go on joining; after a leave, as a newcomer."""
+        self._timers.cancel(self._join_timer)
+        if self._left:
+            self._left = False
+            self.renewed_ms = self.valid_until_ms = self._joined_ms = 0.0
+            self._answered_ms = steady_ms()  # answers to joins of before are stale
         self._join()
 
+    @property
+    def round_trip_ms(self):
+        """Return how long the last answered join took."""
+        return self._round_trip_ms
+
     @property
     def in_group(self):
         """Tell whether this instance has joined and may be dealt cells."""
@@ -239,8 +249,14 @@
         self.epochs.pop(partition, None)
         self.hurry()
 
+    @property
+    def is_asking(self):
+        """Tell whether the newest join has no answer yet."""
+        return self._asked_ms > self._answered_ms
+
     def leave(self, on_done):
         """Give all cells back at once."""
         self._left = True
+        self._refused.update(self.epochs)
         self.epochs = {}
         self._store.leave(group=GROUP, member_id=self.member_id, on_done=on_done)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -53,6 +53,7 @@
             orders=OrderSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
             tell_ends=self._tell_members,
+            sheds=daemon.owner_load.shedding.sheds,
         )
 
     def _build_takeover(self):
@@ -193,6 +194,7 @@
             timers=self._daemon.timers,
             workers_known_ms=lambda: self._daemon.worker_list.known_ms,
             advice_slots=lambda: self._advisers.slots,
+            load_watch=self._daemon.owner_load,
         )
         self._requests = RequestHandler(
             intake=cell.intake,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -7,14 +7,27 @@
 from thymefork_cells import effects as fx
 from thymefork_net import steady_ms
 
+from ..capacity import Sheddable
+
 __all__ = ["EffectPerformer"]
 
+# What is amiss is always told.
+DISPENSABLE_LEVELS = frozenset({"DEBUG", "INFO"})
+
 
 class EffectPerformer:
     """Answer, log, count, ask and order as a cell's effects say."""
 
     def __init__(
-        self, *, cell_index, metrics, advisers, orders, on_ends_stored, tell_ends
+        self,
+        *,
+        cell_index,
+        metrics,
+        advisers,
+        orders,
+        on_ends_stored,
+        tell_ends,
+        sheds=lambda kind: False,
     ):
         self._cell_index = cell_index
         self._metrics = metrics
@@ -22,6 +35,7 @@
         self._orders = orders
         self._on_ends_stored = on_ends_stored
         self._tell_ends = tell_ends
+        self._sheds = sheds
 
     def perform(self, effects):
         """Carry effects out; one that fails holds up none of the others."""
@@ -42,6 +56,9 @@
 
     @_perform.register
     def _note(self, effect: fx.Note):
+        if effect.level in DISPENSABLE_LEVELS and self._sheds(Sheddable.LOG_LINES):
+            self._metrics.count("owner_shed", "log_lines")
+            return
         line = logger.bind(event=effect.event, cell=self._cell_index, **effect.fields)
         line.log(effect.level, effect.event)
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
@@ -2,6 +2,8 @@
 
 from thymefork_net import steady_ms
 
+from ..capacity import Sheddable
+
 __all__ = ["TurnLoop"]
 
 # After an append that the store turned away, the next one follows this soon.
@@ -24,7 +26,8 @@
 
     Performing an effect may lose the cell and so end the loop. `workers_known_ms()` is
     since when at the latest the list of workers may have changed unseen;
-    `advice_slots()` is how many calls for advice may be made now.
+    `advice_slots()` is how many calls for advice may be made now; `load_watch` takes
+    how late and long turns are, and tells what to put off.
     """
 
     def __init__(
@@ -37,6 +40,7 @@
         timers,
         workers_known_ms,
         advice_slots=lambda: None,
+        load_watch=None,
     ):
         self._cell = cell
         self._ownership = ownership
@@ -45,6 +49,8 @@
         self._timers = timers
         self._workers_known_ms = workers_known_ms
         self._advice_slots = advice_slots
+        self._load_watch = load_watch
+        self._sent_ms = 0.0
         self._ended = False
         self._turn_timer = 0
         self._turn_due_ms = 0.0
@@ -76,18 +82,26 @@
         if self._ended:
             return
         now_ms = steady_ms()
+        lag_ms = now_ms - self._turn_due_ms if self._turn_timer else 0.0
         self._turn_timer = 0
         try:
             due_ms = self._decide(now_ms)
         except Exception:
             self._schedule(now_ms + FAILED_TURN_AGAIN_MS)
             raise
+        if self._load_watch is not None:
+            busy_ms = steady_ms() - now_ms
+            self._load_watch.load.on_turn(lag_ms=lag_ms, busy_ms=busy_ms)
         self._schedule(due_ms)
 
     def _decide(self, now_ms):
         self._cell.context.store_is_away = not self._ownership.is_renewed()
         self._cell.context.workers_known_ms = self._workers_known_ms()
         self._cell.context.advice_slots = self._advice_slots()
+        if self._load_watch is not None:
+            sheds = self._load_watch.shedding.sheds
+            self._cell.context.delays_idle_looks = sheds(Sheddable.IDLE_LOOKS)
+            self._cell.context.delays_early_advice = sheds(Sheddable.EARLY_ADVICE)
         due_ms = self._cell.turn(now_ms)
         self._perform_effects()
         if self._lingers(now_ms):
@@ -121,10 +135,13 @@
             return
         if self._store_again_timer:
             return
-        batch = self._cell.journal.take(steady_ms())
+        self._sent_ms = steady_ms()
+        batch = self._cell.journal.take(self._sent_ms)
         self._pump.send(batch, self._on_stored, self._on_not_stored)
 
     def _on_stored(self, batch):
+        if self._load_watch is not None and batch.records:
+            self._load_watch.load.on_append(steady_ms() - self._sent_ms)
         self._cell.on_stored(batch)
         self._performer.perform(batch.effects)
         self.settle()
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
@@ -0,0 +1,50 @@
+"""This instance's load as an owner: sampled, told, and acted on."""
+
+from loguru import logger
+
+from thymefork_net import steady_ms
+
+from .capacity import OwnerLoad, Shedding
+
+__all__ = ["OwnerLoadWatch"]
+
+SAMPLE_MS = 100.0
+
+
+class OwnerLoadWatch:
+    """Sample the load while cells are owned; say when work begins to be put off."""
+
+    def __init__(self, *, daemon, link_mbps):
+        self._daemon = daemon
+        self.load = OwnerLoad(link_mbps=link_mbps)
+        self.shedding = Shedding(load=self.load)
+        self._kinds = []
+        daemon.timers.every(SAMPLE_MS, self._sample)
+
+    def _sample(self):
+        daemon = self._daemon
+        if not daemon.owners:
+            self.load.reset()
+        else:
+            self.load.sample(
+                steady_ms(),
+                join_ms=daemon.membership.round_trip_ms,
+                queued_bytes=daemon.links.queued_bytes,
+            )
+        self._tell_kinds()
+
+    def _tell_kinds(self):
+        kinds = self.shedding.kinds
+        if kinds == self._kinds:
+            return
+        self._kinds = kinds
+        last = self.load.last
+        line = logger.bind(
+            event="owner_sheds",
+            load_percent=self.load.percent,
+            lag=round(last.lag, 2),
+            busy=round(last.busy, 2),
+            append=round(last.append, 2),
+            queued=round(last.queued, 2),
+        )
+        line.info("puts off: {}", [kind.name.lower() for kind in kinds])
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -14,6 +14,7 @@
     WorkerTicket,
 )
 
+from .members_heard import MembersHeard
 from .owner_watch import OWNER_BEAT_MS, OwnerWatch
 
 __all__ = ["PeerDesk"]
@@ -32,6 +33,7 @@
 
     def __init__(self, *, daemon):
         self._daemon = daemon
+        self.members_heard = MembersHeard()
         self._member_links = set()
         self._owned_by_link = {}
         self._without_store = set()
@@ -74,12 +76,16 @@
         ]
         current = self._daemon.configuration
         membership = self._daemon.membership
+        best_tier = self._daemon.handover.best_tier()
         return Heartbeat(
             owned=owned,
             config_version=current.version if current is not None else 0,
             leaving=self._daemon.is_stopping,
             in_group=membership.in_group,
             store_lost=membership.store_lost,
+            tier=int(self._daemon.capacity.tier),
+            load_percent=self._daemon.owner_load.load.percent,
+            best_tier=int(best_tier) if best_tier is not None else None,
         )
 
     def _keep_links(self):
@@ -135,6 +141,7 @@
 
     def _on_heartbeat(self, link, message):
         address = link.listener_address
+        self.members_heard.on_heartbeat(address, message)
         if message.leaving:
             self._leaving.add(address)
         else:
@@ -145,6 +152,8 @@
             self._without_store.discard(address)
         if message.in_group:
             self._member_links.add(link)
+        else:
+            self._member_links.discard(link)  # it may stand by again
         self._daemon.owned_cells.on_peer_owns(message.owned)
         self._daemon.gateway.on_heartbeat(link, message)
         for owned in message.owned:
@@ -190,6 +199,7 @@
     def on_link_broken(self, link):
         """Route around a link that broke."""
         self._member_links.discard(link)
+        self.members_heard.forget(link.listener_address)
         self._owned_by_link.pop(link, None)
         self._daemon.gateway.on_link_broken(link)
         if link.was_refused:
--- a/packages/thymefork-daemon/src/thymefork_daemon/standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/standby.py
@@ -1,4 +1,4 @@
-"""When a small instance joins the group that the cells are dealt to."""
+"""When an instance joins the group that the cells are dealt to."""
 
 import random
 
@@ -6,17 +6,19 @@
 
 from thymefork_net import steady_ms
 
-__all__ = ["LARGE_CORES", "Standby"]
+from .capacity import Tier
 
-# Owning a cell of 176 workers takes up to 0.4 of a core; smaller instances carry
-# callers and advice, and own cells only while there is no large one.
-LARGE_CORES = 0.8
-# After a loss of all instances the large ones are back within about three seconds.
-LARGE_RETURN_MS = 4_000.0
-# Where no instance is large, this many small ones take part: an owner, and two that can
+__all__ = ["Standby"]
+
+# After a loss of all instances those of the best rank are back within about three
+# seconds.
+BETTER_RETURN_MS = 4_000.0
+# Each rank between leaves the one above it the time to join and to be listed.
+NEXT_RANK_MS = 1_500.0
+# Where none is better than the least, this many take part: an owner, and two that can
 # judge its silence. More of them would only change the deal more often.
-SMALL_MEMBERS = 3
-# All small instances learn at once that members are missing. Each waits for its share
+LEAST_MEMBERS = 3
+# All that stand by learn at once that members are missing. Each waits for its share
 # of this time, so that the first has joined, and is listed, before most have: the list
 # of members is read each 0.2 s while an owner is missing.
 SPREAD_MS = 1_200.0
@@ -25,24 +27,55 @@
 
 
 class Standby:
-    """Have a small instance join in place of members that are missing."""
+    """Join at once, or in place of better members once those are missing.
+
+    `owner_tier()` is the best rank among the owners that are heard, None if unknown;
+    `rest_until_ms()` is until when an instance that handed over stays out.
+    """
 
-    def __init__(self, *, timers, membership, directory, layout):
+    def __init__(
+        self,
+        *,
+        timers,
+        membership,
+        directory,
+        layout,
+        tier=Tier.LEAST,
+        owner_tier=lambda: None,
+        rest_until_ms=lambda: 0.0,
+    ):
         self._timers = timers
         self._membership = membership
         self._directory = directory
         self._layout = layout
+        self._tier = tier
+        self._owner_tier = owner_tier
+        self._rest_until_ms = rest_until_ms
         self._share_ms = random.uniform(0.0, SPREAD_MS)
         self._missing_since_ms = None
         self._has_joined = False
 
     def start(self):
-        """Look for missing members from now on."""
-        self._timers.every(CHECK_MS, self._check)
+        """Join if no rank is better; else look for missing members from now on."""
+        if self._tier is Tier.FULL:
+            self._has_joined = True
+            self._membership.start()
+        self._timers.every(CHECK_MS, self.check)
+
+    def on_left(self):
+        """Stand by again, since the cells were handed over."""
+        self._has_joined = False
+        self._missing_since_ms = None
 
-    def _check(self):
+    def check(self):
+        """Join if it is time to."""
         if self._has_joined or not self._layout.cells:
             return
+        if self._takes_part() and steady_ms() >= self._rest_until_ms():
+            self._step_in("none is better")
+            return
+        if self._rests():
+            return
         if not self._members_are_missing():
             self._missing_since_ms = None
             return
@@ -50,27 +83,44 @@
         if self._missing_since_ms is None:
             self._missing_since_ms = now_ms
         if now_ms - self._missing_since_ms > self._wait_ms():
-            self._step_in()
+            self._step_in("too few instances take part in owning the cells")
         else:
-            self._directory.refresh()  # another small instance may have stepped in
+            self._directory.refresh()  # another one may have stepped in
+
+    def _rests(self):
+        """Tell whether this instance handed over a moment ago and others go on."""
+        return bool(self._directory.member_count) and (
+            steady_ms() < self._rest_until_ms()
+        )
+
+    def _takes_part(self):
+        """Tell whether this instance is a member as long as all is well."""
+        return self._tier > Tier.LEAST and self._tier >= self._layout.best_tier
 
     def _members_are_missing(self):
         count = self._directory.member_count
         if count is None:
             return False
-        return count < (1 if self._layout.has_large else SMALL_MEMBERS)
+        if count < (1 if self._layout.best_tier > Tier.LEAST else LEAST_MEMBERS):
+            return True
+        owner_tier = self._owner_tier()
+        return owner_tier is not None and owner_tier < self._tier
 
     def _wait_ms(self):
-        if self._layout.has_large:
-            return LARGE_RETURN_MS + self._share_ms
-        return self._share_ms
+        better = sum(tier > self._tier for tier in self._layout.tiers)
+        if not better:
+            return self._share_ms
+        between_ms = (better - 1) * NEXT_RANK_MS
+        return BETTER_RETURN_MS + between_ms + self._share_ms
 
-    def _step_in(self):
+    def _step_in(self, reason):
         line = logger.bind(
             event="standby_joins",
             members=self._directory.member_count,
-            has_large=self._layout.has_large,
+            tier=self._tier.name,
+            best_tier=self._layout.best_tier.name,
         )
-        line.info("too few instances take part in owning the cells")
+        line.info("{}", reason)
         self._has_joined = True
+        self._missing_since_ms = None
         self._membership.start()
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -23,6 +23,8 @@
     "advice_workers": "Workers that the advice service was asked about, by queue.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
+    "owner_handovers": "Cells given to members that are better placed, by reason.",
+    "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
     "log_lines_left_out": "Log lines that were not written, by event.",
 }
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/fakes.py
@@ -2,8 +2,10 @@
 
 import heapq
 from itertools import count
+from types import SimpleNamespace
 
 from thymefork_daemon import membership as membership_module
+from thymefork_daemon.capacity import OwnerLoad, Shedding, Tier
 
 
 class FakeTimers:
@@ -93,6 +95,16 @@
         on_done(self.leave_answer)
 
 
+def owning_parts(*, tier=Tier.FULL):
+    """Return the parts of a daemon that tell how well it owns, as its attributes."""
+    load = OwnerLoad(link_mbps=0.0)
+    return {
+        "capacity": SimpleNamespace(tier=tier),
+        "owner_load": SimpleNamespace(load=load, shedding=Shedding(load=load)),
+        "handover": SimpleNamespace(best_tier=lambda: None),
+    }
+
+
 def use_clock(monkeypatch, timers, *modules):
     """Let modules read the timers' clock."""
     for module in (membership_module, *modules):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -23,7 +23,7 @@
     turn_loop as turn_loop_module,
 )
 
-from .fakes import FakeMetrics
+from .fakes import FakeMetrics, owning_parts
 from .test_takeover import PartitionStore
 
 CLOCKED = (cell_owner_module, turn_loop_module)
@@ -62,6 +62,7 @@
         is_stopping=False,
         timers=timers,
         metrics=FakeMetrics(),
+        **owning_parts(),
     )
     daemon.heard_ends = HeardEnds(daemon=daemon)
     daemon.owned_cells = OwnedCells(daemon=daemon)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_ended_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_ended_owner.py
@@ -6,7 +6,7 @@
 
 from thymefork_daemon.owner import CellOwner, advisers as advisers_module
 
-from .fakes import FakeMetrics, FakeStore
+from .fakes import FakeMetrics, FakeStore, owning_parts
 from .test_advisers import FakeLink, OwnClient, long_call, reply_to
 
 CLOCKED = (advisers_module,)
@@ -18,6 +18,7 @@
         store=FakeStore(),
         timers=timers,
         metrics=FakeMetrics(),
+        **owning_parts(),
         advice=OwnClient(),
         workers=None,
         membership=None,
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thymefork_daemon import layout as layout_module
+from thymefork_daemon.capacity import Tier
 from thymefork_daemon.layout import Layout
 from thymefork_machines.store import (
     AppendOutcome,
@@ -51,7 +52,7 @@
             worker_list=SimpleNamespace(
                 entries=dict.fromkeys(range(45)), want=lambda wanted: None
             ),
-            is_large=is_large,
+            tier=Tier.FULL if is_large else Tier.LEAST,
             on_known=lambda: None,
         )
         layout.start()
@@ -63,14 +64,14 @@
 def test_small_instances_alone_agree_on_the_cells(start, timers):
     layout = start(is_large=False)
     timers.run(5_000)
-    assert layout.cells == 1 and not layout.has_large
+    assert layout.cells == 1 and layout.best_tier is Tier.LEAST
 
 
 def test_a_small_instance_knows_that_large_ones_take_part(start, timers):
     start(is_large=True)
     small = start(is_large=False)
     timers.run(5_000)
-    assert small.cells == 1 and small.has_large
+    assert small.cells == 1 and small.best_tier is Tier.FULL
 
 
 def test_a_large_instance_says_so_once_the_store_is_back(start, store, timers):
@@ -89,7 +90,7 @@
     timers.run(5_000)
     start(is_large=True)
     timers.run(500)
-    assert start(is_large=False).has_large
+    assert start(is_large=False).best_tier is Tier.FULL
 
 
 @pytest.mark.parametrize(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -10,7 +10,7 @@
 from thymefork_net import Address
 from thymefork_net.peers import Heartbeat, OwnedCell
 
-from .fakes import FakeMetrics
+from .fakes import FakeMetrics, owning_parts
 
 CLOCKED = (owner_watch_module,)
 
@@ -44,6 +44,7 @@
         is_stopping=False,
         timers=timers,
         metrics=FakeMetrics(),
+        **owning_parts(),
         heard_ms=heard_ms,
         removed=removed,
         share=0.9,
@@ -185,11 +186,12 @@
         membership=SimpleNamespace(in_group=True, store_lost=False, hurry=lambda: None),
         gateway=SimpleNamespace(on_link_broken=lambda link: None),
         metrics=FakeMetrics(),
+        **owning_parts(),
     )
     desk = PeerDesk(daemon=daemon)
     for link in links:
         link.was_refused = link.connected = False
-        link.address = None
+        link.address = link.listener_address = None
         desk._member_links.add(link)
     timers.run(110)
     assert [link.sent for link in links] == [1, 1, 1]
@@ -211,6 +213,7 @@
         links=SimpleNamespace(all=[], to=opened.add),
         membership=SimpleNamespace(in_group=True, store_lost=False),
         metrics=FakeMetrics(),
+        **owning_parts(),
     )
     PeerDesk(daemon=daemon).send_heartbeats()
     assert len(opened) == 3 and opened < others
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -12,7 +12,7 @@
 from thymefork_net import Address
 from thymefork_net.peers import AdviceReply, Heartbeat, Hello, OwnedCell
 
-from .fakes import FakeMetrics
+from .fakes import FakeMetrics, owning_parts
 
 CLOCKED = (owner_watch_module, peer_desk_module)
 
@@ -87,6 +87,7 @@
         ),
         membership=SimpleNamespace(in_group=in_group, store_lost=False),
         metrics=FakeMetrics(),
+        **owning_parts(),
     )
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_standby.py
@@ -10,6 +10,7 @@
 import pytest
 
 from thymefork_daemon import owner_directory, standby as standby_module
+from thymefork_daemon.capacity import Tier
 from thymefork_daemon.membership import CELLS_TOPIC
 from thymefork_daemon.owner_directory import OwnerDirectory
 from thymefork_daemon.standby import Standby
@@ -33,7 +34,8 @@
         self.members = []
         self._stores = []
         self._timers = timers
-        layout = SimpleNamespace(cells=1, has_large=has_large)
+        tiers = {Tier.LEAST, Tier.FULL} if has_large else {Tier.LEAST}
+        layout = SimpleNamespace(cells=1, tiers=tiers, best_tier=max(tiers))
         for number in range(count):
             store = FakeStore()
             directory = OwnerDirectory(
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -21,6 +21,12 @@
   4: optional bool in_group
   /* The sender's joins are not answered: its cells should pass to another. */
   5: optional bool store_lost
+  /* How well the sender can own cells, 1 to 3; missing where it knows no ranks. */
+  6: optional i32 tier
+  /* The sender's load as an owner, in percent of what is bearable. */
+  7: optional i32 load_percent
+  /* The best rank among the members that the sender has heard to be well. */
+  8: optional i32 best_tier
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -220,6 +220,9 @@
      - leaving
      - in_group
      - store_lost
+     - tier
+     - load_percent
+     - best_tier
 
     """
 
@@ -229,15 +232,21 @@
         'leaving',
         'in_group',
         'store_lost',
+        'tier',
+        'load_percent',
+        'best_tier',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
         self.in_group = in_group
         self.store_lost = store_lost
+        self.tier = tier
+        self.load_percent = load_percent
+        self.best_tier = best_tier
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -279,6 +288,21 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.tier = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.load_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.best_tier = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,6 +336,18 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 5)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.I32, 6)
+            oprot.writeI32(self.tier)
+            oprot.writeFieldEnd()
+        if self.load_percent is not None:
+            oprot.writeFieldBegin('load_percent', TType.I32, 7)
+            oprot.writeI32(self.load_percent)
+            oprot.writeFieldEnd()
+        if self.best_tier is not None:
+            oprot.writeFieldBegin('best_tier', TType.I32, 8)
+            oprot.writeI32(self.best_tier)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1346,6 +1382,9 @@
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.BOOL, 'in_group', None, None, ),  # 4
     (5, TType.BOOL, 'store_lost', None, None, ),  # 5
+    (6, TType.I32, 'tier', None, None, ),  # 6
+    (7, TType.I32, 'load_percent', None, None, ),  # 7
+    (8, TType.I32, 'best_tier', None, None, ),  # 8
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
--- a/packages/thymefork-net/src/thymefork_net/peers/link.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/link.py
@@ -61,6 +61,11 @@
         elif self.connected:
             self.on_writable()
 
+    @property
+    def queued_bytes(self):
+        """Return the bytes that the socket has not taken yet."""
+        return len(self._out) if self.connected else 0
+
     def on_writable(self):
         """Finish the connect and send what is queued."""
         if not self.connected:
--- a/packages/thymefork-net/src/thymefork_net/peers/links.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/links.py
@@ -75,6 +75,11 @@
         """Return the bytes sent on the links that are open now."""
         return sum(link.sent_bytes for link in self.all)
 
+    @property
+    def queued_bytes(self):
+        """Return the bytes that wait for the peers to take them."""
+        return sum(link.queued_bytes for link in self.all)
+
     def on_readable(self):
         """Accept the links that wait."""
         for sock in accept_all(self._server):
