--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_word.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_word.py
@@ -14,8 +14,9 @@
 class MemberWord:
     """Hold a peer's last heartbeat as far as it bears on who should own cells.
 
-    `best_tier` is the best rank that the sender knows among members that are well;
-    `well_since_ms` is since when each heartbeat has said that it can own, else None.
+    `join_ms` is how long its last join took, 0 if it takes no part; `best_tier` is the
+    best rank that it knows among members that are well; `well_since_ms` is since when
+    each heartbeat has said that it can own, else None.
     """
 
     tier: Tier | None
@@ -24,6 +25,7 @@
     in_group: bool
     can_own: bool
     owns: bool
+    join_ms: float
     heard_ms: float
     well_since_ms: float | None
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -5,6 +5,7 @@
 from thymefork_net import steady_ms
 
 from .capacity import HandoverRule
+from .membership import SLOW_JOIN_MS
 
 __all__ = ["Handover"]
 
@@ -56,11 +57,23 @@
     def _is_well(self):
         """Tell whether the store answers and no takeover is under way."""
         daemon = self._daemon
-        if daemon.is_stopping or not daemon.membership.is_well:
+        if daemon.is_stopping or not daemon.membership.is_settled:
+            return False
+        if self._store_is_slow():
             return False
         owners = daemon.owners.values()
         return all(owner.is_serving and owner.store_answers for owner in owners)
 
+    def _store_is_slow(self):
+        """Tell whether the store is slow for all, not for this instance alone.
+
+        A takeover reads the whole cell, which takes long then.
+        """
+        join_ms = self._daemon.peers.members_heard.join_ms()
+        if join_ms is None:
+            join_ms = self._daemon.membership.round_trip_ms
+        return join_ms >= SLOW_JOIN_MS
+
     def _begin(self, reason):
         self._reason, self._began_ms = reason, steady_ms()
         self._line("handover_begins").info("{}", reason)
--- a/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
@@ -1,5 +1,7 @@
 """What the instances that are heard say of themselves as members of the group."""
 
+from statistics import median
+
 from thymefork_net import steady_ms
 
 from .capacity import MemberWord, Tier
@@ -33,6 +35,7 @@
             in_group=in_group,
             can_own=can_own,
             owns=bool(message.owned),
+            join_ms=float(message.join_ms or 0) if can_own else 0.0,
             heard_ms=now_ms,
             well_since_ms=_well_since(before, now_ms) if can_own else None,
         )
@@ -41,6 +44,15 @@
         """Drop a peer whose link broke."""
         self._words.pop(address, None)
 
+    def join_ms(self):
+        """Return how long members' joins take in the middle, None if unknown.
+
+        What takes longer here than for the others is this instance's own doing.
+        """
+        now_ms = steady_ms()
+        spans = [w.join_ms for w in self.words if w.join_ms and w.is_fresh(now_ms)]
+        return median(spans) if spans else None
+
     def owner_tier(self):
         """Return the best rank among owners that were heard lately, None if unknown."""
         now_ms = steady_ms()
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -10,6 +10,7 @@
     "CELLS_TOPIC",
     "GROUP",
     "Membership",
+    "SLOW_JOIN_MS",
     "address_of_member",
     "is_member_id",
 ]
@@ -116,13 +117,16 @@
         return self.in_group and steady_ms() - self.renewed_ms > patience_ms
 
     @property
-    def is_well(self):
-        """Tell whether the store answers this instance, quickly and for a while."""
+    def is_settled(self):
+        """Tell whether the store has answered this instance for a while."""
         if not self.in_group or self.store_lost:
             return False
-        if steady_ms() - self._regained_ms < SETTLED_MS:
-            return False
-        return self._round_trip_ms < SLOW_JOIN_MS
+        return steady_ms() - self._regained_ms >= SETTLED_MS
+
+    @property
+    def is_well(self):
+        """Tell whether the store answers this instance, quickly and for a while."""
+        return self.is_settled and self._round_trip_ms < SLOW_JOIN_MS
 
     def hurry(self):
         """Join at once, since the group has probably changed."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
@@ -28,11 +28,17 @@
         else:
             self.load.sample(
                 steady_ms(),
-                join_ms=daemon.membership.round_trip_ms,
+                join_ms=self._join_ms(),
                 queued_bytes=daemon.links.queued_bytes,
             )
         self._tell_kinds()
 
+    def _join_ms(self):
+        """Return how long a join takes where nothing but the store is slow."""
+        others_ms = self._daemon.peers.members_heard.join_ms()
+        own_ms = self._daemon.membership.round_trip_ms
+        return own_ms if others_ms is None else min(own_ms, others_ms)
+
     def _tell_kinds(self):
         kinds = self.shedding.kinds
         if kinds == self._kinds:
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -86,6 +86,7 @@
             tier=int(self._daemon.capacity.tier),
             load_percent=self._daemon.owner_load.load.percent,
             best_tier=int(best_tier) if best_tier is not None else None,
+            join_ms=round(membership.round_trip_ms) if membership.in_group else None,
         )
 
     def _keep_links(self):
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
@@ -0,0 +1,98 @@
+"""An owner that can't follow notices it and puts off what can wait, in order.
+
+The load is an owner whose turns begin ever later: 200 ms late, the shortest objective
+of a quarter of a second can't be kept whatever is decided.
+"""
+
+import pytest
+
+from thymefork_daemon.capacity import OwnerLoad, Sheddable, Shedding
+
+SAMPLE_MS = 100.0
+
+
+class Owner:
+    """Take turns for a while, with what they meet."""
+
+    def __init__(self, *, link_mbps=0.0):
+        self.now_ms = 1_000.0
+        self.load = OwnerLoad(link_mbps=link_mbps)
+        self.shedding = Shedding(load=self.load)
+
+    def run(
+        self, for_ms, *, lag_ms=0.0, busy=0.1, append_ms=10.0, join_ms=6.0, queued=0
+    ):
+        seen = []
+        for _ in range(int(for_ms / SAMPLE_MS)):
+            self.now_ms += SAMPLE_MS
+            self.load.on_turn(lag_ms=lag_ms, busy_ms=busy * SAMPLE_MS)
+            self.load.on_append(append_ms)
+            self.load.sample(self.now_ms, join_ms=join_ms, queued_bytes=queued)
+            seen.append(tuple(self.shedding.kinds))
+        return seen
+
+
+@pytest.fixture
+def owner():
+    owner = Owner()
+    owner.run(1_000)
+    return owner
+
+
+def test_a_usual_load_puts_nothing_off(owner):
+    assert set(owner.run(10_000, lag_ms=10.0, busy=0.4, append_ms=20.0)) == {()}
+    assert not owner.load.is_drowned
+
+
+def test_what_matters_least_is_put_off_first_and_taken_up_last(owner):
+    rising = owner.run(5_000, lag_ms=250.0)
+    order = list(dict.fromkeys(rising))
+    assert order == [(), *(tuple(Sheddable)[:n] for n in (1, 2, 3))]
+    assert owner.load.is_drowned
+    falling = owner.run(5_000)
+    assert falling[-1] == ()
+    assert not owner.load.is_drowned
+    assert [len(kinds) for kinds in falling] == sorted(
+        (len(kinds) for kinds in falling), reverse=True
+    )
+
+
+@pytest.mark.parametrize(
+    "sight",
+    [
+        {"lag_ms": 250.0},
+        {"busy": 1.0},
+        {"append_ms": 300.0},
+        {"queued": 150_000},  # 240 ms of the link
+    ],
+)
+def test_each_of_lag_processor_appends_and_queues_drowns_an_owner(sight):
+    owner = Owner(link_mbps=5.0)
+    owner.run(8_000, **sight)
+    assert owner.load.is_drowned
+
+
+def test_a_single_burst_is_no_overload(owner):
+    owner.run(200, lag_ms=300.0, busy=1.0)
+    assert not owner.load.is_drowned
+
+
+def test_a_store_that_is_slow_for_all_is_not_the_owner_s_doing(owner):
+    owner.run(10_000, append_ms=600.0, join_ms=300.0)
+    assert not owner.load.is_shedding
+
+
+def test_a_load_about_the_threshold_changes_nothing_to_and_fro(owner):
+    owner.run(5_000, lag_ms=120.0)
+    assert owner.load.is_shedding
+    was = []
+    for lag_ms in (90.0, 110.0) * 20:
+        owner.run(200, lag_ms=lag_ms)
+        was.append(owner.load.is_shedding)
+    assert all(was)
+
+
+def test_where_nothing_is_owned_any_more_the_load_is_gone(owner):
+    owner.run(5_000, lag_ms=300.0)
+    owner.load.reset()
+    assert not owner.load.percent and not owner.load.is_drowned
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -183,7 +183,9 @@
         configuration=None,
         is_stopping=False,
         layout=SimpleNamespace(cells=0),
-        membership=SimpleNamespace(in_group=True, store_lost=False, hurry=lambda: None),
+        membership=SimpleNamespace(
+            in_group=True, store_lost=False, round_trip_ms=6.0, hurry=lambda: None
+        ),
         gateway=SimpleNamespace(on_link_broken=lambda link: None),
         metrics=FakeMetrics(),
         **owning_parts(),
@@ -211,7 +213,7 @@
         settings=SimpleNamespace(peer=own),
         directory=SimpleNamespace(members={own, *others}),
         links=SimpleNamespace(all=[], to=opened.add),
-        membership=SimpleNamespace(in_group=True, store_lost=False),
+        membership=SimpleNamespace(in_group=True, store_lost=False, round_trip_ms=6.0),
         metrics=FakeMetrics(),
         **owning_parts(),
     )
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owning_capacity.py
@@ -0,0 +1,59 @@
+"""How well instances can own cells, by their settings.
+
+The load is a cell of 200 workers in a burst: 0.8 of a core, 12 Mbit/s and 140 MB.
+"""
+
+import pytest
+
+from thymefork_daemon.capacity import OwningCapacity, Tier
+from thymefork_daemon.layout import WORKERS_PER_CELL
+
+
+def capacity(*, cores=2.0, link_mbps=100.0, memory_mb=500.0, workers=WORKERS_PER_CELL):
+    return OwningCapacity(
+        cores=cores, link_mbps=link_mbps, memory_mb=memory_mb, cell_workers=workers
+    )
+
+
+@pytest.mark.parametrize(
+    "has, tier, lacks",
+    [
+        ({}, Tier.FULL, ()),
+        ({"link_mbps": 10.0}, Tier.PARTIAL, ("link",)),
+        ({"memory_mb": 100.0}, Tier.PARTIAL, ("memory",)),
+        ({"link_mbps": 5.0, "memory_mb": 100.0}, Tier.PARTIAL, ("link", "memory")),
+        ({"cores": 0.4}, Tier.LEAST, ("processor",)),
+        ({"cores": 0.4, "link_mbps": 5.0}, Tier.LEAST, ("processor", "link")),
+    ],
+)
+def test_the_scarcest_part_decides(has, tier, lacks):
+    assert capacity(**has).tier is tier
+    assert capacity(**has).lacks == lacks
+
+
+@pytest.mark.parametrize("cores, tier", [(0.79, Tier.LEAST), (0.8, Tier.FULL)])
+@pytest.mark.parametrize("unknown", [{}, {"link_mbps": 0.0, "memory_mb": 0.0}])
+def test_by_processor_alone_instances_part_where_they_always_did(cores, tier, unknown):
+    assert capacity(cores=cores, **unknown).tier is tier
+
+
+def test_what_is_not_known_counts_as_enough():
+    nothing = capacity(cores=0.0, link_mbps=0.0, memory_mb=0.0)
+    assert nothing.tier is Tier.FULL
+
+
+def test_instances_that_are_alike_in_links_keep_their_order_by_processor():
+    """Where no link holds the peaks, those with the processor still go first."""
+    assert capacity(cores=1.3, link_mbps=5.0).tier > (
+        capacity(cores=0.4, link_mbps=5.0).tier
+    )
+
+
+def test_a_smaller_cell_asks_less():
+    assert capacity(link_mbps=5.0, workers=24).tier is Tier.FULL
+    assert capacity(link_mbps=5.0, workers=176).tier is Tier.PARTIAL
+
+
+@pytest.mark.parametrize("number", [None, 0, 4, -1])
+def test_a_rank_that_is_not_known_is_none(number):
+    assert Tier.read(number) is None
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -27,6 +27,8 @@
   7: optional i32 load_percent
   /* The best rank among the members that the sender has heard to be well. */
   8: optional i32 best_tier
+  /* How long the sender's last join took; 0 or missing from who is no member. */
+  9: optional i32 join_ms
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -223,6 +223,7 @@
      - tier
      - load_percent
      - best_tier
+     - join_ms
 
     """
 
@@ -235,10 +236,11 @@
         'tier',
         'load_percent',
         'best_tier',
+        'join_ms',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
@@ -247,6 +249,7 @@
         self.tier = tier
         self.load_percent = load_percent
         self.best_tier = best_tier
+        self.join_ms = join_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -303,6 +306,11 @@
                     self.best_tier = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.join_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -348,6 +356,10 @@
             oprot.writeFieldBegin('best_tier', TType.I32, 8)
             oprot.writeI32(self.best_tier)
             oprot.writeFieldEnd()
+        if self.join_ms is not None:
+            oprot.writeFieldBegin('join_ms', TType.I32, 9)
+            oprot.writeI32(self.join_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1385,6 +1397,7 @@
     (6, TType.I32, 'tier', None, None, ),  # 6
     (7, TType.I32, 'load_percent', None, None, ),  # 7
     (8, TType.I32, 'best_tier', None, None, ),  # 8
+    (9, TType.I32, 'join_ms', None, None, ),  # 9
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
