--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
@@ -19,6 +19,7 @@
         self.load = OwnerLoad(link_mbps=link_mbps)
         self.shedding = Shedding(load=self.load)
         self._kinds = []
+        daemon.metrics.set("owner_tier", int(daemon.capacity.tier))
         daemon.timers.every(SAMPLE_MS, self._sample)
 
     def _sample(self):
@@ -31,6 +32,7 @@
                 join_ms=self._join_ms(),
                 queued_bytes=daemon.links.queued_bytes,
             )
+        self._daemon.metrics.set("owner_load_percent", self.load.percent)
         self._tell_kinds()
 
     def _join_ms(self):
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -37,6 +37,10 @@
     "queue_wait": "From a task's turn to its start.",
     "start": "From a start's sending to its answer.",
 }
+GAUGES = {
+    "owner_tier": "How well this instance can own cells: 1 least, 2 partial, 3 full.",
+    "owner_load_percent": "Load of this instance as an owner; 100 is what is bearable.",
+}
 # A counter or histogram keeps at most this many label values.
 MOST_LABELS = 200
 OTHER = "other"
@@ -51,6 +55,7 @@
     def __init__(self):
         self._counts = {name: Counter() for name in COUNTERS}
         self._buckets = {name: {} for name in HISTOGRAMS}
+        self._gauges = dict.fromkeys(GAUGES, 0)
 
     def count(self, name, reason, amount=1):
         """Raise a counter."""
@@ -59,6 +64,10 @@
             reason = OTHER
         counts[reason] += amount
 
+    def set(self, name, value):
+        """Set a gauge."""
+        self._gauges[name] = value
+
     def observe(self, name, value_ms, kind=""):
         """Put a time into a histogram."""
         kinds = self._buckets[name]
@@ -79,8 +88,15 @@
 
     def collect(self):
         """Return the families, as the exposition library asks for them."""
-        from prometheus_client.core import CounterMetricFamily, HistogramMetricFamily
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
 
+        for name, help_text in GAUGES.items():
+            value = self._gauges[name]
+            yield GaugeMetricFamily(f"thymefork_{name}", help_text, value=value)
         for name, help_text in COUNTERS.items():
             family = CounterMetricFamily(
                 f"thymefork_{name}", help_text, labels=["reason"]
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -36,6 +36,7 @@
     def __init__(self, group, instance):
         self._group = group
         self._instance = instance
+        self._wants = False
         self.round_trip_ms = 6.0
 
     @property
@@ -51,11 +52,17 @@
         return self.in_group and self._instance.has_store
 
     def start(self):
-        if self._instance.has_store:
-            self._group.members.append(self._instance)
-            self._group.joins += 1
+        self._wants = True
+        self.join()
+
+    def join(self):
+        """Join once that is wanted and the store answers."""
+        if self._wants and self._instance.is_up and self._instance.has_store:
+            if not self.in_group:
+                self._group.members.append(self._instance)
 
     def leave(self, on_done):
+        self._wants = False
         self._group.members.remove(self._instance)
         on_done(None)
 
@@ -147,7 +154,6 @@
     def __init__(self, timers, *, full=2, partial=2, least=3):
         self.timers = timers
         self.members = []
-        self.joins = 0
         self.owners_seen = []
         tiers = [Tier.FULL] * full + [Tier.PARTIAL] * partial + [Tier.LEAST] * least
         self.layout = SimpleNamespace(
@@ -183,6 +189,7 @@
     def lose(self, instances):
         for instance in instances:
             instance.is_up = False
+            instance.membership._wants = False
             if instance in self.members:
                 self.members.remove(instance)
 
@@ -196,6 +203,7 @@
             self.timers.run(STEP_MS)
             for instance in self.instances:
                 instance.directory.member_count = len(self.members)
+                instance.membership.join()
                 instance.follow(self.owner)
             if self.timers.now_ms % BEAT_MS < STEP_MS:
                 for instance in self.instances:
