--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -8,12 +8,10 @@
 from thymefork_net import steady_ms
 
 from ..capacity import Sheddable
+from ..telling import ROUTINE_EVENTS
 
 __all__ = ["EffectPerformer"]
 
-# What is amiss is always told.
-DISPENSABLE_LEVELS = frozenset({"DEBUG", "INFO"})
-
 
 class EffectPerformer:
     """Answer, log, count, ask and order as a cell's effects say."""
@@ -56,7 +54,7 @@
 
     @_perform.register
     def _note(self, effect: fx.Note):
-        if effect.level in DISPENSABLE_LEVELS and self._sheds(Sheddable.LOG_LINES):
+        if effect.event in ROUTINE_EVENTS and self._sheds(Sheddable.LOG_LINES):
             self._metrics.count("owner_shed", "log_lines")
             return
         line = logger.bind(event=effect.event, cell=self._cell_index, **effect.fields)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/__init__.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/__init__.py
@@ -1,7 +1,7 @@
 """Log lines and metrics."""
 
-from .log_budget import LogBudget
+from .log_budget import ROUTINE_EVENTS, LogBudget
 from .logs import setup_logs
 from .metrics import Metrics
 
-__all__ = ["LogBudget", "Metrics", "setup_logs"]
+__all__ = ["ROUTINE_EVENTS", "LogBudget", "Metrics", "setup_logs"]
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/log_budget.py
@@ -2,7 +2,7 @@
 
 from collections import Counter
 
-__all__ = ["LogBudget"]
+__all__ = ["ROUTINE_EVENTS", "LogBudget"]
 
 # Six times what the busiest instance writes on a calm day.
 LINES_PER_SECOND = 150
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -107,3 +107,43 @@
     store.values["cells"] = b'{"cells": 2}'
     timers.run(1_000)
     assert layout.cells == 2
+
+
+def start_tier(store, timers, tier):
+    layout = Layout(
+        store=store,
+        timers=timers,
+        most_cells=8,
+        worker_list=SimpleNamespace(
+            entries=dict.fromkeys(range(45)), want=lambda wanted: None
+        ),
+        tier=tier,
+        on_known=lambda: None,
+    )
+    layout.start()
+    return layout
+
+
+def test_each_rank_says_that_it_takes_part(store, timers):
+    start_tier(store, timers, Tier.FULL)
+    start_tier(store, timers, Tier.PARTIAL)
+    least = start_tier(store, timers, Tier.LEAST)
+    timers.run(5_000)
+    assert set(store.values) == {"large", "partial", "full", "cells"}
+    assert least.tiers == set(Tier)
+
+
+def test_where_all_are_partial_nobody_waits_for_better_ones(store, timers):
+    layouts = [start_tier(store, timers, Tier.PARTIAL) for _ in range(2)]
+    timers.run(5_000)
+    assert all(layout.best_tier is Tier.PARTIAL for layout in layouts)
+
+
+def test_a_layout_from_before_there_were_ranks_is_read(store, timers):
+    """The least wait for large ones as before; those above add their own key."""
+    store.values = {"large": b"true", "cells": b'{"cells": 1}'}
+    assert start_tier(store, timers, Tier.LEAST).best_tier is Tier.PARTIAL
+    full = start_tier(store, timers, Tier.FULL)
+    timers.run(1_000)
+    assert full.cells == 1 and "full" in store.values
+    assert start_tier(store, timers, Tier.LEAST).best_tier is Tier.FULL
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_membership.py
@@ -297,3 +297,35 @@
     waits.clear()
     timers.run(50)
     assert len(store.joins) == 1
+
+
+def test_who_left_joins_again_as_a_newcomer(make, store, timers):
+    membership = make()
+    membership.start()
+    deal(store, 3, 7)
+    membership.leave(lambda answer: None)
+    assert not membership.in_group and not membership.holds(7, 3)
+    timers.run(5_000)
+    calls = len(store.joins)
+    membership.start()
+    assert len(store.joins) == calls + 1
+    assert not membership.in_group and not membership.store_lost
+    deal(store, 3, 7)  # the generation under which it was given back
+    assert not membership.holds(7, 3)
+    timers.run(300)
+    deal(store, 4, 7)
+    assert membership.holds(7, 4)
+
+
+def test_an_answer_from_before_a_leave_brings_nothing_back(make, store, timers):
+    membership = make()
+    membership.start()
+    deal(store, 3, 7)
+    timers.run(400)  # another join is under way
+    late = len(store.joins) - 1
+    assert membership.is_asking
+    membership.leave(lambda answer: None)
+    timers.run(1_000)
+    membership.start()
+    deal(store, 4, 7, join=late)
+    assert not membership.in_group and not membership.epochs
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telling.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telling.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from thymefork_cells import effects as fx
+from thymefork_daemon.capacity import Sheddable
 from thymefork_daemon.owner.effect_performer import EffectPerformer
 from thymefork_daemon.telling import LogBudget, Metrics
 from thymefork_daemon.telling.logs import MOST_WAITING_BYTES, LogWriter
@@ -146,3 +147,35 @@
             admitted += budget.admits(event, "INFO", 1.0)
     assert admitted == 100
     assert not all(budget.admits("job_ended", "INFO", 1.0) for _ in range(200))
+
+
+def test_an_overloaded_owner_leaves_out_routine_lines_alone(writer, pipe):
+    metrics = Metrics()
+    performer = EffectPerformer(
+        cell_index=0,
+        metrics=metrics,
+        advisers=None,
+        orders=None,
+        on_ends_stored=None,
+        tell_ends=None,
+        sheds=lambda kind: kind is Sheddable.LOG_LINES,
+    )
+    replies = []
+    performer.perform(
+        [
+            fx.Note(event="tasks_start"),
+            fx.Note(event="job_ended"),
+            fx.Note(event="worker_unreadable", level="WARNING"),
+            fx.Reply(request_id=replies.append, outcome=fx.Outcome.COUNTED),
+        ]
+    )
+    told = [line["event"] for line in read(pipe)]
+    assert told == ["job_ended", "worker_unreadable"]
+    assert replies
+    assert b'thymefork_owner_shed_total{reason="log_lines"} 1.0' in metrics.text()
+
+
+def test_gauges_are_told():
+    metrics = Metrics()
+    metrics.set("owner_tier", 3)
+    assert b"thymefork_owner_tier 3.0" in metrics.text()
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from thymefork_daemon.capacity import OwnerLoad, Shedding
 from thymefork_daemon.owner import turn_loop
 from thymefork_daemon.owner.turn_loop import (
     LINGER_MS,
@@ -199,3 +200,33 @@
     timers.run(2 * FAR_MS)
     assert len(parts.cell.turns_ms) == 1
     assert not parts.pump.sent and not parts.performed
+
+
+def test_late_and_long_turns_are_told_and_what_waits_is_put_off(timers):
+    """A turn that is 300 ms late and takes 50 is the owner's to see."""
+    load = OwnerLoad(link_mbps=0.0)
+    seen = []
+    load.on_turn = lambda **span: seen.append(span)
+    load.value, load.is_shedding = 0.7, True
+    cell, late_ms = FakeCell(), 300.0
+    loop = TurnLoop(
+        cell=cell,
+        ownership=SimpleNamespace(is_renewed=lambda: True),
+        pump=FakePump(),
+        performer=SimpleNamespace(perform=lambda effects: None),
+        timers=timers,
+        workers_known_ms=lambda: 0.0,
+        load_watch=SimpleNamespace(load=load, shedding=Shedding(load=load)),
+    )
+    loop.turn()
+    assert cell.context.delays_idle_looks and not cell.context.delays_early_advice
+    decide = cell.turn
+
+    def decide_for_long(now_ms):
+        timers.now_ms += 50.0
+        return decide(now_ms)
+
+    cell.turn = decide_for_long
+    timers.now_ms += FAR_MS + late_ms
+    timers.run(0)
+    assert seen[-1] == {"lag_ms": late_ms, "busy_ms": 50.0}
