--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_put_off.py
@@ -0,0 +1,53 @@
+"""What an overloaded owner puts off, and what it never does.
+
+The load is an owner that has no time for all of its work: it acknowledges ends to idle
+workers later and asks for the advice of a later step only once its turn has come.
+"""
+
+from thymefork_cells.state import JobState
+
+from .harness import job_spec
+
+JOB = "00000000000000aa"
+POLICY = {"decision_ms": 100.0, "per_worker_ms": 1.0, "valid_ms": 2_500.0}
+STEP = {"count": 1, "cpu_milli": 500, "estimated_ms": 800}
+
+
+def two_steps():
+    return job_spec(STEP, {**STEP, "after": (0,)})
+
+
+def test_ends_are_acknowledged_to_idle_workers_once_there_is_time(make_harness):
+    harness = make_harness(workers=1)
+    context = harness.cell.context
+    context.delays_idle_looks = True
+    harness.submit(JOB, job_spec(STEP))
+    harness.run(3_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    (worker,) = context.workers.values()
+    assert worker.stored_end > worker.told_end
+    context.delays_idle_looks = False
+    harness.run(500)
+    assert worker.stored_end == worker.told_end
+
+
+def test_workers_with_runs_are_looked_at_and_keep_their_leases(make_harness):
+    harness = make_harness(workers=1)
+    harness.cell.context.delays_idle_looks = True
+    for worker in harness.workers.values():
+        worker.work_ms = 10_000  # three leases
+    harness.submit(JOB, job_spec(STEP))
+    harness.run(12_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    assert len(harness.starts_of(f"{JOB}.0.0.0")) == 1
+
+
+def test_advice_is_asked_for_once_a_step_s_turn_has_come(make_harness):
+    harness = make_harness(workers=2, advice=POLICY)
+    harness.cell.context.delays_early_advice = True
+    harness.submit(JOB, two_steps())
+    harness.run(4_000)
+    assert harness.job(JOB).shown_state is JobState.SUCCEEDED
+    first_ms = harness.starts_of(f"{JOB}.0.0.0")[0][2]
+    second_ms = harness.starts_of(f"{JOB}.0.1.0")[0][2]
+    assert 800 + 100 <= second_ms - first_ms < 800 + 100 + 300
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
@@ -17,6 +17,8 @@
 APPEND_PER_JOIN = 3.0
 # A burst of a few turns is no overload.
 SMOOTHING_MS = 1_000.0
+# A process that was paused sees one late turn, which says nothing of the next ones.
+LONGEST_SPAN_MS = 200.0
 # Where shedding begins and where it ends; where an owner counts as drowned and no more.
 SHED_AT, SHED_UNTIL = 0.5, 0.25
 DROWNED_AT, DROWNED_UNTIL = 1.0, 0.5
@@ -76,7 +78,7 @@
         self._sampled_ms = now_ms
         if span_ms > 0:
             self.last = self._pressure(span_ms, join_ms, queued_bytes)
-            weight = 1.0 - math.exp(-span_ms / SMOOTHING_MS)
+            weight = 1.0 - math.exp(-min(span_ms, LONGEST_SPAN_MS) / SMOOTHING_MS)
             self.value += weight * (min(self.last.most, 2.0) - self.value)
         self._lag_ms = self._busy_ms = self._append_ms = 0.0
         self.is_shedding = self._passes(self.is_shedding, SHED_AT, SHED_UNTIL)
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
@@ -12,8 +12,8 @@
     stops, appends, starts, looks at workers with runs, accepting and answering callers.
     """
 
-    # Lines that come with every task or worker: nothing decides by them, and what became
-    # of a job is told by others.
+    # Lines that come with every task or worker: nothing decides by them, and others
+    # tell what became of a job.
     LOG_LINES = 1
     # Acknowledging ends to a worker with nothing else: it keeps them until then.
     IDLE_LOOKS = 2
--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -42,6 +42,7 @@
 
     def _check(self):
         daemon = self._daemon
+        self._note_tiers()
         if self._reason is not None or not daemon.membership.in_group:
             return
         reason = self._rule.reason(
@@ -54,6 +55,13 @@
         if reason is not None:
             self._begin(reason)
 
+    def _note_tiers(self):
+        """Have the standby know of better ranks that came after this instance."""
+        for word in self._words():
+            for tier in (word.tier if word.can_own else None, word.best_tier):
+                if tier is not None:
+                    self._daemon.layout.note_tier(tier)
+
     def _is_well(self):
         """Tell whether the store answers and no takeover is under way."""
         daemon = self._daemon
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -57,6 +57,10 @@
         """Return the best rank of which an instance has ever been there."""
         return max(self.tiers)
 
+    def note_tier(self, tier):
+        """Take note of a rank that was heard of, perhaps new since the start."""
+        self.tiers.add(tier)
+
     def start(self):
         """Look for the agreed number."""
         self._store.newest(topic=TOPIC, on_result=self._on_newest)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -85,6 +85,20 @@
             action()
 
 
+class FakeLayout:
+    """Know the ranks that were announced, and those that were heard of."""
+
+    cells = 1
+
+    def __init__(self, tiers):
+        self.tiers = set(tiers)
+        self.note_tier = self.tiers.add
+
+    @property
+    def best_tier(self):
+        return max(self.tiers)
+
+
 class Instance:
     """Run the parts that decide on being a member, beside fakes of the others."""
 
@@ -104,6 +118,7 @@
         self.peers = SimpleNamespace(
             members_heard=MembersHeard(), send_heartbeats=lambda: group.beat(self)
         )
+        self.layout = FakeLayout(group.known)
         self.directory = SimpleNamespace(member_count=0, refresh=lambda: None)
         self.membership = FakeMembership(group, self)
         self.handover = Handover(daemon=self, tier=tier)
@@ -111,7 +126,7 @@
             timers=self.timers,
             membership=self.membership,
             directory=self.directory,
-            layout=group.layout,
+            layout=self.layout,
             tier=tier,
             owner_tier=lambda: self.peers.members_heard.owner_tier(),
             rest_until_ms=lambda: self.handover.rest_until_ms,
@@ -151,14 +166,12 @@
 class Group:
     """Any number of instances of several ranks, with one cell."""
 
-    def __init__(self, timers, *, full=2, partial=2, least=3):
+    def __init__(self, timers, *, full=2, partial=2, least=3, known=None):
         self.timers = timers
         self.members = []
         self.owners_seen = []
         tiers = [Tier.FULL] * full + [Tier.PARTIAL] * partial + [Tier.LEAST] * least
-        self.layout = SimpleNamespace(
-            cells=1, tiers=set(tiers) | {Tier.LEAST}, best_tier=max(tiers)
-        )
+        self.known = set(tiers) | {Tier.LEAST} if known is None else known
         self.instances = [
             Instance(self, f"edge-{n}", tier) for n, tier in enumerate(tiers)
         ]
@@ -378,3 +391,16 @@
         stand_in.peers.members_heard.on_heartbeat("old", message)
         group.run(250)
     assert group.owner is stand_in
+
+
+def test_better_instances_that_are_added_later_take_over_for_good(timers, shares):
+    group = Group(timers, known={Tier.LEAST, Tier.PARTIAL})
+    group.lose(group.of(Tier.FULL))
+    group.run(10_000)
+    assert {member.tier for member in group.members} == {Tier.PARTIAL}
+    group.bring_back(group.of(Tier.FULL))
+    group.run(8_000)
+    for _ in range(30):
+        assert {member.tier for member in group.members} == {Tier.FULL}
+        group.run(1_000)
+    assert group.handovers == ["better_tier"] * 2
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
@@ -96,3 +96,10 @@
     owner.run(5_000, lag_ms=300.0)
     owner.load.reset()
     assert not owner.load.percent and not owner.load.is_drowned
+
+
+def test_a_pause_of_the_process_alone_is_no_overload(owner):
+    owner.now_ms += 4_000.0
+    owner.run(100, lag_ms=4_000.0)
+    assert not owner.load.is_drowned
+    assert owner.run(2_000)[-1] == ()
