--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
@@ -19,8 +19,7 @@
 SMOOTHING_MS = 1_000.0
 # A process that was paused sees one late turn, which says nothing of the next ones.
 LONGEST_SPAN_MS = 200.0
-# Where shedding begins and where it ends; where an owner counts as drowned and no more.
-SHED_AT, SHED_UNTIL = 0.5, 0.25
+# Where an owner counts as drowned, and where no more.
 DROWNED_AT, DROWNED_UNTIL = 1.0, 0.5
 
 
@@ -53,7 +52,6 @@
         self._append_ms = 0.0
         self.last = Pressure()
         self.value = 0.0
-        self.is_shedding = False
         self.is_drowned = False
 
     @property
@@ -81,8 +79,8 @@
             weight = 1.0 - math.exp(-min(span_ms, LONGEST_SPAN_MS) / SMOOTHING_MS)
             self.value += weight * (min(self.last.most, 2.0) - self.value)
         self._lag_ms = self._busy_ms = self._append_ms = 0.0
-        self.is_shedding = self._passes(self.is_shedding, SHED_AT, SHED_UNTIL)
-        self.is_drowned = self._passes(self.is_drowned, DROWNED_AT, DROWNED_UNTIL)
+        until = DROWNED_UNTIL if self.is_drowned else DROWNED_AT
+        self.is_drowned = self.value >= until
 
     def reset(self):
         """Begin anew, since nothing is owned any more."""
@@ -99,6 +97,3 @@
             append=over_ms / MOST_APPEND_MS,
             queued=queued_ms / MOST_QUEUED_MS,
         )
-
-    def _passes(self, was, at, until):
-        return self.value >= (until if was else at)
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
@@ -24,23 +24,38 @@
 # The load from which each kind is put off. The first costs nobody anything; the last
 # may cost a step the time of a call, which an owner that drowns costs everybody.
 FROM_LOAD = {
-    Sheddable.LOG_LINES: 0.5,
-    Sheddable.IDLE_LOOKS: 0.6,
+    Sheddable.LOG_LINES: 0.6,
+    Sheddable.IDLE_LOOKS: 0.7,
     Sheddable.EARLY_ADVICE: 0.8,
 }
+# A kind is taken up again at this share of the load from which it is put off, so that
+# what it saves does not bring it back at once.
+UNTIL_SHARE = 0.6
 
 
 class Shedding:
-    """Tell which work is put off at an owner's present load."""
+    """Tell which work is put off at an owner's present load, with hysteresis."""
 
     def __init__(self, *, load):
         self._load = load
+        self._kinds = set()
 
     def sheds(self, kind):
         """Tell whether a kind of work is put off now."""
-        return self._load.is_shedding and self._load.value >= FROM_LOAD[kind]
+        return kind in self._kinds
 
     @property
     def kinds(self):
         """Return all kinds that are put off now, in their order."""
-        return [kind for kind in Sheddable if self.sheds(kind)]
+        return sorted(self._kinds)
+
+    def follow(self):
+        """Take up or put off what the load, sampled a moment ago, asks for."""
+        self._kinds = {
+            kind
+            for kind, from_load in FROM_LOAD.items()
+            if self._load.value >= self._bound(kind, from_load)
+        }
+
+    def _bound(self, kind, from_load):
+        return from_load * UNTIL_SHARE if kind in self._kinds else from_load
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_load_watch.py
@@ -32,6 +32,7 @@
                 join_ms=self._join_ms(),
                 queued_bytes=daemon.links.queued_bytes,
             )
+        self.shedding.follow()
         self._daemon.metrics.set("owner_load_percent", self.load.percent)
         self._tell_kinds()
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
@@ -28,6 +28,7 @@
             self.load.on_turn(lag_ms=lag_ms, busy_ms=busy * SAMPLE_MS)
             self.load.on_append(append_ms)
             self.load.sample(self.now_ms, join_ms=join_ms, queued_bytes=queued)
+            self.shedding.follow()
             seen.append(tuple(self.shedding.kinds))
         return seen
 
@@ -79,17 +80,15 @@
 
 def test_a_store_that_is_slow_for_all_is_not_the_owner_s_doing(owner):
     owner.run(10_000, append_ms=600.0, join_ms=300.0)
-    assert not owner.load.is_shedding
+    assert not owner.shedding.kinds
 
 
 def test_a_load_about_the_threshold_changes_nothing_to_and_fro(owner):
-    owner.run(5_000, lag_ms=120.0)
-    assert owner.load.is_shedding
-    was = []
-    for lag_ms in (90.0, 110.0) * 20:
-        owner.run(200, lag_ms=lag_ms)
-        was.append(owner.load.is_shedding)
-    assert all(was)
+    owner.run(5_000, lag_ms=150.0)
+    assert owner.shedding.kinds == [Sheddable.LOG_LINES, Sheddable.IDLE_LOOKS]
+    for lag_ms in (100.0, 155.0) * 20:
+        seen = owner.run(200, lag_ms=lag_ms)
+        assert set(seen) == {(Sheddable.LOG_LINES, Sheddable.IDLE_LOOKS)}
 
 
 def test_where_nothing_is_owned_any_more_the_load_is_gone(owner):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -207,7 +207,9 @@
     load = OwnerLoad(link_mbps=0.0)
     seen = []
     load.on_turn = lambda **span: seen.append(span)
-    load.value, load.is_shedding = 0.7, True
+    load.value = 0.7
+    shedding = Shedding(load=load)
+    shedding.follow()
     cell, late_ms = FakeCell(), 300.0
     loop = TurnLoop(
         cell=cell,
@@ -216,7 +218,7 @@
         performer=SimpleNamespace(perform=lambda effects: None),
         timers=timers,
         workers_known_ms=lambda: 0.0,
-        load_watch=SimpleNamespace(load=load, shedding=Shedding(load=load)),
+        load_watch=SimpleNamespace(load=load, shedding=shedding),
     )
     loop.turn()
     assert cell.context.delays_idle_looks and not cell.context.delays_early_advice
