--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/group_of_instances.py
@@ -0,0 +1,234 @@
+"""A group of instances that decide on being members, on one clock, with one cell."""
+
+from types import SimpleNamespace
+
+from thymefork_daemon.capacity import OwnerLoad, Tier
+from thymefork_daemon.handover import Handover
+from thymefork_daemon.members_heard import MembersHeard
+from thymefork_daemon.standby import Standby
+from thymefork_net.peers import Heartbeat, OwnedCell
+
+from .fakes import FakeMetrics
+
+__all__ = ["STEP_MS", "Group"]
+
+STEP_MS = 10
+BEAT_MS = 250
+TTL_MS = 1_000
+
+
+class FakeMembership:
+    """Be in the group or not; the group deals its one cell to the earliest member."""
+
+    is_asking = False
+
+    def __init__(self, group, instance):
+        self._group = group
+        self._instance = instance
+        self._wants = False
+        self.round_trip_ms = 6.0
+
+    @property
+    def in_group(self):
+        return self._instance in self._group.members
+
+    @property
+    def store_lost(self):
+        return self.in_group and not self._instance.has_store
+
+    @property
+    def is_settled(self):
+        return self.in_group and self._instance.has_store
+
+    def start(self):
+        self._wants = True
+        self.join()
+
+    def join(self):
+        """Join once that is wanted and the store answers."""
+        if self._wants and self._instance.is_up and self._instance.has_store:
+            if not self.in_group:
+                self._group.members.append(self._instance)
+
+    def leave(self, on_done):
+        self._wants = False
+        self._group.members.remove(self._instance)
+        on_done(None)
+
+
+class OwnTimers:
+    """Let an instance's timers do nothing while it is down."""
+
+    def __init__(self, timers, instance):
+        self._timers = timers
+        self._instance = instance
+
+    def after(self, delay_ms, action):
+        return self._timers.after(delay_ms, lambda: self._call(action))
+
+    def every(self, period_ms, action):
+        return self._timers.every(period_ms, lambda: self._call(action))
+
+    def _call(self, action):
+        if self._instance.is_up:
+            action()
+
+
+class FakeLayout:
+    """Know the ranks that were announced, and those that were heard of."""
+
+    cells = 1
+
+    def __init__(self, tiers):
+        self.tiers = set(tiers)
+        self.note_tier = self.tiers.add
+
+    @property
+    def best_tier(self):
+        return max(self.tiers)
+
+
+class Instance:
+    """Run the parts that decide on being a member, beside fakes of the others."""
+
+    is_stopping = False
+
+    def __init__(self, group, name, tier):
+        self.name, self.tier = name, tier
+        self.has_store = True
+        self.cut_at_ms = None
+        self.is_up = True
+        self.told = 0
+        self.has_unstored = False
+        self.owners = {}
+        self.timers = OwnTimers(group.timers, self)
+        self.metrics = FakeMetrics()
+        self.capacity = SimpleNamespace(tier=tier)
+        self.owner_load = SimpleNamespace(load=OwnerLoad(link_mbps=0.0))
+        self.peers = SimpleNamespace(
+            members_heard=MembersHeard(), send_heartbeats=lambda: group.beat(self)
+        )
+        self.layout = FakeLayout(group.known)
+        self.directory = SimpleNamespace(member_count=0, refresh=lambda: None)
+        self.membership = FakeMembership(group, self)
+        self.handover = Handover(daemon=self, tier=tier)
+        self.standby = Standby(
+            timers=self.timers,
+            membership=self.membership,
+            directory=self.directory,
+            layout=self.layout,
+            tier=tier,
+            owner_tier=lambda: self.peers.members_heard.owner_tier(),
+            rest_until_ms=lambda: self.handover.rest_until_ms,
+        )
+
+    def follow(self, owner):
+        if owner is not self:
+            self.owners.clear()
+        elif not self.owners:
+            self.owners[0] = SimpleNamespace(
+                is_serving=True,
+                store_answers=True,
+                has_unstored=False,
+                epoch=1,
+                tell_ends=self._tell_ends,
+                end=lambda reason: None,
+            )
+
+    def _tell_ends(self):
+        self.told += 1
+
+    def heartbeat(self):
+        best_tier = self.handover.best_tier()
+        return Heartbeat(
+            owned=[OwnedCell(cell=0, epoch=1)] if self.owners else [],
+            config_version=1,
+            leaving=False,
+            in_group=self.membership.in_group,
+            store_lost=self.membership.store_lost,
+            tier=int(self.tier),
+            load_percent=self.owner_load.load.percent,
+            best_tier=int(best_tier) if best_tier else None,
+            join_ms=6,
+        )
+
+
+class Group:
+    """Any number of instances of several ranks, with one cell."""
+
+    def __init__(self, timers, *, full=2, partial=2, least=3, known=None):
+        self.timers = timers
+        self.members = []
+        self.owners_seen = []
+        tiers = [Tier.FULL] * full + [Tier.PARTIAL] * partial + [Tier.LEAST] * least
+        self.known = set(tiers) | {Tier.LEAST} if known is None else known
+        self.instances = [
+            Instance(self, f"edge-{n}", tier) for n, tier in enumerate(tiers)
+        ]
+        for instance in self.instances:
+            instance.standby.start()
+
+    def of(self, tier):
+        return [instance for instance in self.instances if instance.tier is tier]
+
+    @property
+    def owner(self):
+        return self.members[0] if self.members else None
+
+    @property
+    def handovers(self):
+        return [
+            reason
+            for instance in self.instances
+            for name, reason in instance.metrics.counts
+            if name == "owner_handovers"
+        ]
+
+    def beat(self, sender):
+        for other in self.instances:
+            if other is not sender and other.is_up and sender.is_up:
+                other.peers.members_heard.on_heartbeat(sender.name, sender.heartbeat())
+
+    def lose(self, instances):
+        for instance in instances:
+            instance.is_up = False
+            instance.membership._wants = False
+            if instance in self.members:
+                self.members.remove(instance)
+
+    def bring_back(self, instances):
+        for instance in instances:
+            instance.is_up = True
+            instance.standby.on_left()
+
+    def cut_from_store(self, instances):
+        """Have the store grant nothing to some; their memberships lapse."""
+        for instance in instances:
+            instance.has_store = False
+            instance.cut_at_ms = self.timers.now_ms
+
+    def _lapse(self):
+        for instance in list(self.members):
+            cut_at_ms = instance.cut_at_ms
+            if cut_at_ms is not None and self.timers.now_ms - cut_at_ms > TTL_MS:
+                self.members.remove(instance)
+
+    def mend(self, instances):
+        """Have the store answer again."""
+        for instance in instances:
+            instance.has_store = True
+            instance.cut_at_ms = None
+
+    def run(self, for_ms):
+        for _ in range(for_ms // STEP_MS):
+            self.timers.run(STEP_MS)
+            for instance in self.instances:
+                instance.directory.member_count = len(self.members)
+                instance.membership.join()
+                instance.follow(self.owner)
+            self._lapse()
+            if self.timers.now_ms % BEAT_MS < STEP_MS:
+                for instance in self.instances:
+                    self.beat(instance)
+            if not self.owners_seen or self.owners_seen[-1] is not self.owner:
+                self.owners_seen.append(self.owner)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -5,7 +5,6 @@
 """
 
 import random
-from types import SimpleNamespace
 
 import pytest
 
@@ -15,214 +14,13 @@
     owner_directory,
     standby as standby_module,
 )
-from thymefork_daemon.capacity import OwnerLoad, Tier
-from thymefork_daemon.handover import Handover
-from thymefork_daemon.members_heard import MembersHeard
-from thymefork_daemon.standby import BETTER_RETURN_MS, NEXT_RANK_MS, SPREAD_MS, Standby
-from thymefork_net.peers import Heartbeat, OwnedCell
+from thymefork_daemon.capacity import Tier
+from thymefork_daemon.standby import BETTER_RETURN_MS, NEXT_RANK_MS, SPREAD_MS
+from thymefork_net.peers import Heartbeat
 
-from .fakes import FakeMetrics
+from .group_of_instances import STEP_MS, Group
 
 CLOCKED = (handover_module, members_heard_module, owner_directory, standby_module)
-STEP_MS = 10
-BEAT_MS = 250
-
-
-class FakeMembership:
-    """Be in the group or not; the group deals its one cell to the earliest member."""
-
-    is_asking = False
-
-    def __init__(self, group, instance):
-        self._group = group
-        self._instance = instance
-        self._wants = False
-        self.round_trip_ms = 6.0
-
-    @property
-    def in_group(self):
-        return self._instance in self._group.members
-
-    @property
-    def store_lost(self):
-        return self.in_group and not self._instance.has_store
-
-    @property
-    def is_settled(self):
-        return self.in_group and self._instance.has_store
-
-    def start(self):
-        self._wants = True
-        self.join()
-
-    def join(self):
-        """Join once that is wanted and the store answers."""
-        if self._wants and self._instance.is_up and self._instance.has_store:
-            if not self.in_group:
-                self._group.members.append(self._instance)
-
-    def leave(self, on_done):
-        self._wants = False
-        self._group.members.remove(self._instance)
-        on_done(None)
-
-
-class OwnTimers:
-    """Let an instance's timers do nothing while it is down."""
-
-    def __init__(self, timers, instance):
-        self._timers = timers
-        self._instance = instance
-
-    def after(self, delay_ms, action):
-        return self._timers.after(delay_ms, lambda: self._call(action))
-
-    def every(self, period_ms, action):
-        return self._timers.every(period_ms, lambda: self._call(action))
-
-    def _call(self, action):
-        if self._instance.is_up:
-            action()
-
-
-class FakeLayout:
-    """Know the ranks that were announced, and those that were heard of."""
-
-    cells = 1
-
-    def __init__(self, tiers):
-        self.tiers = set(tiers)
-        self.note_tier = self.tiers.add
-
-    @property
-    def best_tier(self):
-        return max(self.tiers)
-
-
-class Instance:
-    """Run the parts that decide on being a member, beside fakes of the others."""
-
-    is_stopping = False
-
-    def __init__(self, group, name, tier):
-        self.name, self.tier = name, tier
-        self.has_store = True
-        self.is_up = True
-        self.told = 0
-        self.has_unstored = False
-        self.owners = {}
-        self.timers = OwnTimers(group.timers, self)
-        self.metrics = FakeMetrics()
-        self.capacity = SimpleNamespace(tier=tier)
-        self.owner_load = SimpleNamespace(load=OwnerLoad(link_mbps=0.0))
-        self.peers = SimpleNamespace(
-            members_heard=MembersHeard(), send_heartbeats=lambda: group.beat(self)
-        )
-        self.layout = FakeLayout(group.known)
-        self.directory = SimpleNamespace(member_count=0, refresh=lambda: None)
-        self.membership = FakeMembership(group, self)
-        self.handover = Handover(daemon=self, tier=tier)
-        self.standby = Standby(
-            timers=self.timers,
-            membership=self.membership,
-            directory=self.directory,
-            layout=self.layout,
-            tier=tier,
-            owner_tier=lambda: self.peers.members_heard.owner_tier(),
-            rest_until_ms=lambda: self.handover.rest_until_ms,
-        )
-
-    def follow(self, owner):
-        if owner is not self:
-            self.owners.clear()
-        elif not self.owners:
-            self.owners[0] = SimpleNamespace(
-                is_serving=True,
-                store_answers=True,
-                has_unstored=False,
-                epoch=1,
-                tell_ends=self._tell_ends,
-                end=lambda reason: None,
-            )
-
-    def _tell_ends(self):
-        self.told += 1
-
-    def heartbeat(self):
-        best_tier = self.handover.best_tier()
-        return Heartbeat(
-            owned=[OwnedCell(cell=0, epoch=1)] if self.owners else [],
-            config_version=1,
-            leaving=False,
-            in_group=self.membership.in_group,
-            store_lost=self.membership.store_lost,
-            tier=int(self.tier),
-            load_percent=self.owner_load.load.percent,
-            best_tier=int(best_tier) if best_tier else None,
-            join_ms=6,
-        )
-
-
-class Group:
-    """Any number of instances of several ranks, with one cell."""
-
-    def __init__(self, timers, *, full=2, partial=2, least=3, known=None):
-        self.timers = timers
-        self.members = []
-        self.owners_seen = []
-        tiers = [Tier.FULL] * full + [Tier.PARTIAL] * partial + [Tier.LEAST] * least
-        self.known = set(tiers) | {Tier.LEAST} if known is None else known
-        self.instances = [
-            Instance(self, f"edge-{n}", tier) for n, tier in enumerate(tiers)
-        ]
-        for instance in self.instances:
-            instance.standby.start()
-
-    def of(self, tier):
-        return [instance for instance in self.instances if instance.tier is tier]
-
-    @property
-    def owner(self):
-        return self.members[0] if self.members else None
-
-    @property
-    def handovers(self):
-        return [
-            reason
-            for instance in self.instances
-            for name, reason in instance.metrics.counts
-            if name == "owner_handovers"
-        ]
-
-    def beat(self, sender):
-        for other in self.instances:
-            if other is not sender and other.is_up and sender.is_up:
-                other.peers.members_heard.on_heartbeat(sender.name, sender.heartbeat())
-
-    def lose(self, instances):
-        for instance in instances:
-            instance.is_up = False
-            instance.membership._wants = False
-            if instance in self.members:
-                self.members.remove(instance)
-
-    def bring_back(self, instances):
-        for instance in instances:
-            instance.is_up = True
-            instance.standby.on_left()
-
-    def run(self, for_ms):
-        for _ in range(for_ms // STEP_MS):
-            self.timers.run(STEP_MS)
-            for instance in self.instances:
-                instance.directory.member_count = len(self.members)
-                instance.membership.join()
-                instance.follow(self.owner)
-            if self.timers.now_ms % BEAT_MS < STEP_MS:
-                for instance in self.instances:
-                    self.beat(instance)
-            if not self.owners_seen or self.owners_seen[-1] is not self.owner:
-                self.owners_seen.append(self.owner)
 
 
 @pytest.fixture(params=[1, 2, 3])
@@ -404,3 +202,19 @@
         assert {member.tier for member in group.members} == {Tier.FULL}
         group.run(1_000)
     assert group.handovers == ["better_tier"] * 2
+
+
+def test_with_a_third_cut_from_the_store_the_best_that_are_left_own(timers, shares):
+    """The owner is among those cut off; no lower rank gets a turn, then or later."""
+    group = Group(timers, full=3, partial=3, least=6)
+    group.run(3_000)
+    first = group.owner
+    cut = [first, group.of(Tier.PARTIAL)[0], *group.of(Tier.LEAST)[:2]]
+    group.cut_from_store(cut)
+    group.run(9_000)
+    assert group.owner.tier is Tier.FULL and group.owner is not first
+    group.mend(cut)
+    group.run(10_000)
+    seen = [owner.tier for owner in group.owners_seen if owner is not None]
+    assert set(seen) == {Tier.FULL}
+    assert not group.handovers
