Merge: own cells by capacity

Cause: any instance with a processor for it took part in owning, whatever its link; an owner that drowned went on.

--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -10,6 +10,7 @@
     "CELLS_TOPIC",
     "GROUP",
     "Membership",
+    "SLOW_JOIN_MS",
     "address_of_member",
     "is_member_id",
 ]
@@ -89,9 +90,19 @@
         self._answering = True
 
     def start(self):
-        """Join, and go on joining."""
+        """Join, and go on joining; after a leave, as a newcomer."""
+        self._timers.cancel(self._join_timer)
+        if self._left:
+            self._left = False
+            self.renewed_ms = self.valid_until_ms = self._joined_ms = 0.0
+            self._answered_ms = steady_ms()  # answers to joins of before are stale
         self._join()
 
+    @property
+    def round_trip_ms(self):
+        """Return how long the last answered join took."""
+        return self._round_trip_ms
+
     @property
     def in_group(self):
         """Tell whether this instance has joined and may be dealt cells."""
@@ -106,13 +117,16 @@
         return self.in_group and steady_ms() - self.renewed_ms > patience_ms
 
     @property
-    def is_well(self):
-        """Tell whether the store answers this instance, quickly and for a while."""
+    def is_settled(self):
+        """Tell whether the store has answered this instance for a while."""
         if not self.in_group or self.store_lost:
             return False
-        if steady_ms() - self._regained_ms < SETTLED_MS:
-            return False
-        return self._round_trip_ms < SLOW_JOIN_MS
+        return steady_ms() - self._regained_ms >= SETTLED_MS
+
+    @property
+    def is_well(self):
+        """Tell whether the store answers this instance, quickly and for a while."""
+        return self.is_settled and self._round_trip_ms < SLOW_JOIN_MS
 
     def hurry(self):
         """Join at once, since the group has probably changed."""
@@ -239,8 +253,14 @@
         self.epochs.pop(partition, None)
         self.hurry()
 
+    @property
+    def is_asking(self):
+        """Tell whether the newest join has no answer yet."""
+        return self._asked_ms > self._answered_ms
+
     def leave(self, on_done):
         """Give all cells back at once."""
         self._left = True
+        self._refused.update(self.epochs)
         self.epochs = {}
         self._store.leave(group=GROUP, member_id=self.member_id, on_done=on_done)
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -0,0 +1,220 @@
+"""Cells go to members that are better placed, and back no more often than it is worth.
+
+The failure is the loss of all instances of the best rank: others stand in, and leave
+once those are back. The load is an owner that can't follow while another could.
+"""
+
+import random
+
+import pytest
+
+from thymefork_daemon import (
+    handover as handover_module,
+    members_heard as members_heard_module,
+    owner_directory,
+    standby as standby_module,
+)
+from thymefork_daemon.capacity import Tier
+from thymefork_daemon.standby import BETTER_RETURN_MS, NEXT_RANK_MS, SPREAD_MS
+from thymefork_net.peers import Heartbeat
+
+from .group_of_instances import STEP_MS, Group
+
+CLOCKED = (handover_module, members_heard_module, owner_directory, standby_module)
+
+
+@pytest.fixture(params=[1, 2, 3])
+def shares(request):
+    random.seed(request.param)
+
+
+@pytest.fixture
+def group(timers, shares):
+    group = Group(timers)
+    group.run(3_000)
+    return group
+
+
+def drown(instance):
+    """Have an owner that can't follow."""
+    load = instance.owner_load.load
+    load.value, load.is_drowned = 1.5, True
+
+
+def relieve(instance):
+    """Have an instance that owns nothing, or can follow."""
+    instance.owner_load.load.reset()
+
+
+def test_only_the_best_rank_takes_part_while_it_is_there(group):
+    group.run(30_000)
+    assert set(group.members) == set(group.of(Tier.FULL))
+    assert not group.handovers
+
+
+def test_the_next_rank_stands_in_within_the_standby_s_time(group):
+    group.lose(group.of(Tier.FULL))
+    group.run(int(BETTER_RETURN_MS) - 100)
+    assert not group.members
+    group.run(int(SPREAD_MS) + 300)
+    assert group.owner.tier is Tier.PARTIAL
+    group.run(20_000)
+    assert {member.tier for member in group.members} == {Tier.PARTIAL}
+
+
+def test_the_least_stand_in_where_nobody_else_is_left(group):
+    group.lose(group.of(Tier.FULL) + group.of(Tier.PARTIAL))
+    group.run(int(BETTER_RETURN_MS + NEXT_RANK_MS + SPREAD_MS) + 300)
+    assert group.owner.tier is Tier.LEAST
+
+
+def test_better_ones_that_return_get_the_cell_once(group):
+    full = group.of(Tier.FULL)
+    group.lose(full)
+    group.run(8_000)
+    stand_in = group.owner
+    group.bring_back(full)
+    group.run(6_000)
+    assert group.owner in full
+    assert stand_in.told == 1  # what it had heard and not stored went along
+    assert {member.tier for member in group.members} == {Tier.FULL}
+    seen = len(group.owners_seen)
+    group.run(30_000)
+    assert len(group.owners_seen) == seen
+
+
+def test_a_middle_rank_takes_over_from_the_least(group):
+    group.lose(group.of(Tier.FULL) + group.of(Tier.PARTIAL))
+    group.run(9_000)
+    assert group.owner.tier is Tier.LEAST
+    group.instances[2].is_up = True  # a middle one, which stands by
+    group.run(12_000)
+    assert group.owner.tier is Tier.PARTIAL
+
+
+def test_better_ones_that_come_and_go_are_followed_ever_more_seldom(group):
+    full = group.of(Tier.FULL)
+    for _ in range(10):
+        group.lose(full)
+        group.run(8_000)
+        group.bring_back(full)
+        group.run(3_000)
+    assert len(group.handovers) <= 4
+    group.run(60_000)
+    assert group.owner in full
+
+
+@pytest.mark.parametrize("without_store", ["stand_in", "better"])
+def test_nothing_is_handed_over_while_the_store_is_away(group, without_store):
+    full = group.of(Tier.FULL)
+    group.lose(full)
+    group.run(8_000)
+    stand_in = group.owner
+    group.bring_back(full)
+    away = [stand_in] if without_store == "stand_in" else full
+    for instance in away:
+        instance.has_store = False
+    group.run(10_000)
+    assert group.owner is stand_in and not stand_in.told
+    for instance in away:
+        instance.has_store = True
+    group.run(8_000)
+    assert group.owner in full
+
+
+def test_a_handover_waits_for_what_is_not_stored_and_ends_with_the_store(group):
+    full = group.of(Tier.FULL)
+    group.lose(full)
+    group.run(8_000)
+    stand_in = group.owner
+    stand_in.owners[0].has_unstored = True
+    group.bring_back(full)
+    while stand_in.handover._reason is None:
+        group.run(STEP_MS)
+    group.run(100)
+    assert group.owner is stand_in
+    stand_in.has_store = False
+    group.run(3_000)
+    assert group.owner is stand_in and not stand_in.told
+
+
+def test_a_drowned_owner_gives_its_cell_to_one_of_its_rank(group):
+    group.run(5_000)
+    first = group.owner
+    drown(first)
+    group.run(3_000)
+    assert group.owner in group.of(Tier.FULL) and group.owner is not first
+    assert group.handovers == ["overload"]
+
+
+def test_a_drowned_owner_without_relief_stays(timers, shares):
+    group = Group(timers, full=1)
+    group.run(8_000)
+    drown(group.owner)
+    group.run(30_000)
+    assert group.owner.tier is Tier.FULL and not group.handovers
+
+
+def test_two_that_drown_in_turn_do_not_pass_the_cell_to_and_fro(group):
+    """A cell that drowns every owner costs no takeover every few seconds as well."""
+    group.run(5_000)
+    for _ in range(600):
+        for instance in group.instances:
+            relieve(instance)
+        if group.owner is not None:
+            drown(group.owner)
+        group.run(100)
+    assert len(group.handovers) <= 8  # in a minute
+
+
+def test_a_drowned_owner_rests_and_takes_part_again(group):
+    group.run(5_000)
+    first = group.owner
+    drown(first)
+    group.run(3_000)
+    relieve(first)
+    assert first not in group.members
+    group.run(8_000)
+    assert first in group.members and group.owner is not first
+
+
+def test_peers_that_know_no_ranks_are_left_alone(group):
+    """In a roll old instances tell none; nobody leaves the group for them."""
+    stand_in = group.of(Tier.PARTIAL)[0]
+    group.lose(group.of(Tier.FULL))
+    group.run(8_000)
+    stand_in = group.owner
+    message = Heartbeat(owned=[], config_version=1, leaving=False, in_group=True)
+    for _ in range(20):
+        stand_in.peers.members_heard.on_heartbeat("old", message)
+        group.run(250)
+    assert group.owner is stand_in
+
+
+def test_better_instances_that_are_added_later_take_over_for_good(timers, shares):
+    group = Group(timers, known={Tier.LEAST, Tier.PARTIAL})
+    group.lose(group.of(Tier.FULL))
+    group.run(10_000)
+    assert {member.tier for member in group.members} == {Tier.PARTIAL}
+    group.bring_back(group.of(Tier.FULL))
+    group.run(8_000)
+    for _ in range(30):
+        assert {member.tier for member in group.members} == {Tier.FULL}
+        group.run(1_000)
+    assert group.handovers == ["better_tier"] * 2
+
+
+def test_with_a_third_cut_from_the_store_the_best_that_are_left_own(timers, shares):
+    """The owner is among those cut off; no lower rank gets a turn, then or later."""
+    group = Group(timers, full=3, partial=3, least=6)
+    group.run(3_000)
+    first = group.owner
+    cut = [first, group.of(Tier.PARTIAL)[0], *group.of(Tier.LEAST)[:2]]
+    group.cut_from_store(cut)
+    group.run(9_000)
+    assert group.owner.tier is Tier.FULL and group.owner is not first
+    group.mend(cut)
+    group.run(10_000)
+    seen = [owner.tier for owner in group.owners_seen if owner is not None]
+    assert set(seen) == {Tier.FULL}
+    assert not group.handovers
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thymefork_daemon import layout as layout_module
+from thymefork_daemon.capacity import Tier
 from thymefork_daemon.layout import Layout
 from thymefork_machines.store import (
     AppendOutcome,
@@ -51,7 +52,7 @@
             worker_list=SimpleNamespace(
                 entries=dict.fromkeys(range(45)), want=lambda wanted: None
             ),
-            is_large=is_large,
+            tier=Tier.FULL if is_large else Tier.LEAST,
             on_known=lambda: None,
         )
         layout.start()
@@ -63,14 +64,14 @@
 def test_small_instances_alone_agree_on_the_cells(start, timers):
     layout = start(is_large=False)
     timers.run(5_000)
-    assert layout.cells == 1 and not layout.has_large
+    assert layout.cells == 1 and layout.best_tier is Tier.LEAST
 
 
 def test_a_small_instance_knows_that_large_ones_take_part(start, timers):
     start(is_large=True)
     small = start(is_large=False)
     timers.run(5_000)
-    assert small.cells == 1 and small.has_large
+    assert small.cells == 1 and small.best_tier is Tier.FULL
 
 
 def test_a_large_instance_says_so_once_the_store_is_back(start, store, timers):
@@ -89,7 +90,7 @@
     timers.run(5_000)
     start(is_large=True)
     timers.run(500)
-    assert start(is_large=False).has_large
+    assert start(is_large=False).best_tier is Tier.FULL
 
 
 @pytest.mark.parametrize(
@@ -106,3 +107,43 @@
     store.values["cells"] = b'{"cells": 2}'
     timers.run(1_000)
     assert layout.cells == 2
+
+
+def start_tier(store, timers, tier):
+    layout = Layout(
+        store=store,
+        timers=timers,
+        most_cells=8,
+        worker_list=SimpleNamespace(
+            entries=dict.fromkeys(range(45)), want=lambda wanted: None
+        ),
+        tier=tier,
+        on_known=lambda: None,
+    )
+    layout.start()
+    return layout
+
+
+def test_each_rank_says_that_it_takes_part(store, timers):
+    start_tier(store, timers, Tier.FULL)
+    start_tier(store, timers, Tier.PARTIAL)
+    least = start_tier(store, timers, Tier.LEAST)
+    timers.run(5_000)
+    assert set(store.values) == {"large", "partial", "full", "cells"}
+    assert least.tiers == set(Tier)
+
+
+def test_where_all_are_partial_nobody_waits_for_better_ones(store, timers):
+    layouts = [start_tier(store, timers, Tier.PARTIAL) for _ in range(2)]
+    timers.run(5_000)
+    assert all(layout.best_tier is Tier.PARTIAL for layout in layouts)
+
+
+def test_a_layout_from_before_there_were_ranks_is_read(store, timers):
+    """The least wait for large ones as before; those above add their own key."""
+    store.values = {"large": b"true", "cells": b'{"cells": 1}'}
+    assert start_tier(store, timers, Tier.LEAST).best_tier is Tier.PARTIAL
+    full = start_tier(store, timers, Tier.FULL)
+    timers.run(1_000)
+    assert full.cells == 1 and "full" in store.values
+    assert start_tier(store, timers, Tier.LEAST).best_tier is Tier.FULL
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -220,6 +220,10 @@
      - leaving
      - in_group
      - store_lost
+     - tier
+     - load_percent
+     - best_tier
+     - join_ms
 
     """
 
@@ -229,15 +233,23 @@
         'leaving',
         'in_group',
         'store_lost',
+        'tier',
+        'load_percent',
+        'best_tier',
+        'join_ms',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
         self.in_group = in_group
         self.store_lost = store_lost
+        self.tier = tier
+        self.load_percent = load_percent
+        self.best_tier = best_tier
+        self.join_ms = join_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -279,6 +291,26 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.tier = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.load_percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I32:
+                    self.best_tier = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.I32:
+                    self.join_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,6 +344,22 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 5)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.tier is not None:
+            oprot.writeFieldBegin('tier', TType.I32, 6)
+            oprot.writeI32(self.tier)
+            oprot.writeFieldEnd()
+        if self.load_percent is not None:
+            oprot.writeFieldBegin('load_percent', TType.I32, 7)
+            oprot.writeI32(self.load_percent)
+            oprot.writeFieldEnd()
+        if self.best_tier is not None:
+            oprot.writeFieldBegin('best_tier', TType.I32, 8)
+            oprot.writeI32(self.best_tier)
+            oprot.writeFieldEnd()
+        if self.join_ms is not None:
+            oprot.writeFieldBegin('join_ms', TType.I32, 9)
+            oprot.writeI32(self.join_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1346,6 +1394,10 @@
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.BOOL, 'in_group', None, None, ),  # 4
     (5, TType.BOOL, 'store_lost', None, None, ),  # 5
+    (6, TType.I32, 'tier', None, None, ),  # 6
+    (7, TType.I32, 'load_percent', None, None, ),  # 7
+    (8, TType.I32, 'best_tier', None, None, ),  # 8
+    (9, TType.I32, 'join_ms', None, None, ),  # 9
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
