Learn how fast workers are, apart from what images take, and place by it

Workers of one service may differ by over two times and nothing on the wire tells it: the tightest fit gave urgent work to slow workers beside idle fast ones.

--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -2,6 +2,7 @@
 
 from .cell import Cell
 from .context import STALE_MS
+from .estimates.worker_speeds import LearnedSpeed
 from .hashing import cell_of
 from .jobs.codec import decode_spec, encode_spec
 from .reports import EndRow, HeardEnd, RunRow, WorkerReport
@@ -14,6 +15,7 @@
     "EndRow",
     "HeardEnd",
     "LONG_CALL_MS",
+    "LearnedSpeed",
     "OrderAnswer",
     "Refusal",
     "RunRow",
--- a/packages/thymefork-cells/src/thymefork_cells/advice/choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/choice.py
@@ -54,20 +54,23 @@
     return len(held) >= MARGIN * wanted
 
 
-def choose_workers(step, with_room, others, wanted, *, share, waited_ms, most):
+def choose_workers(
+    step, with_room, others, wanted, *, share, waited_ms, most, chance=None
+):
     """Return workers with room for the wanted tasks by the share that is allowed.
 
     The service takes longer for each worker that it is asked about. Those with room
     come first, from the hall with the most of it, and within a hall in an order that
     differs from step to step, so that steps which ask at the same time spread over all
     workers. After an answer that allowed none, and as the step waits, a call asks about
-    twice as many as the one before.
+    twice as many as the one before. Where workers are uneven, `chance` tells how likely
+    a task is late on each: those that suit come first, of them the slowest.
     """
     wider = 2 ** max(step.denials_in_row, int(waited_ms / WIDER_AFTER_MS))
     target = MARGIN * wider * wanted / share
     fewest = FEWEST_WORKERS * wider
     chosen, covered = [], 0
-    for worker in _ranked(step, with_room, others):
+    for worker in _ranked(step, with_room, others, chance):
         if len(chosen) == most or (covered >= target and len(chosen) >= fewest):
             break
         chosen.append(worker)
@@ -75,8 +78,23 @@
     return chosen
 
 
-def _ranked(step, with_room, others):
+def _ranked(step, with_room, others, chance):
     """Yield the workers that a step may ask about, the best ones first."""
+    if chance is None:
+        yield from _by_hall(step, with_room)
+    else:
+        suitable = chance.suitable(with_room)
+        rest = set(with_room).difference(suitable)
+        slow = [worker for worker in suitable if worker.slowness >= 1.0]
+        fast = [worker for worker in suitable if worker.slowness < 1.0]
+        yield from _by_hall(step, slow)
+        yield from _by_hall(step, fast)
+        yield from _by_hall(step, [worker for worker in with_room if worker in rest])
+    yield from _drawn(step, others)
+
+
+def _by_hall(step, with_room):
+    """Yield workers with room, from the hall with the most of it first."""
     room, by_hall = Counter(), defaultdict(list)
     for worker in with_room:
         hall = worker.entry.hall
@@ -84,7 +102,6 @@
         by_hall[hall].append(worker)
     for hall, _ in room.most_common():
         yield from _drawn(step, by_hall[hall])
-    yield from _drawn(step, others)
 
 
 def _drawn(step, workers):
--- a/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
@@ -41,9 +41,10 @@
 class AdviceDesk:
     """Keep tickets ready for the steps whose turn comes."""
 
-    def __init__(self, *, context, images):
+    def __init__(self, *, context, images, speeds):
         self._context = context
         self._images = images
+        self._speeds = speeds
         self._shares = AllowedShares()
         self._wanting = []
 
@@ -175,6 +176,9 @@
             (with_room if has_room and is_of_use(worker) else others).append(worker)
         if step.ready and not with_room and has_tickets_to_wait(held, wanted):
             return self._to_renew(step, workers, now_ms)
+        chance = None
+        if self._speeds.is_uneven:
+            chance = self._images.late_chance(step, now_ms)
         return choose_workers(
             step,
             with_room,
@@ -183,6 +187,7 @@
             share=self._shares.of(step.job.queue_name),
             waited_ms=step.longest_wait_ms(now_ms),
             most=MOST_WORKERS,
+            chance=chance,
         )
 
     @staticmethod
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -6,6 +6,8 @@
 from .context import CellContext
 from .estimates.images import ImageTimes
 from .estimates.room_forecast import RoomForecast
+from .estimates.speed_learner import SpeedLearner
+from .estimates.worker_speeds import WorkerSpeeds
 from .jobs.codec import (
     JOB_KEY,
     PROGRESS_KEY,
@@ -59,6 +61,10 @@
         self.quorum = Quorum(context=self.context, membership_ms=membership_ms)
         self._review_due_ms = now_ms
         self.images = ImageTimes()
+        self.speeds = WorkerSpeeds()
+        self.speed_learner = SpeedLearner(
+            context=self.context, images=self.images, speeds=self.speeds
+        )
         self.lifecycle = Lifecycle(context=self.context)
         self.losses = WorkerLosses(context=self.context, lifecycle=self.lifecycle)
         self.unstored_ends = UnstoredEnds(context=self.context)
@@ -85,7 +91,9 @@
             shares=self.shares,
         )
         forecast = RoomForecast(context=self.context, images=self.images)
-        self.advice = AdviceDesk(context=self.context, images=self.images)
+        self.advice = AdviceDesk(
+            context=self.context, images=self.images, speeds=self.speeds
+        )
         self.orders = Orders(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -104,6 +112,7 @@
             ),
             trials=Trials(),
             quotas=self.quotas,
+            speeds=self.speeds,
         )
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
@@ -193,6 +202,7 @@
             self.roster.expire(now_ms)
             self.orders.check_doubts(now_ms)
             self.orders.note_overdue_stops(now_ms)
+            self.speed_learner.review(now_ms)
             self.watch.check(now_ms)
             self.pacing.check(now_ms)
             self._forget_ended(now_ms)
@@ -275,7 +285,7 @@
         for key in ended:
             run = worker.runs.get(key)
             if run is not None and run.state is RunState.LIVE and not run.resumed:
-                self.images.learn(run.step.image, now_ms - run.began_ms)
+                self.speed_learner.on_done(run, now_ms)
         self.looks.on_report(worker, report, last_end, quick=quick, now_ms=now_ms)
 
     def on_other_life(self, worker, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -77,6 +77,16 @@
         """Return the policy of a job's queue, or None once it was removed."""
         return self.configuration.queue(job.queue_name)
 
+    def is_most_urgent(self, job):
+        """Tell whether no queue of the same service is more urgent than a job's."""
+        own = self.queue(job)
+        if own is None:
+            return False
+        return all(
+            queue.service != own.service or queue.priority >= own.priority
+            for queue in self.configuration.queues
+        )
+
     def service_of(self, job):
         """Return the service whose workers run a job."""
         queue = self.queue(job)
--- a/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
@@ -1,7 +1,7 @@
 """What a cell wants done outside: orders, calls, replies, log lines."""
 
 from .advice import AskAdvice
-from .looks import EndsStored, LookAt, StrayRun, TellEnds
+from .looks import EndsStored, LookAt, StrayRun, TellEnds, TellSpeeds
 from .orders import PaceRun, StartRun, StopRun
 from .replies import Outcome, Reply
 from .telling import Count, Note, Observe
@@ -20,4 +20,5 @@
     "StopRun",
     "StrayRun",
     "TellEnds",
+    "TellSpeeds",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/effects/looks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/looks.py
@@ -4,7 +4,7 @@
 
 from ..reports import HeardEnd
 
-__all__ = ["EndsStored", "LookAt", "StrayRun", "TellEnds"]
+__all__ = ["EndsStored", "LookAt", "StrayRun", "TellEnds", "TellSpeeds"]
 
 
 @frozen(kw_only=True, eq=False)
@@ -39,6 +39,13 @@
     ends: tuple[HeardEnd, ...]
 
 
+@frozen(kw_only=True, eq=False)
+class TellSpeeds:
+    """Tell those who may own the cell next how fast machines have turned out."""
+
+    speeds: tuple
+
+
 @frozen(kw_only=True, eq=False)
 class StrayRun:
     """Name a run that belongs to no job; it is stopped where it is seen."""
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/__init__.py
@@ -1,7 +1,18 @@
-"""Estimates: how long tasks take, and when room comes free."""
+"""Estimates: how long tasks take, where, and when room comes free."""
 
 from .images import ImageTimes
+from .late_chance import LateChance
 from .room import Room
 from .room_forecast import RoomForecast
+from .speed_learner import SpeedLearner
+from .worker_speeds import LearnedSpeed, WorkerSpeeds
 
-__all__ = ["ImageTimes", "Room", "RoomForecast"]
+__all__ = [
+    "ImageTimes",
+    "LateChance",
+    "LearnedSpeed",
+    "Room",
+    "RoomForecast",
+    "SpeedLearner",
+    "WorkerSpeeds",
+]
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
@@ -1,5 +1,7 @@
 """How long tasks of the same image take."""
 
+from .late_chance import LateChance
+
 __all__ = ["ImageTimes"]
 
 # A new duration counts this much beside what was known.
@@ -18,14 +20,15 @@
 class ImageTimes:
     """Learn durations by image, since callers' estimates are far off.
 
-    Units: milliseconds on a sound worker.
+    What is kept is the time on an ordinary worker; on a given one it is as many times
+    as long as the worker is slow. Units: milliseconds.
     """
 
     def __init__(self):
         self._mean_ms = {}
 
     def learn(self, image, took_ms):
-        """Note how long a task took from its start to its good end."""
+        """Note how long a task took, or would have, on an ordinary worker."""
         if not image:
             return
         known_ms = self._mean_ms.get(image)
@@ -40,14 +43,41 @@
         """Return the learned duration, or None."""
         return self._mean_ms.get(image)
 
-    def expected_ms(self, step):
-        """Return the learned duration, or else the caller's estimate."""
+    def expected_ms(self, step, worker=None):
+        """Return the learned duration, or else the caller's estimate.
+
+        On a worker, or on an ordinary one.
+        """
         known_ms = self._mean_ms.get(step.image) if step.image else None
-        return known_ms if known_ms is not None else float(step.estimated_ms)
+        usual_ms = known_ms if known_ms is not None else float(step.estimated_ms)
+        return usual_ms if worker is None else usual_ms * worker.slowness
 
-    def ends_in_time(self, step, start_ms):
+    def ends_in_time(self, step, start_ms, worker=None):
         """Tell whether a task of a step that starts at a moment meets its objective."""
-        return start_ms + self.expected_ms(step.spec) < step.job.objective_ms
+        return start_ms + self.expected_ms(step.spec, worker) < step.job.objective_ms
+
+    def late_chance(self, step, now_ms):
+        """Return what judges workers for tasks of a step; None where time is no aim.
+
+        What the job's later steps take is left for them.
+        """
+        job = step.job
+        if step.spec.long_running or step.spec.fills_idle_cpu or not job.objective_ms:
+            return None
+        rest_ms = self._rest_ms(job.spec.steps, step.index)
+        return LateChance(
+            usual_ms=self.expected_ms(step.spec),
+            left_ms=job.objective_ms - rest_ms - now_ms,
+        )
+
+    def _rest_ms(self, steps, index):
+        """Return the longest chain of work that follows a step."""
+        rest_ms = [0.0] * len(steps)
+        for later in range(len(steps) - 1, index, -1):
+            total_ms = rest_ms[later] + self.expected_ms(steps[later])
+            for earlier in steps[later].after:
+                rest_ms[earlier] = max(rest_ms[earlier], total_ms)
+        return rest_ms[index]
 
     def left_ms(self, run, now_ms):
         """Return how long a run is expected to go on."""
@@ -56,7 +86,7 @@
             at_listing_ms = total_ms * (100 - run.percent) / 100.0
             return max(0.0, at_listing_ms - (now_ms - run.listed_ms))
         elapsed_ms = max(0.0, now_ms - run.began_ms) if run.began_ms else 0.0
-        return max(0.0, self.expected_ms(run.step) - elapsed_ms)
+        return max(0.0, self.expected_ms(run.step, run.worker) - elapsed_ms)
 
     def _pace_total_ms(self, run):
         """Return the total time at the pace that was seen, None if there is none."""
@@ -71,23 +101,30 @@
         return span_ms * 100.0 / max(gained, 0.5)
 
     def late_ms(self, run, now_ms):
-        """Return by how much a run falls behind a new one elsewhere, 0 if not."""
+        """Return by how much a run falls behind a new one elsewhere, 0 if not.
+
+        It is behind only if it takes far longer than usual on its worker.
+        """
         known_ms = self._mean_ms.get(run.step.image) if run.step.image else None
         if known_ms is None or run.step.long_running or run.step.fills_idle_cpu:
             return 0.0
+        usual_ms = known_ms * run.worker.slowness
         total_ms = self._pace_total_ms(run)
         if total_ms is None:
             # It was never listed: late if it should have ended a while ago.
             elapsed_ms = now_ms - run.began_ms if run.began_ms else 0.0
-            return max(0.0, elapsed_ms - LATE * known_ms)
-        if total_ms < LATE * known_ms:
+            return max(0.0, elapsed_ms - LATE * usual_ms)
+        if total_ms < LATE * usual_ms:
             return 0.0
         return max(0.0, self.left_ms(run, now_ms) - 1.2 * known_ms)
 
     def slowness(self, run):
-        """Return how many times as long as usual a run takes, None if not known."""
+        """Return how many times as long as usual on its worker a run takes.
+
+        None if not known.
+        """
         known_ms = self._mean_ms.get(run.step.image) if run.step.image else None
         if known_ms is None or run.step.long_running or run.step.fills_idle_cpu:
             return None
         total_ms = self._pace_total_ms(run)
-        return None if total_ms is None else total_ms / known_ms
+        return None if total_ms is None else total_ms / (known_ms * run.worker.slowness)
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/log_belief.py
@@ -0,0 +1,34 @@
+"""What is believed of a quantity that is learned from noisy observations."""
+
+from attrs import define
+
+__all__ = ["LogBelief"]
+
+
+@define(kw_only=True)
+class LogBelief:
+    """Keep mean and variance of the logarithm of a quantity; doubt grows with time.
+
+    Units: natural logarithms, `*_ms` on the steady clock.
+    """
+
+    mean: float
+    variance: float
+    at_ms: float
+    most_variance: float
+
+    def age(self, now_ms, per_s):
+        """Let the variance grow since the last time by so much a second."""
+        grown = self.variance + per_s * max(0.0, now_ms - self.at_ms) / 1000.0
+        self.variance = min(self.most_variance, grown)
+        self.at_ms = now_ms
+
+    def doubt(self, variance):
+        """Keep the mean, with more doubt."""
+        self.variance = min(self.most_variance, self.variance + variance)
+
+    def move(self, residual, *, total_variance, weight=1.0):
+        """Take this quantity's part of what an observation differs by."""
+        gain = weight * self.variance / total_variance
+        self.mean += gain * residual
+        self.variance *= 1.0 - gain
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
@@ -0,0 +1,118 @@
+"""Learning how fast a cell's workers are from the ends of their runs."""
+
+from math import exp
+
+from ..effects import TellSpeeds
+
+__all__ = ["SpeedLearner"]
+
+# Speeds are logged this often while workers are uneven.
+NOTE_MS = 10_000.0
+# The other members are told this often, of so many machines at most: some hundred bytes
+# a second on each link, and all is told within some seconds.
+TELL_MS = 2_000.0
+MOST_TOLD = 24
+# Of the workers that turn out slow or fast at a time, so many are logged each.
+MOST_NOTED = 8
+
+
+class SpeedLearner:
+    """Learn from good ends and give each worker its slowness."""
+
+    def __init__(self, *, context, images, speeds):
+        self._context = context
+        self._images = images
+        self._speeds = speeds
+        self._note_due_ms = 0.0
+        self._tell_due_ms = 0.0
+
+    def on_done(self, run, now_ms):
+        """Learn from the good end of a run that this owner saw begin."""
+        step, worker = run.step, run.worker
+        took_ms = now_ms - run.began_ms
+        self._images.learn(step.image, took_ms / _slowness_of(run))
+        if not _tells_of_worker(run):
+            return
+        is_set_aside = self._speeds.learn(
+            machine=worker.machine,
+            born_epoch_ms=worker.born_epoch_ms,
+            image=step.image,
+            estimated_ms=step.estimated_ms,
+            took_ms=took_ms,
+            now_ms=now_ms,
+        )
+        if is_set_aside:
+            self._context.count("speeds", "outlier")
+
+    def inherit(self, speeds, *, now_ms):
+        """Begin with what earlier owners have learned."""
+        if not speeds:
+            return
+        self._speeds.inherit(speeds, now_ms)
+        self._context.note("speeds_inherited", machines=len(speeds))
+        self.review(now_ms)
+
+    def review(self, now_ms):
+        """Give workers their slowness, log and tell what has changed."""
+        workers = self._context.workers.values()
+        machines = list(dict.fromkeys(worker.machine for worker in workers))
+        if self._speeds.review(machines):
+            kind = "uneven" if self._speeds.is_uneven else "even"
+            self._context.count("speeds", kind)
+            self._context.note("workers_are", speeds=kind, workers=len(machines))
+        for worker in workers:
+            worker.slowness = self._speeds.slowness(worker.machine)
+        if not self._speeds.is_uneven:
+            return
+        self._note(machines, now_ms)
+        self._tell(machines, now_ms)
+
+    def _note(self, machines, now_ms):
+        """Log who turned out slow or fast, and all speeds from time to time."""
+        found = self._speeds.newly_notable(machines)
+        for machine, kind, log_slowness in found[:MOST_NOTED]:
+            slowness = round(exp(log_slowness), 2)
+            self._context.note(
+                "worker_speed", machine=machine, kind=kind, slowness=slowness
+            )
+        for _, kind, _ in found:
+            self._context.count("speeds", kind)
+        if now_ms < self._note_due_ms:
+            return
+        self._note_due_ms = now_ms + NOTE_MS
+        rows = sorted(exp(self._speeds.log_slowness(machine)) for machine in machines)
+        self._context.note(
+            "worker_speeds",
+            workers=len(rows),
+            fastest=round(rows[0], 2),
+            p10=round(rows[len(rows) // 10], 2),
+            p50=round(rows[len(rows) // 2], 2),
+            p90=round(rows[9 * len(rows) // 10], 2),
+            slowest=round(rows[-1], 2),
+        )
+
+    def _tell(self, machines, now_ms):
+        if now_ms < self._tell_due_ms:
+            return
+        self._tell_due_ms = now_ms + TELL_MS
+        news = self._speeds.take_news(machines, MOST_TOLD)
+        if news:
+            self._context.emit(TellSpeeds(speeds=tuple(news)))
+
+
+def _slowness_of(run):
+    """Return by what a run's time was stretched; a gang ends with its slowest."""
+    if not run.step.gang:
+        return run.worker.slowness
+    members = [other for task in run.task.step.tasks for other in task.runs]
+    return max((other.worker.slowness for other in members), default=1.0)
+
+
+def _tells_of_worker(run):
+    """Tell whether a run's time says how fast its worker is."""
+    step = run.step
+    if step.gang or step.long_running or step.fills_idle_cpu:
+        return False
+    if run.pace_percent < 100 or not run.began_ms:
+        return False
+    return not step.preferred_rack or step.preferred_rack == run.worker.entry.rack
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
@@ -0,0 +1,229 @@
+"""How fast workers are, apart from what the images that they run take."""
+
+from collections import OrderedDict
+from math import exp, log, sqrt
+from statistics import median
+
+from attrs import define
+
+from .log_belief import LogBelief
+
+__all__ = ["LearnedSpeed", "WorkerSpeeds"]
+
+# Variances of logarithms. Workers of one service differ by two to three times; callers'
+# estimates are off by about as much; tasks of one image on one worker by a quarter.
+WORKER_VARIANCE = 0.25
+IMAGE_VARIANCE = 0.36
+RUN_VARIANCE = 0.06
+# What a caller's estimate says beside the runs of an image. It ties images to what
+# callers estimate for, so that workers can't all become slow, or fast, together.
+ESTIMATE_VARIANCE = 0.8
+# Machines change seldom, images with each release of their callers' code.
+WORKER_DRIFT_PER_S = 0.0002
+IMAGE_DRIFT_PER_S = 0.0005
+# A worker that has started again is most likely the machine that it was.
+RESTART_DOUBT = 0.03
+# What an earlier owner has told counts as known, and is corrected by a few runs.
+INHERITED_VARIANCE = 0.05
+# Beyond this many standard deviations an observation counts less, and beyond the second
+# next to nothing: a long tail, or a worker that is slow for a while.
+DOUBTED_DEVIATIONS = 2.0
+OUTLIER_DEVIATIONS = 3.0
+WEIGHT_OF_OUTLIER = 0.01
+# What is off by as much for so long, in so many runs in a row, has changed for good:
+# machines that are slow for a while recover within some seconds.
+CHANGED_RUNS = 6
+CHANGED_AFTER_MS = 15_000.0
+# A worker is known once its variance is below this: after two or three runs of images
+# that are known.
+KNOWN_VARIANCE = 0.06
+# Workers count as uneven while at least two, and this share, of those known differ from
+# the middle one by this factor or more, beyond what doubt explains.
+NOTABLE = log(1.3)
+NOTABLE_DEVIATIONS = 2.0
+UNEVEN_SHARE = 0.05
+EVEN_SHARE = 0.02
+# Slowness is told in steps of this factor: less makes no difference to any decision.
+STEP = log(1.1)
+MOST_IMAGES = 4_000
+MOST_WORKERS = 4_000
+
+
+@define(kw_only=True)
+class LearnedSpeed:
+    """Tell how slow a machine is; `log_slowness` is 0 for an ordinary one."""
+
+    machine: str
+    log_slowness: float
+
+
+@define(kw_only=True)
+class _Known:
+    """Hold what is known of a machine; `off_*` tells of outliers in a row."""
+
+    belief: LogBelief
+    born_epoch_ms: int = 0
+    told: float = 0.0
+    noted: str = "ordinary"
+    off_runs: int = 0
+    off_since_ms: float = 0.0
+    off_sign: int = 0
+
+
+class WorkerSpeeds:
+    """Learn the slowness of machines and the work of images together.
+
+    log(duration) = log(what the image takes on an ordinary worker) + log(slowness of
+    the worker) + noise. Each unknown takes the part of a difference that its variance
+    is of the whole. An ordinary worker is one that takes what callers estimate.
+    """
+
+    def __init__(self):
+        self._images = OrderedDict()
+        self._workers = OrderedDict()
+        self.is_uneven = False
+
+    def learn(self, *, machine, born_epoch_ms, image, estimated_ms, took_ms, now_ms):
+        """Note the good end of a whole run; tell whether it was set aside."""
+        worker = self._worker(machine, born_epoch_ms, now_ms)
+        work = self._image(image, estimated_ms, now_ms)
+        total = worker.belief.variance + work.variance + RUN_VARIANCE
+        residual = log(max(1.0, took_ms)) - work.mean - worker.belief.mean
+        deviations = abs(residual) / sqrt(total)
+        is_outlier = deviations > OUTLIER_DEVIATIONS
+        weight = min(1.0, DOUBTED_DEVIATIONS / max(deviations, 1e-9))
+        if is_outlier:
+            weight = WEIGHT_OF_OUTLIER
+        worker.belief.move(residual, total_variance=total, weight=weight)
+        work.move(residual, total_variance=total, weight=weight)
+        self._watch_change(worker, residual if is_outlier else 0.0, now_ms)
+        return is_outlier
+
+    def _worker(self, machine, born_epoch_ms, now_ms):
+        known = self._workers.pop(machine, None)
+        if known is None:
+            known = _Known(belief=_belief(0.0, WORKER_VARIANCE, now_ms))
+            known.born_epoch_ms = born_epoch_ms
+        self._workers[machine] = known
+        _drop_oldest(self._workers, MOST_WORKERS)
+        known.belief.age(now_ms, WORKER_DRIFT_PER_S)
+        if born_epoch_ms != known.born_epoch_ms:
+            if known.born_epoch_ms:
+                known.belief.doubt(RESTART_DOUBT)
+            known.born_epoch_ms = born_epoch_ms
+        return known
+
+    def _image(self, image, estimated_ms, now_ms):
+        """Return what is believed of an image's work, drawn to callers' estimates."""
+        estimate = log(max(1.0, estimated_ms))
+        work = self._images.pop(image, None) if image else None
+        if work is None:
+            work = _belief(estimate, IMAGE_VARIANCE, now_ms)
+        work.age(now_ms, IMAGE_DRIFT_PER_S)
+        pull = work.variance / (work.variance + ESTIMATE_VARIANCE)
+        work.mean += pull * (estimate - work.mean)
+        if image:
+            self._images[image] = work
+            _drop_oldest(self._images, MOST_IMAGES)
+        return work
+
+    @staticmethod
+    def _watch_change(worker, residual, now_ms):
+        """Learn a machine anew that has been off one way for long."""
+        sign = (residual > 0.0) - (residual < 0.0)
+        if not sign or sign != worker.off_sign:
+            worker.off_sign, worker.off_runs, worker.off_since_ms = sign, 0, now_ms
+        if not sign:
+            return
+        worker.off_runs += 1
+        lasted_ms = now_ms - worker.off_since_ms
+        if worker.off_runs >= CHANGED_RUNS and lasted_ms >= CHANGED_AFTER_MS:
+            worker.belief.doubt(WORKER_VARIANCE)
+            worker.off_sign = 0
+
+    def inherit(self, speeds, now_ms):
+        """Begin with what an earlier owner has told, unless it is known here."""
+        for speed in speeds:
+            if speed.machine not in self._workers:
+                belief = _belief(speed.log_slowness, INHERITED_VARIANCE, now_ms)
+                self._workers[speed.machine] = _Known(
+                    belief=belief, told=speed.log_slowness
+                )
+        _drop_oldest(self._workers, MOST_WORKERS)
+
+    # What is known ------------------------------------------------------------
+
+    def log_slowness(self, machine):
+        """Return the logarithm of a machine's slowness, 0 while nothing is known."""
+        known = self._workers.get(machine)
+        return known.belief.mean if known is not None else 0.0
+
+    def slowness(self, machine):
+        """Return how many times as long as on an ordinary worker runs take.
+
+        Exactly 1 while workers are alike, as far as is known.
+        """
+        if not self.is_uneven:
+            return 1.0
+        return exp(STEP * round(self.log_slowness(machine) / STEP))
+
+    def review(self, machines):
+        """Judge whether the present machines are uneven; tell whether that changed."""
+        beliefs = [self._workers[m].belief for m in machines if m in self._workers]
+        known = [belief for belief in beliefs if belief.variance <= KNOWN_VARIANCE]
+        if not known:
+            return False
+        middle = median(belief.mean for belief in known)
+        notable = sum(_is_notable(belief, middle) for belief in known)
+        share = EVEN_SHARE if self.is_uneven else UNEVEN_SHARE
+        was, self.is_uneven = self.is_uneven, notable >= max(2, share * len(known))
+        return was != self.is_uneven
+
+    def newly_notable(self, machines):
+        """Return the machines that became notably slow or fast, or ordinary again."""
+        found = []
+        for machine in machines:
+            known = self._workers.get(machine)
+            if known is None or known.belief.variance > KNOWN_VARIANCE:
+                continue
+            kind = _kind(known.belief.mean)
+            if kind != known.noted:
+                known.noted = kind
+                found.append((machine, kind, known.belief.mean))
+        return found
+
+    def take_news(self, machines, most):
+        """Return what has changed by a notable step since it was told last."""
+        news = []
+        for machine in machines:
+            known = self._workers.get(machine)
+            if known is None or known.belief.variance > KNOWN_VARIANCE:
+                continue
+            if abs(known.belief.mean - known.told) < NOTABLE / 2:
+                continue
+            known.told = known.belief.mean
+            news.append(LearnedSpeed(machine=machine, log_slowness=known.told))
+            if len(news) == most:
+                break
+        return news
+
+
+def _belief(mean, variance, now_ms):
+    most = max(variance, WORKER_VARIANCE)
+    return LogBelief(mean=mean, variance=variance, at_ms=now_ms, most_variance=most)
+
+
+def _drop_oldest(rows, most):
+    while len(rows) > most:
+        rows.popitem(last=False)
+
+
+def _is_notable(belief, middle):
+    bound = max(NOTABLE, NOTABLE_DEVIATIONS * sqrt(belief.variance))
+    return abs(belief.mean - middle) > bound
+
+
+def _kind(log_slowness):
+    if log_slowness > NOTABLE:
+        return "slow"
+    return "fast" if log_slowness < -NOTABLE else "ordinary"
--- a/packages/thymefork-cells/src/thymefork_cells/placing/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/__init__.py
@@ -5,6 +5,7 @@
 from .placing_notes import PlacingNotes
 from .preemptor import Preemptor
 from .reservations import Reservations
+from .speed_fit import SpeedFit
 from .starvation import starved_ms
 from .step_order import StepOrder
 from .trials import APART_AFTER, Trials
@@ -16,6 +17,7 @@
     "PlacingNotes",
     "Preemptor",
     "Reservations",
+    "SpeedFit",
     "StepOrder",
     "Trials",
     "WorkerRanking",
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -6,6 +6,7 @@
 from ..state import JobState, Run, RunState
 from .gang_choice import workers_for_gang
 from .placing_notes import PlacingNotes
+from .speed_fit import SpeedFit
 from .step_order import StepOrder
 from .worker_choice import (
     WorkerRanking,
@@ -25,9 +26,20 @@
     """Give waiting tasks to workers with room, most urgent queue first."""
 
     def __init__(
-        self, *, context, advice, images, preemptor, reservations, trials, quotas
+        self,
+        *,
+        context,
+        advice,
+        images,
+        preemptor,
+        reservations,
+        trials,
+        quotas,
+        speeds,
     ):
         self._context = context
+        self._images = images
+        self._speeds = speeds
         self._quotas = quotas
         self._trials = trials
         self._preemptor = preemptor
@@ -115,15 +127,30 @@
         """Start tasks under which no worker was lost; return each with its worker."""
         spec = step.spec
         usable = [worker for worker in permitted if worker.has_room(spec)]
+        fit = self._speed_fit(step, now_ms)
+        suitable = usable if fit is None else fit.suitable(usable)
         ranking = WorkerRanking(
             spec=spec,
             workers=usable,
-            hall=best_hall(spec, usable, len(tasks)),
+            hall=best_hall(spec, suitable, len(tasks)),
             counts=step.per_worker() if spec.most_per_worker else None,
-            rate=partial(fit_score, spec),
+            rate=partial(fit_score, spec, speed_fit=fit),
             may_find_others=self._advice.may_find_others(step, workers),
         )
-        return self._start(tasks, ranking)
+        starts = self._start(tasks, ranking)
+        if fit is not None:
+            self._notes.count_speeds(fit, starts, usable)
+        return starts
+
+    def _speed_fit(self, step, now_ms):
+        """Return what rates workers by their speed; None while they are alike."""
+        if not self._speeds.is_uneven:
+            return None
+        chance = self._images.late_chance(step, now_ms)
+        if chance is None:
+            return None
+        is_first = self._context.is_most_urgent(step.job)
+        return SpeedFit(chance=chance, is_first=is_first)
 
     def _place_suspected(self, step, tasks, permitted, now_ms):
         """Try tasks under which workers were lost; return each with its worker."""
@@ -174,6 +201,10 @@
             permitted = self._trials.workers_for_gang(
                 step, suspected, permitted, now_ms
             )
+        fit = self._speed_fit(step, now_ms)
+        if fit is not None:
+            # One that ends with its slowest member takes members of about one speed.
+            permitted = sorted(permitted, key=fit.rate)
         chosen = workers_for_gang(step, permitted)
         if chosen is None:
             return
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
@@ -35,6 +35,14 @@
             configuration=self._context.configuration.version,
         )
 
+    def count_speeds(self, fit, starts, workers):
+        """Count starts by whether a step needs fast workers and has got one."""
+        if not starts:
+            return
+        classes = fit.classes(workers)
+        for _, worker in starts:
+            self._context.count("placed_by_speed", classes[worker.slowness])
+
     def note_wait(self, step, workers, now_ms):
         """Log why a step's tasks have not been started for a while."""
         if now_ms - max(step.ready_ms, step.wait_noted_ms) <= NOTE_WAIT_MS:
--- a/packages/thymefork-cells/src/thymefork_cells/placing/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/preemptor.py
@@ -1,5 +1,7 @@
 """Making room for urgent steps by stopping less urgent work that keeps its progress."""
 
+from operator import attrgetter
+
 from ..estimates.room import Room
 from ..state import RunState
 
@@ -36,7 +38,8 @@
         if now_ms < max(step.ready_ms + PATIENCE_MS, step.preempt_not_before_ms):
             return False
         room_ms = now_ms + self._context.bounds.stop_timeout_ms / 2
-        if not self._images.ends_in_time(step, room_ms):
+        fastest = min(workers, key=attrgetter("slowness"), default=None)
+        if not self._images.ends_in_time(step, room_ms, fastest):
             return False
         step.preempt_not_before_ms = now_ms + self._context.bounds.stop_timeout_ms
         plans = []
@@ -45,6 +48,8 @@
             if room.fits(step.spec):
                 wanted -= 1  # what was stopped before makes room here
                 continue
+            if not self._images.ends_in_time(step, room_ms, worker):
+                continue
             victims = self._victims(step, worker, room, now_ms)
             if victims:
                 plans.append(victims)
@@ -70,7 +75,7 @@
     def _candidates(self, step, worker, now_ms):
         """Return the runs that may make way, the largest first."""
         priority = self._priority(step)
-        needs_ms = self._images.expected_ms(step.spec)
+        needs_ms = self._images.expected_ms(step.spec, worker)
         runs = [
             run
             for run in worker.runs.values()
--- a/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
@@ -78,7 +78,8 @@
             return True
         if step.spec.long_running:
             return False
-        ends_ms = now_ms + self._images.expected_ms(step.spec) + BACKFILL_MARGIN_MS
+        expected_ms = self._images.expected_ms(step.spec, worker)
+        ends_ms = now_ms + expected_ms + BACKFILL_MARGIN_MS
         return ends_ms < kept.free_at_ms[worker.worker_id]
 
     def review_soon(self):
@@ -141,18 +142,26 @@
             self._note(kept, next_ms, now_ms)
 
     def _soonest(self, step, workers, now_ms):
-        """Return when each of the best workers is free; of a gang's, when all are."""
+        """Return when each of the workers is free on which tasks would end first.
+
+        Of a gang's, when all are.
+        """
         free_at = []
+        usual_ms = self._images.expected_ms(step.spec)
         for worker in workers:
             if self._may_be_kept(step, worker):
+                longer_ms = usual_ms * (worker.slowness - 1.0)
                 times = self._forecast.room_times(worker, step.spec, now_ms)
-                free_at += [(at_ms, worker.worker_id) for at_ms in times]
-        chosen = sorted(free_at)[: len(step.waiting)]
+                free_at += [
+                    (at_ms + longer_ms, at_ms, worker.worker_id) for at_ms in times
+                ]
+        chosen = [row[1:] for row in sorted(free_at)[: len(step.waiting)]]
         if not step.spec.gang:
             return {worker_id: at_ms for at_ms, worker_id in reversed(chosen)}
         if len(chosen) < step.spec.count:
             return {}
-        return {worker_id: chosen[-1][0] for _, worker_id in chosen}
+        last_ms = max(at_ms for at_ms, _ in chosen)
+        return {worker_id: last_ms for _, worker_id in chosen}
 
     def _may_be_kept(self, step, worker):
         if worker.worker_id in self._by_worker:
--- a/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
@@ -128,12 +128,17 @@
     return min(copies, spec.count)
 
 
-def fit_score(spec, worker):
-    """Rate a worker for a task; the lowest is best: the tightest fit that is sound."""
+def fit_score(spec, worker, speed_fit=None):
+    """Rate a worker for a task; the lowest is best: the tightest fit that is sound.
+
+    `speed_fit` rates it by its speed besides, where workers are uneven.
+    """
     entry = worker.entry
     left_cpu = (worker.free_cpu_milli - spec.reserved_cpu_milli) / entry.cpu_milli
     left_memory = (worker.free_memory_mb - spec.memory_mb) / max(1, entry.memory_mb)
     points = left_cpu + 0.5 * left_memory
+    if speed_fit is not None:
+        points += speed_fit.rate(worker)
     if spec.accelerators and entry.accelerators:
         # Tasks that want all of a worker's need one that no single task has broken.
         points += (worker.free_accelerators - spec.accelerators) / entry.accelerators
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -17,7 +17,8 @@
     """Follow a task through its runs.
 
     `run_count` is the highest run number used; run numbers only rise. `worked_ms` is
-    how long the run took that ended well, 0 if another owner saw its start. `given_up`
+    how long the run that ended well would have taken on an ordinary worker, 0 if
+    another owner saw its start. `given_up`
     holds the runs whose leases were thought over before their end was heard; `losses`
     holds the workers that were lost under it, by their lives.
     """
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -73,6 +73,12 @@
     overtaken_in_row: int = 0
     health: WorkerHealth = field(factory=lambda: WorkerHealth())
     trial: object = None
+    slowness: float = 1.0
+
+    @property
+    def machine(self):
+        """Return what names the machine under it, over its lives."""
+        return self.entry.machine_id or self.worker_id
 
     @property
     def worker_id(self):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -88,6 +88,7 @@
         self.cell = None
         self.epoch = 0
         self.told_ends = []
+        self.told_speeds = {}
 
     @property
     def now(self):
@@ -111,6 +112,9 @@
         self.cell.load(dict(self.store), epoch_ms=EPOCH_MS + self.now, now_ms=self.now)
         self.cell.roster.update(self.entries, now_ms=self.now)
         self.cell.inherited_ends.apply(self.told_ends, now_ms=self.now)
+        self.cell.speed_learner.inherit(
+            list(self.told_speeds.values()), now_ms=self.now
+        )
         self.env.process(self._turns(self.cell))
 
     def resize(self, worker_id, cpu_milli):
@@ -243,6 +247,8 @@
             cell.looks.on_ends_stored(effect.worker, effect.last_end, now_ms=self.now)
         elif isinstance(effect, fx.TellEnds):
             self.told_ends += effect.ends
+        elif isinstance(effect, fx.TellSpeeds):
+            self.told_speeds |= {speed.machine: speed for speed in effect.speeds}
         elif isinstance(effect, fx.StartRun):
             if cell.orders.may_start(effect.run, self.now):
                 cell.looks.note_lease(effect.run.worker, LEASE_MS, now_ms=self.now)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -34,6 +34,7 @@
 class VirtualWorker:
     """Run tasks for `work_ms`; unreachable while `cut` is set.
 
+    `work_ms_of` tells the work of single tasks; `slow_factor` is its own slowness.
     Once it `is_replaced`, another life of the worker answers at its address.
 
     With `waits_at_the_end` its tasks stay at 100%, as of a gang with slower members.
@@ -57,6 +58,7 @@
     tail_ms: int = 0
     paces: dict = field(factory=dict)
     slow_factor: float = 1.0
+    work_ms_of: dict = field(factory=dict)
     fence: int = 0
     lease_until_ms: float = 0.0
     running: dict = field(factory=dict)
@@ -123,7 +125,8 @@
         refusal = self._judge(task, run_id, fence, deadline_clock_ms, now_ms)
         if refusal is None:
             self._take_lease(deadline_clock_ms, now_ms)
-            span_ms = self.work_ms * self.slow_factor
+            work_ms = self.work_ms_of.get(task, self.work_ms)
+            span_ms = work_ms * self.slow_factor
             how = "failed" if self.fails_all else "done"
             run = VirtualRun(
                 task=task,
--- a/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
@@ -9,8 +9,9 @@
 # the usual time, three steps of it, and twice as long after each stop.
 STANDSTILL_MS = 1_500.0
 STANDSTILL_SHARE = 0.03
-# A worker is slow while half of its runs take this many times as long as usual: more
-# than sound workers of unlike speed differ by, and than data on another rack costs.
+# A worker is slow while half of its runs take this many times as long as usual there:
+# more than sound workers that are not known yet differ by, and than data on another
+# rack costs.
 SLOW = 2.2
 SLOW_PAUSE_MS = 2_000.0
 # Progress that was listed longer ago than this says nothing of the present.
@@ -83,7 +84,7 @@
             return False
         if run.step.gang and run.percent >= 100:
             return False  # it waits for slower members: a gang ends as one
-        usual_ms = self._images.expected_ms(run.step)
+        usual_ms = self._images.expected_ms(run.step, run.worker)
         patience_ms = max(STANDSTILL_MS, STANDSTILL_SHARE * usual_ms)
         patience_ms *= 2**run.task.standstills
         return run.listed_ms - run.percent_changed_ms > patience_ms
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -21,6 +21,8 @@
     "store_calls": "Calls to the store, by outcome.",
     "ownership": "Changes of a cell's owner seen here, by kind.",
     "advice_workers": "Workers that the advice service was asked about, by queue.",
+    "speeds": "What was learned of how fast workers are, by kind.",
+    "placed_by_speed": "Tasks started while workers are uneven, by need and speed.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
