--- a/packages/thymefork-cells/src/thymefork_cells/estimates/late_chance.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/late_chance.py
@@ -6,7 +6,7 @@
 __all__ = ["LateChance"]
 
 # Tasks of one image on one worker differ by this much (deviation of the logarithm).
-RUN_DEVIATION = 0.25
+RUN_DEVIATION = 0.3
 # A task may rather be late than that it is given a worker on which this much is likely.
 LIKELY_LATE = 0.1
 
--- a/packages/thymefork-cells/src/thymefork_cells/placing/speed_fit.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/speed_fit.py
@@ -4,15 +4,15 @@
 
 __all__ = ["SpeedFit"]
 
-# What a task that is certainly late costs, in points of a worker's score. A chance of a
-# tenth weighs as much as a step's other hall, which weighs more than all room does.
-LATE_PENALTY = 18.0
+# What a task that is certainly late costs, in points of a worker's score. A chance of
+# one in 25 weighs as much as a step's other hall, which weighs more than all room does.
+LATE_PENALTY = 40.0
 # What a worker twice as fast is kept for others by, times the logarithm of two: more
 # than any difference in room, so that work with time to spare takes slow workers first.
 FAST_PENALTY = 3.0
 # Nobody is more urgent than the first queue: it leaves fast workers only if it is all
 # but certainly in time on others.
-FAST_PENALTY_OF_FIRST = 0.8
+FAST_PENALTY_OF_FIRST = 0.5
 
 
 class SpeedFit:
