--- a/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
@@ -15,6 +15,8 @@
 LATE = 2.0
 # Progress is told in whole percent; a pace is read from this long of it.
 SHORTEST_SPAN_MS = 250.0
+# A start is stored and sent before a task begins, its end heard and stored after it.
+OVERHEAD_MS = 100.0
 
 
 class ImageTimes:
@@ -67,7 +69,7 @@
         rest_ms = self._rest_ms(job.spec.steps, step.index)
         return LateChance(
             usual_ms=self.expected_ms(step.spec),
-            left_ms=job.objective_ms - rest_ms - now_ms,
+            left_ms=job.objective_ms - rest_ms - now_ms - OVERHEAD_MS,
         )
 
     def _rest_ms(self, steps, index):
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
@@ -30,14 +30,13 @@
         """Learn from the good end of a run that this owner saw begin."""
         step, worker = run.step, run.worker
         took_ms = now_ms - run.began_ms
-        self._images.learn(step.image, took_ms / _slowness_of(run))
+        self._images.learn(step.image, took_ms / run.slowness)
         if not _tells_of_worker(run):
             return
         is_set_aside = self._speeds.learn(
-            machine=worker.machine,
-            born_epoch_ms=worker.born_epoch_ms,
-            image=step.image,
-            estimated_ms=step.estimated_ms,
+            worker=worker,
+            step_name=run.task.step.name,
+            step=step,
             took_ms=took_ms,
             now_ms=now_ms,
         )
@@ -100,14 +99,6 @@
             self._context.emit(TellSpeeds(speeds=tuple(news)))
 
 
-def _slowness_of(run):
-    """Return by what a run's time was stretched; a gang ends with its slowest."""
-    if not run.step.gang:
-        return run.worker.slowness
-    members = [other for task in run.task.step.tasks for other in task.runs]
-    return max((other.worker.slowness for other in members), default=1.0)
-
-
 def _tells_of_worker(run):
     """Tell whether a run's time says how fast its worker is."""
     step = run.step
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_late_chance.py
@@ -0,0 +1,31 @@
+"""The chance of being late by a worker's speed."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_cells.estimates import LateChance
+
+SLOW, FAST = (SimpleNamespace(slowness=value) for value in (1.43, 0.59))
+
+
+@pytest.mark.parametrize(
+    ("left_ms", "suitable", "needs_speed"),
+    [
+        (1_500.0, [FAST], True),  # only the fast one meets it
+        (8_000.0, [SLOW, FAST], False),  # there is time for both
+        (100.0, [SLOW, FAST], False),  # late on both
+        (-5.0, [SLOW, FAST], False),
+    ],
+)
+def test_who_suits(left_ms, suitable, needs_speed):
+    chance = LateChance(usual_ms=850.0, left_ms=left_ms)
+    assert chance.suitable([SLOW, FAST]) == suitable
+    assert chance.needs_speed([SLOW, FAST]) is needs_speed
+    assert 0.0 <= chance.on(FAST) <= chance.on(SLOW) <= 1.0
+
+
+def test_no_workers_suit_nobody():
+    chance = LateChance(usual_ms=850.0, left_ms=1_000.0)
+    assert chance.suitable([]) == []
+    assert not chance.needs_speed([])
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
@@ -14,12 +14,15 @@
 # estimates are off by about as much; tasks of one image on one worker by a quarter.
 WORKER_VARIANCE = 0.25
 IMAGE_VARIANCE = 0.36
-RUN_VARIANCE = 0.06
-# What a caller's estimate says beside the runs of an image. It ties images to what
-# callers estimate for, so that workers can't all become slow, or fast, together.
-ESTIMATE_VARIANCE = 0.8
+RUN_VARIANCE = 0.07
+# Steps of one image differ, too: what tasks of one step took on different workers says
+# more than what tasks of different steps took.
+STEP_VARIANCE = 0.08
+# Callers' estimates tie the work to what they call ordinary, so that workers can't all
+# become slow, or fast, together.
+ESTIMATE_VARIANCE = 0.4
 # Machines change seldom, images with each release of their callers' code.
-WORKER_DRIFT_PER_S = 0.0002
+WORKER_DRIFT_PER_S = 0.0005
 IMAGE_DRIFT_PER_S = 0.0005
 # A worker that has started again is most likely the machine that it was.
 RESTART_DOUBT = 0.03
@@ -40,12 +43,13 @@
 # Workers count as uneven while at least two, and this share, of those known differ from
 # the middle one by this factor or more, beyond what doubt explains.
 NOTABLE = log(1.3)
-NOTABLE_DEVIATIONS = 2.0
-UNEVEN_SHARE = 0.05
-EVEN_SHARE = 0.02
+NOTABLE_DEVIATIONS = 3.0
+UNEVEN_SHARE = 0.1
+EVEN_SHARE = 0.04
 # Slowness is told in steps of this factor: less makes no difference to any decision.
 STEP = log(1.1)
 MOST_IMAGES = 4_000
+MOST_STEPS = 4_000
 MOST_WORKERS = 4_000
 
 
@@ -59,7 +63,10 @@
 
 @define(kw_only=True)
 class _Known:
-    """Hold what is known of a machine; `off_*` tells of outliers in a row."""
+    """Hold what is known of a machine.
+
+    `off_*` tells of runs in a row that were off one way.
+    """
 
     belief: LogBelief
     born_epoch_ms: int = 0
@@ -71,32 +78,43 @@
 
 
 class WorkerSpeeds:
-    """Learn the slowness of machines and the work of images together.
+    """Learn the slowness of machines and the work of steps together.
 
-    log(duration) = log(what the image takes on an ordinary worker) + log(slowness of
+    log(duration) = log(what the step takes on an ordinary worker) + log(slowness of
     the worker) + noise. Each unknown takes the part of a difference that its variance
-    is of the whole. An ordinary worker is one that takes what callers estimate.
+    is of the whole. What a step takes is first believed by its image and by its
+    caller's estimate. An ordinary worker is one that takes what callers estimate.
     """
 
     def __init__(self):
         self._images = OrderedDict()
+        self._steps = OrderedDict()
         self._workers = OrderedDict()
         self.is_uneven = False
 
-    def learn(self, *, machine, born_epoch_ms, image, estimated_ms, took_ms, now_ms):
+    def learn(self, *, worker, step_name, step, took_ms, now_ms):
         """Note the good end of a whole run; tell whether it was set aside."""
-        worker = self._worker(machine, born_epoch_ms, now_ms)
-        work = self._image(image, estimated_ms, now_ms)
-        total = worker.belief.variance + work.variance + RUN_VARIANCE
-        residual = log(max(1.0, took_ms)) - work.mean - worker.belief.mean
+        known = self._worker(worker.machine, worker.born_epoch_ms, now_ms)
+        image = self._image(step, now_ms)
+        work = self._work(step_name, step, image, now_ms)
+        took = log(max(1.0, took_ms))
+        residual = took - work.mean - known.belief.mean
+        total = known.belief.variance + work.variance + RUN_VARIANCE
         deviations = abs(residual) / sqrt(total)
         is_outlier = deviations > OUTLIER_DEVIATIONS
         weight = min(1.0, DOUBTED_DEVIATIONS / max(deviations, 1e-9))
         if is_outlier:
             weight = WEIGHT_OF_OUTLIER
-        worker.belief.move(residual, total_variance=total, weight=weight)
+        residual_of_image = took - image.mean - known.belief.mean
+        known.belief.move(residual, total_variance=total, weight=weight)
         work.move(residual, total_variance=total, weight=weight)
-        self._watch_change(worker, residual if is_outlier else 0.0, now_ms)
+        image.move(
+            residual_of_image,
+            total_variance=total + image.variance + STEP_VARIANCE,
+            weight=weight,
+        )
+        is_off = deviations > DOUBTED_DEVIATIONS
+        self._watch_change(known, residual if is_off else 0.0, now_ms)
         return is_outlier
 
     def _worker(self, machine, born_epoch_ms, now_ms):
@@ -113,18 +131,27 @@
             known.born_epoch_ms = born_epoch_ms
         return known
 
-    def _image(self, image, estimated_ms, now_ms):
-        """Return what is believed of an image's work, drawn to callers' estimates."""
-        estimate = log(max(1.0, estimated_ms))
-        work = self._images.pop(image, None) if image else None
-        if work is None:
-            work = _belief(estimate, IMAGE_VARIANCE, now_ms)
-        work.age(now_ms, IMAGE_DRIFT_PER_S)
-        pull = work.variance / (work.variance + ESTIMATE_VARIANCE)
-        work.mean += pull * (estimate - work.mean)
-        if image:
-            self._images[image] = work
+    def _image(self, step, now_ms):
+        """Return what is believed of an image's work."""
+        image = self._images.pop(step.image, None) if step.image else None
+        if image is None:
+            image = _belief(_estimate(step), IMAGE_VARIANCE, now_ms)
+        image.age(now_ms, IMAGE_DRIFT_PER_S)
+        if step.image:
+            self._images[step.image] = image
             _drop_oldest(self._images, MOST_IMAGES)
+        return image
+
+    def _work(self, step_name, step, image, now_ms):
+        """Return what is believed of a step's work, first by image and estimate."""
+        work = self._steps.pop(step_name, None)
+        if work is None:
+            by_image = image.variance + STEP_VARIANCE
+            part = by_image / (by_image + ESTIMATE_VARIANCE)
+            mean = image.mean + part * (_estimate(step) - image.mean)
+            work = _belief(mean, (1.0 - part) * by_image, now_ms)
+        self._steps[step_name] = work
+        _drop_oldest(self._steps, MOST_STEPS)
         return work
 
     @staticmethod
@@ -213,6 +240,10 @@
     return LogBelief(mean=mean, variance=variance, at_ms=now_ms, most_variance=most)
 
 
+def _estimate(step):
+    return log(max(1.0, step.estimated_ms))
+
+
 def _drop_oldest(rows, most):
     while len(rows) > most:
         rows.popitem(last=False)
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -93,7 +93,7 @@
         if step.spec.long_running:
             return
         if run.began_ms:
-            run.task.worked_ms = (now_ms - run.began_ms) / run.worker.slowness
+            run.task.worked_ms = (now_ms - run.began_ms) / run.slowness
         self._complete(run.task, run.run_id, now_ms)
         self._finish_if_done(step.job, now_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/placing/speed_fit.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/speed_fit.py
@@ -12,7 +12,7 @@
 FAST_PENALTY = 3.0
 # Nobody is more urgent than the first queue: it leaves fast workers only if it is all
 # but certainly in time on others.
-FAST_PENALTY_OF_FIRST = 0.5
+FAST_PENALTY_OF_FIRST = 0.2
 
 
 class SpeedFit:
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -1,6 +1,7 @@
 """A job that was accepted."""
 
 from enum import StrEnum
+from statistics import median_low
 
 from attrs import define, field
 
@@ -99,14 +100,19 @@
 
     @property
     def worked_ms(self):
-        """Return the longest chain of its tasks' own time, as far as it was seen."""
+        """Return the longest chain of its steps' usual time, as far as it was seen.
+
+        That of a step is what a task in its middle takes: a run with a long tail is no
+        part of the work that was asked for.
+        """
         longest_ms = 0.0
         for occurrence in range(self.spec.occurrences):
             ends_ms = []
             for index, step_spec in enumerate(self.spec.steps):
                 tasks = self.step(occurrence, index).tasks
                 before_ms = max((ends_ms[n] for n in step_spec.after), default=0.0)
-                took_ms = max((task.worked_ms for task in tasks), default=0.0)
+                seen_ms = [task.worked_ms for task in tasks if task.worked_ms]
+                took_ms = median_low(seen_ms) if seen_ms else 0.0
                 ends_ms.append(before_ms + took_ms)
             longest_ms = max(longest_ms, *ends_ms)
         return longest_ms
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -77,6 +77,18 @@
         """Return the description of the run's step."""
         return self.task.step.spec
 
+    @property
+    def slowness(self):
+        """Return how much longer it takes than ordinary, by the nature of its worker.
+
+        A gang ends with its slowest member.
+        """
+        own = self.worker.slowness
+        if not self.step.gang:
+            return own
+        others = [run for task in self.task.step.tasks for run in task.runs]
+        return max([own, *(run.worker.slowness for run in others)])
+
     @property
     def key(self):
         """Return the name that the worker lists it by."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -18,6 +18,7 @@
 from .gateway import Gateway
 from .heard_ends import HeardEnds
 from .layout import Layout
+from .learned_speeds import LearnedSpeeds
 from .membership import Membership
 from .operators_server import OperatorsServer
 from .owned_cells import OwnedCells
@@ -66,6 +67,7 @@
         self._build_clients()
         self._build_watches()
         self.heard_ends = HeardEnds(daemon=self)
+        self.learned_speeds = LearnedSpeeds(daemon=self)
         self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -53,6 +53,7 @@
             orders=OrderSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
             tell_ends=self._tell_members,
+            tell_speeds=self._tell_speeds,
         )
 
     def _build_takeover(self):
@@ -203,6 +204,8 @@
         cell.roster.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
         heard = self._daemon.heard_ends.before(self.cell_index, self.epoch)
         cell.inherited_ends.apply(heard, now_ms=now_ms)
+        speeds = self._daemon.learned_speeds.of(self.cell_index)
+        cell.speed_learner.inherit(speeds, now_ms=now_ms)
         self._daemon.metrics.count("ownership", "gained")
         self._daemon.metrics.observe("takeover", now_ms - self._began_ms)
         self._log("ownership_gained").bind(
@@ -273,6 +276,9 @@
     def _tell_members(self, ends):
         self._daemon.heard_ends.tell(self.cell_index, self.epoch, ends)
 
+    def _tell_speeds(self, speeds):
+        self._daemon.learned_speeds.tell(self.cell_index, self.epoch, speeds)
+
     def tell_ends(self):
         """Tell those who may own the cell next of all ends that are not stored."""
         if self._is_live:
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -63,6 +63,7 @@
         if not self._daemon.owners:
             return
         message = self._heartbeat()
+        message.speeds = self._daemon.learned_speeds.take_untold()
         for link in list(self._member_links):  # one that breaks leaves the set
             link.send(message)
 
@@ -147,6 +148,8 @@
             self._member_links.add(link)
         self._daemon.owned_cells.on_peer_owns(message.owned)
         self._daemon.gateway.on_heartbeat(link, message)
+        for learned in message.speeds or ():
+            self._daemon.learned_speeds.on_message(learned)
         for owned in message.owned:
             self._daemon.heard_ends.on_owner(link, owned.cell, owned.epoch)
         if self._owner_watch is not None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -17,6 +17,7 @@
 )
 from thymefork_cells.state import AccountUsage, Job, JobState, Run, RunState, Worker
 from thymefork_daemon.heard_ends import HeardEnds
+from thymefork_daemon.learned_speeds import LearnedSpeeds
 from thymefork_daemon.owned_cells import OwnedCells
 from thymefork_daemon.owner import (
     cell_owner as cell_owner_module,
@@ -64,6 +65,7 @@
         metrics=FakeMetrics(),
     )
     daemon.heard_ends = HeardEnds(daemon=daemon)
+    daemon.learned_speeds = LearnedSpeeds(daemon=daemon)
     daemon.owned_cells = OwnedCells(daemon=daemon)
     daemon.owners = daemon.owned_cells.owners
     return daemon
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -185,6 +185,7 @@
         membership=SimpleNamespace(in_group=True, store_lost=False, hurry=lambda: None),
         gateway=SimpleNamespace(on_link_broken=lambda link: None),
         metrics=FakeMetrics(),
+        learned_speeds=SimpleNamespace(take_untold=lambda: None),
     )
     desk = PeerDesk(daemon=daemon)
     for link in links:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telling.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telling.py
@@ -126,6 +126,7 @@
         orders=None,
         on_ends_stored=None,
         tell_ends=None,
+        tell_speeds=None,
     )
     replies = []
     reply = fx.Reply(request_id=replies.append, outcome=fx.Outcome.ACCEPTED)
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -13,6 +13,19 @@
   2: required i64 epoch
 }
 
+/* How slow a machine under a worker is: thousandths of a natural logarithm. */
+struct MachineSpeed {
+  1: required string machine
+  2: required i32 log_slowness_milli
+}
+
+/* What the owner of a cell has learned of its machines since it told last. */
+struct SpeedsLearned {
+  1: required i32 cell
+  2: required i64 epoch
+  3: required list<MachineSpeed> speeds
+}
+
 struct Heartbeat {
   1: required list<OwnedCell> owned
   2: required i64 config_version
@@ -21,6 +34,9 @@
   4: optional bool in_group
   /* The sender's joins are not answered: its cells should pass to another. */
   5: optional bool store_lost
+  /* For the next owners. Part of a message that older instances know, since they break
+     a link on one that they don't. */
+  16: optional list<SpeedsLearned> speeds
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
--- a/packages/thymefork-net/src/thymefork_net/peers/__init__.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/__init__.py
@@ -9,7 +9,9 @@
     HeardEnd,
     Heartbeat,
     Hello,
+    MachineSpeed,
     OwnedCell,
+    SpeedsLearned,
     WorkerTicket,
 )
 from .link import Link
@@ -26,6 +28,8 @@
     "Hello",
     "Link",
     "Links",
+    "MachineSpeed",
     "OwnedCell",
+    "SpeedsLearned",
     "WorkerTicket",
 ]
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -212,6 +212,197 @@
         return not (self == other)
 
 
+class MachineSpeed(object):
+    """
+    Attributes:
+     - machine
+     - log_slowness_milli
+
+    """
+
+    __slots__ = (
+        'machine',
+        'log_slowness_milli',
+    )
+
+
+    def __init__(self, machine=None, log_slowness_milli=None,):
+        self.machine = machine
+        self.log_slowness_milli = log_slowness_milli
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.machine = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.log_slowness_milli = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MachineSpeed')
+        if self.machine is not None:
+            oprot.writeFieldBegin('machine', TType.STRING, 1)
+            oprot.writeString(self.machine.encode('utf-8') if sys.version_info[0] == 2 else self.machine)
+            oprot.writeFieldEnd()
+        if self.log_slowness_milli is not None:
+            oprot.writeFieldBegin('log_slowness_milli', TType.I32, 2)
+            oprot.writeI32(self.log_slowness_milli)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.machine is None:
+            raise TProtocolException(message='Required field machine is unset!')
+        if self.log_slowness_milli is None:
+            raise TProtocolException(message='Required field log_slowness_milli is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class SpeedsLearned(object):
+    """
+    Attributes:
+     - cell
+     - epoch
+     - speeds
+
+    """
+
+    __slots__ = (
+        'cell',
+        'epoch',
+        'speeds',
+    )
+
+
+    def __init__(self, cell=None, epoch=None, speeds=None,):
+        self.cell = cell
+        self.epoch = epoch
+        self.speeds = speeds
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.cell = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype3, _size0) = iprot.readListBegin()
+                    for _i4 in range(_size0):
+                        _elem5 = MachineSpeed()
+                        _elem5.read(iprot)
+                        self.speeds.append(_elem5)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('SpeedsLearned')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.I32, 1)
+            oprot.writeI32(self.cell)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter6 in self.speeds:
+                iter6.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.speeds is None:
+            raise TProtocolException(message='Required field speeds is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -220,6 +411,7 @@
      - leaving
      - in_group
      - store_lost
+     - speeds
 
     """
 
@@ -229,15 +421,17 @@
         'leaving',
         'in_group',
         'store_lost',
+        'speeds',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, speeds=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
         self.in_group = in_group
         self.store_lost = store_lost
+        self.speeds = speeds
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -251,11 +445,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.owned = []
-                    (_etype3, _size0) = iprot.readListBegin()
-                    for _i4 in range(_size0):
-                        _elem5 = OwnedCell()
-                        _elem5.read(iprot)
-                        self.owned.append(_elem5)
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = OwnedCell()
+                        _elem12.read(iprot)
+                        self.owned.append(_elem12)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -279,6 +473,17 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.LIST:
+                    self.speeds = []
+                    (_etype16, _size13) = iprot.readListBegin()
+                    for _i17 in range(_size13):
+                        _elem18 = SpeedsLearned()
+                        _elem18.read(iprot)
+                        self.speeds.append(_elem18)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -292,8 +497,8 @@
         if self.owned is not None:
             oprot.writeFieldBegin('owned', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.owned))
-            for iter6 in self.owned:
-                iter6.write(oprot)
+            for iter19 in self.owned:
+                iter19.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -312,6 +517,13 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 5)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.speeds is not None:
+            oprot.writeFieldBegin('speeds', TType.LIST, 16)
+            oprot.writeListBegin(TType.STRUCT, len(self.speeds))
+            for iter20 in self.speeds:
+                iter20.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -667,10 +879,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem12)
+                    (_etype24, _size21) = iprot.readListBegin()
+                    for _i25 in range(_size21):
+                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem26)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -700,8 +912,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter13 in self.workers:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter27 in self.workers:
+                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patience_ms is not None:
@@ -871,11 +1083,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = WorkerTicket()
-                        _elem19.read(iprot)
-                        self.tickets.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = WorkerTicket()
+                        _elem33.read(iprot)
+                        self.tickets.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -905,8 +1117,8 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tickets))
-            for iter20 in self.tickets:
-                iter20.write(oprot)
+            for iter34 in self.tickets:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_ms is not None:
@@ -1115,11 +1327,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = HeardEnd()
-                        _elem26.read(iprot)
-                        self.ends.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = HeardEnd()
+                        _elem40.read(iprot)
+                        self.ends.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1144,8 +1356,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter27 in self.ends:
-                iter27.write(oprot)
+            for iter41 in self.ends:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1338,6 +1550,19 @@
     (1, TType.I32, 'cell', None, None, ),  # 1
     (2, TType.I64, 'epoch', None, None, ),  # 2
 )
+all_structs.append(MachineSpeed)
+MachineSpeed.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'machine', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'log_slowness_milli', None, None, ),  # 2
+)
+all_structs.append(SpeedsLearned)
+SpeedsLearned.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'cell', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.LIST, 'speeds', (TType.STRUCT, [MachineSpeed, None], False), None, ),  # 3
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -1346,6 +1571,17 @@
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.BOOL, 'in_group', None, None, ),  # 4
     (5, TType.BOOL, 'store_lost', None, None, ),  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    None,  # 9
+    None,  # 10
+    None,  # 11
+    None,  # 12
+    None,  # 13
+    None,  # 14
+    None,  # 15
+    (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedsLearned, None], False), None, ),  # 16
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
