--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -11,6 +11,7 @@
 import sys
 from concurrent.futures import ProcessPoolExecutor
 from contextlib import contextmanager
+from math import log
 from pathlib import Path
 from statistics import fmean, stdev
 from typing import Annotated
@@ -20,8 +21,14 @@
 
 from thymefork_cells.accounts import shares
 from thymefork_cells.advice import choice as advice_choice
-from thymefork_cells.estimates import images
-from thymefork_cells.placing import placer, preemptor, reservations, step_order
+from thymefork_cells.estimates import images, worker_speeds
+from thymefork_cells.placing import (
+    placer,
+    preemptor,
+    reservations,
+    speed_fit,
+    step_order,
+)
 
 from .described_load import read_load
 from .load_play import LoadPlay
@@ -29,7 +36,7 @@
 __all__ = ["VARIANTS", "Outcome", "compare", "main", "play"]
 
 
-def _emptiest_first(spec, worker):
+def _emptiest_first(spec, worker, speed_fit=None):
     """Rate the emptiest worker best, rather than the tightest fit."""
     entry = worker.entry
     free = worker.free_cpu_milli / max(1, entry.cpu_milli)
@@ -47,6 +54,13 @@
     return sorted(steps(order, now_ms), key=rank)
 
 
+def _by_class_alone(fit, worker):
+    """Rate by speed alone: the first queue takes fast workers, others slow ones."""
+    is_first = fit._fast_penalty == speed_fit.FAST_PENALTY_OF_FIRST
+    points = speed_fit.FAST_PENALTY * log(worker.slowness)
+    return points if is_first else -points
+
+
 # What a variant changes: module or class, name and value.
 VARIANTS = {
     "as it is": (),
@@ -59,6 +73,11 @@
     "no room is kept": (
         (reservations.Reservations, "_waits_for_room", lambda *args: False),
     ),
+    "speeds are not learned": (
+        (worker_speeds.WorkerSpeeds, "learn", lambda *args, **fields: False),
+    ),
+    "by class of speed alone": ((speed_fit.SpeedFit, "rate", _by_class_alone),),
+    "fast room is not kept": ((speed_fit, "FAST_PENALTY", 0.0),),
     "callers' estimates alone": ((images.ImageTimes, "learn", lambda *args: None),),
     "calls for little more than needed": ((advice_choice, "MARGIN", 1.2),),
     "calls for three times what is needed": ((advice_choice, "MARGIN", 3.0),),
