--- a/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_worker_speeds.py
@@ -126,6 +126,15 @@
     assert abs(fleet.speeds.log_slowness("m0") - before["m0"]) < 0.2
 
 
+def test_a_machine_that_was_slow_when_it_was_first_seen_is_soon_known_better():
+    fleet = Fleet(UNEVEN)
+    fleet.slowness["m0"] = 5.0 * SLOW
+    fleet.run_each(10)
+    fleet.slowness["m0"] = SLOW
+    fleet.run_each(12)
+    assert fleet.off_by("m0") < NEAR
+
+
 def test_a_machine_that_has_changed_is_learned_anew():
     fleet = Fleet(UNEVEN)
     fleet.run_each(10)
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
@@ -28,14 +28,16 @@
 RESTART_DOUBT = 0.03
 # What an earlier owner has told counts as known, and is corrected by a few runs.
 INHERITED_VARIANCE = 0.03
-# Beyond this many standard deviations an observation counts less, and beyond the second
-# next to nothing: a long tail, or a worker that is slow for a while.
+# Beyond this many standard deviations an observation counts less, and one that took too
+# long counts next to nothing beyond the second: a long tail, or a worker that is slow
+# for a while. No run ends far too soon by chance.
 DOUBTED_DEVIATIONS = 2.0
 OUTLIER_DEVIATIONS = 3.0
 WEIGHT_OF_OUTLIER = 0.01
-# What is off by as much for so long, in so many runs in a row, has changed for good:
-# machines that are slow for a while recover within some seconds.
+# What is slower for so long, in so many runs in a row, has changed for good: machines
+# that are slow for a while recover within some seconds. What is faster has recovered.
 CHANGED_RUNS = 6
+RECOVERED_RUNS = 3
 CHANGED_AFTER_MS = 15_000.0
 # A worker is known once its variance is below this: after two or three runs of images
 # that are known.
@@ -101,7 +103,7 @@
         residual = took - work.mean - known.belief.mean
         total = known.belief.variance + work.variance + RUN_VARIANCE
         deviations = abs(residual) / sqrt(total)
-        is_outlier = deviations > OUTLIER_DEVIATIONS
+        is_outlier = residual > 0.0 and deviations > OUTLIER_DEVIATIONS
         weight = min(1.0, DOUBTED_DEVIATIONS / max(deviations, 1e-9))
         if is_outlier:
             weight = WEIGHT_OF_OUTLIER
@@ -164,7 +166,13 @@
             return
         worker.off_runs += 1
         lasted_ms = now_ms - worker.off_since_ms
-        if worker.off_runs >= CHANGED_RUNS and lasted_ms >= CHANGED_AFTER_MS:
+        if sign > 0:
+            has_changed = (
+                worker.off_runs >= CHANGED_RUNS and lasted_ms >= CHANGED_AFTER_MS
+            )
+        else:
+            has_changed = worker.off_runs >= RECOVERED_RUNS
+        if has_changed:
             worker.belief.doubt(WORKER_VARIANCE)
             worker.off_sign = 0
 
