--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -20,6 +20,7 @@
 from .handover import Handover
 from .heard_ends import HeardEnds
 from .layout import WORKERS_PER_CELL, Layout
+from .learned_speeds import LearnedSpeeds
 from .membership import Membership
 from .operators_server import OperatorsServer
 from .owned_cells import OwnedCells
@@ -70,6 +71,7 @@
         self._build_clients()
         self._build_watches()
         self.heard_ends = HeardEnds(daemon=self)
+        self.learned_speeds = LearnedSpeeds(daemon=self)
         self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -25,6 +25,7 @@
         orders,
         on_ends_stored,
         tell_ends,
+        tell_speeds,
         sheds=lambda kind: False,
     ):
         self._cell_index = cell_index
@@ -34,6 +35,7 @@
         self._on_ends_stored = on_ends_stored
         self._tell_ends = tell_ends
         self._sheds = sheds
+        self._tell_speeds = tell_speeds
 
     def perform(self, effects):
         """Carry effects out; one that fails holds up none of the others."""
@@ -80,6 +82,10 @@
     def _ends_told(self, effect: fx.TellEnds):
         self._tell_ends(effect.ends)
 
+    @_perform.register
+    def _speeds_told(self, effect: fx.TellSpeeds):
+        self._tell_speeds(effect.speeds)
+
     @_perform.register
     def _order(self, effect: fx.StartRun | fx.StopRun | fx.PaceRun | fx.LookAt):
         self._orders.send(effect)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_watch.py
@@ -189,6 +189,7 @@
         gateway=SimpleNamespace(on_link_broken=lambda link: None),
         metrics=FakeMetrics(),
         **owning_parts(),
+        learned_speeds=SimpleNamespace(take_untold=lambda: None),
     )
     desk = PeerDesk(daemon=daemon)
     for link in links:
