--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -63,14 +63,17 @@
                     self._daemon.layout.note_tier(tier)
 
     def _is_well(self):
-        """Tell whether the store answers and no takeover is under way."""
+        """Tell whether the store answers and no takeover is under way.
+
+        An owner whose link is full has slow appends, so slow ones don't hold it here.
+        """
         daemon = self._daemon
         if daemon.is_stopping or not daemon.membership.is_settled:
             return False
         if self._store_is_slow():
             return False
         owners = daemon.owners.values()
-        return all(owner.is_serving and owner.store_answers for owner in owners)
+        return all(owner.is_serving and not owner.store_is_away for owner in owners)
 
     def _store_is_slow(self):
         """Tell whether the store is slow for all, not for this instance alone.
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -111,6 +111,11 @@
         """Tell whether appends are answered, as far as is known here."""
         return self._pump.is_answered
 
+    @property
+    def store_is_away(self):
+        """Tell whether the store takes no appends, rather than takes long for them."""
+        return self._pump.store_is_away
+
     @property
     def _is_live(self):
         """Tell whether the cell was taken over and not given up yet."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/group_of_instances.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/group_of_instances.py
@@ -128,7 +128,7 @@
         elif not self.owners:
             self.owners[0] = SimpleNamespace(
                 is_serving=True,
-                store_answers=True,
+                store_is_away=False,
                 has_unstored=False,
                 epoch=1,
                 tell_ends=self._tell_ends,
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -218,3 +218,16 @@
     seen = [owner.tier for owner in group.owners_seen if owner is not None]
     assert set(seen) == {Tier.FULL}
     assert not group.handovers
+
+
+def test_an_owner_whose_appends_are_not_taken_keeps_its_cell(group):
+    """Joins are answered, appends are not: a takeover would not come to its end."""
+    group.run(5_000)
+    first = group.owner
+    first.owners[0].store_is_away = True
+    drown(first)
+    group.run(5_000)
+    assert group.owner is first
+    first.owners[0].store_is_away = False
+    group.run(3_000)
+    assert group.owner is not first
