--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -5,6 +5,9 @@
 
 __all__ = ["Lifecycle"]
 
+# Callers reckon with a call for advice about so many workers before a step begins.
+WORKERS_A_CALL = 30
+
 
 class Lifecycle:
     """Apply the ends of runs to tasks, steps and jobs."""
@@ -185,11 +188,19 @@
         )
 
     def _measured_objective_ms(self, job):
-        """Return how long the job may take by what its work took, 0 if unknown."""
+        """Return how long the job may take by what its work took, 0 if unknown.
+
+        The chain counts one call for advice for each of its steps.
+        """
         queue = self._context.queue(job)
         if queue is None or not job.worked_ms:
             return 0.0
-        return queue.stretch * job.worked_ms + queue.target_latency_ms
+        chain_ms = job.worked_ms
+        if queue.advice is not None:
+            call_ms = queue.advice.decision_ms
+            call_ms += WORKERS_A_CALL * queue.advice.per_worker_ms
+            chain_ms += job.chain_length * call_ms
+        return queue.stretch * chain_ms + queue.target_latency_ms
 
     def stop(self, run, reason, *, now_ms):
         """Have a run stopped; one that was never sent is dropped by its start.
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -1,7 +1,6 @@
 """A job that was accepted."""
 
 from enum import StrEnum
-from statistics import median_low
 
 from attrs import define, field
 
@@ -100,9 +99,9 @@
 
     @property
     def worked_ms(self):
-        """Return the longest chain of its steps' usual time, as far as it was seen.
+        """Return the longest chain of its steps' work, as far as it was seen.
 
-        That of a step is what a task in its middle takes: a run with a long tail is no
+        The longest tenth of a step's tasks is left out: a run with a long tail is no
         part of the work that was asked for.
         """
         longest_ms = 0.0
@@ -111,12 +110,19 @@
             for index, step_spec in enumerate(self.spec.steps):
                 tasks = self.step(occurrence, index).tasks
                 before_ms = max((ends_ms[n] for n in step_spec.after), default=0.0)
-                seen_ms = [task.worked_ms for task in tasks if task.worked_ms]
-                took_ms = median_low(seen_ms) if seen_ms else 0.0
-                ends_ms.append(before_ms + took_ms)
+                ends_ms.append(before_ms + _work_of(tasks))
             longest_ms = max(longest_ms, *ends_ms)
         return longest_ms
 
+    @property
+    def chain_length(self):
+        """Return how many steps follow each other at most."""
+        lengths = []
+        for step in self.spec.steps:
+            before = max((lengths[earlier] for earlier in step.after), default=0)
+            lengths.append(before + 1)
+        return max(lengths, default=0)
+
     @property
     def has_begun(self):
         """Tell whether any task was ever started."""
@@ -128,6 +134,12 @@
         return any(step.spec.long_running for step in self.steps)
 
 
+def _work_of(tasks):
+    """Return what the longest of a step's tasks took, but for the last tenth."""
+    seen_ms = sorted(task.worked_ms for task in tasks if task.worked_ms)
+    return seen_ms[9 * (len(seen_ms) - 1) // 10] if seen_ms else 0.0
+
+
 def _step_state(job, occurrence, index, step_spec):
     step = StepState(job=job, occurrence=occurrence, index=index, spec=step_spec)
     prefix = f"{job.job_id}.{occurrence}.{index}"
