--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -202,7 +202,7 @@
                 step, suspected, permitted, now_ms
             )
         fit = self._speed_fit(step, now_ms)
-        if fit is not None:
+        if fit is not None and not suspected:
             # One that ends with its slowest member takes members of about one speed.
             permitted = sorted(permitted, key=fit.rate)
         chosen = workers_for_gang(step, permitted)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_uneven_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_uneven_workers.py
@@ -11,6 +11,7 @@
 
 from thymefork_cells.effects import StartRun
 
+from .harness import job_spec
 from .uneven_site import FAST, UnevenSite
 
 SEEDS = (1, 2, 3, 4)
@@ -185,3 +186,27 @@
     again = site.cell.context.workers[name]
     assert again.number
     assert again.slowness == pytest.approx(before, rel=0.25)
+
+
+# Gangs ------------------------------------------------------------------------
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_gang_with_a_tight_objective_takes_fast_members_alone(seed):
+    """It ends with its slowest member."""
+    site = UnevenSite(seed=seed)
+    site.load(8_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
+    site.run(10_000.0)
+    step = {
+        "count": 6,
+        "cpu_milli": 6_000,
+        "memory_mb": 100,
+        "estimated_ms": 800,
+        "image": "g",
+        "gang": True,
+    }
+    site.submit("ffffffffffffffff", job_spec(step))
+    site.run(100.0)
+    members = site.starts({"ffffffffffffffff"})
+    assert len(members) == 6
+    assert all(site.is_fast(name) for name in members)
