Show that members of a gang wait in vain for one whose start went wrong

The harness lets gangs begin, wait, break and end as a whole, and orders, answers, appends and turns take as long as a test wants.

--- a/packages/thymefork-cells/src/thymefork_cells/specs/bounds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/bounds.py
@@ -9,6 +9,7 @@
 class Bounds:
     """Hold the bounds that decisions depend on.
 
+    A member of a gang waits `gang_wait_ms` for the others and then ends.
     Units: milliseconds. Source: the settings of the process; the defaults are those
     of today's two sites.
     """
@@ -17,3 +18,4 @@
     early_ms: float = 250.0
     status_kept_ms: float = 120_000.0
     max_hold_ms: float = 10_000.0
+    gang_wait_ms: float = 3_000.0
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -11,13 +11,15 @@
 from thymefork_cells.workers.looks import LEASE_MS
 
 from .machine_faults import MachineFaults
-from .order_carrier import OrderCarrier
+from .order_carrier import ORDER_MS, OrderCarrier
+from .virtual_gangs import VirtualGangs
 from .virtual_site import QUEUE, configuration, job_spec, worker_entries
 from .virtual_worker import EPOCH_MS, VirtualWorker
 
 __all__ = ["EPOCH_MS", "Harness", "SHRINK_KNOWN_MS", "job_spec"]
 
 APPEND_MS = 10.0
+TURN_MS = 5.0
 # A room that has shrunk counts this long after it did: contact and a heartbeat.
 SHRINK_KNOWN_MS = 3_500.0
 
@@ -29,6 +31,9 @@
     starts are carried out and get none, `drop` which stops vanish without any outcome.
     `blur` decides which starts get an answer without the worker's clock.
     `late_ms` tells how much later an order without an answer is carried out, or 0.
+    `refuse` tells why a worker turns a start down, None if it does not; `order_ms` and
+    `answer_ms` tell how long an order takes to its worker, and its answer to be heard;
+    `append_ms` and `turn_ms` how long an append takes and when the next turn follows.
     `advisers` is how many instances make calls to the advice service, each one at a
     time, None for as many as needed. An order to a worker whose address is not known
     goes nowhere, as in the daemon.
@@ -53,6 +58,7 @@
         self.env = simpy.Environment()
         self.carrier = OrderCarrier(harness=self)
         self.faults = MachineFaults(harness=self)
+        self.gangs = None
         self.workers = {
             f"w{n}": VirtualWorker(worker_id=f"w{n}") for n in range(workers)
         }
@@ -61,6 +67,7 @@
         )
         self.configuration = configuration(advice=advice, max_attempts=max_attempts)
         self.advisers = advisers and simpy.Resource(self.env, capacity=advisers)
+        self.bounds = Bounds()
         self.store = {}
         self.store_down = False
         self.lose = lambda effect: False
@@ -68,6 +75,11 @@
         self.drop = lambda effect: False
         self.blur = lambda effect: False
         self.late_ms = lambda effect: 0.0
+        self.refuse = lambda effect: None
+        self.order_ms = lambda effect: ORDER_MS
+        self.answer_ms = lambda effect: 0.0
+        self.append_ms = lambda: APPEND_MS
+        self.turn_ms = lambda: TURN_MS
         self.crashes_after_ms = lambda task: None
         self.back_after_ms = 2_800.0
         self.keeps_ids = False
@@ -103,7 +115,7 @@
             cell=0,
             epoch=self.epoch,
             cell_count=1,
-            bounds=Bounds(),
+            bounds=self.bounds,
             configuration=self.configuration,
             membership_ms=1_000.0,
             now_ms=self.now,
@@ -113,6 +125,12 @@
         self.cell.inherited_ends.apply(self.told_ends, now_ms=self.now)
         self.env.process(self._turns(self.cell))
 
+    def judge_gangs(self, *, bounds):
+        """Let gangs work, wait and break as a whole; to be called before the first."""
+        self.bounds = self.cell.context.bounds = bounds
+        self.gangs = VirtualGangs(harness=self, wait_ms=bounds.gang_wait_ms)
+        self.env.process(self.gangs.run())
+
     def resize(self, worker_id, cpu_milli):
         """Change a worker's room; it says so in its entry."""
         self.rooms[worker_id].append((self.now, cpu_milli))
@@ -197,7 +215,7 @@
     def _turns(self, cell):
         while cell is self.cell and not self.dead:
             self._turn(cell)
-            yield self.env.timeout(5)
+            yield self.env.timeout(self.turn_ms())
 
     def _decide(self, cell):
         if self.advisers:
@@ -215,7 +233,7 @@
             self.env.process(self._append(cell, cell.journal.take(self.now)))
 
     def _append(self, cell, batch):
-        yield self.env.timeout(APPEND_MS)
+        yield self.env.timeout(self.append_ms())
         if cell is not self.cell or self.dead:
             return
         self.appending = False
--- a/packages/thymefork-cells/src/thymefork_cells/tests/order_carrier.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/order_carrier.py
@@ -44,8 +44,9 @@
             yield self._harness.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
-            yield self._harness.env.timeout(ORDER_MS)
-            answer = self._carry_out_start(worker, *start, self._harness.now)
+            yield self._harness.env.timeout(self._harness.order_ms(effect))
+            answer = self._answer_to_start(effect, worker, start)
+            yield self._harness.env.timeout(self._harness.answer_ms(effect))
             if self._harness.blur(effect):
                 answer = OrderAnswer(refusal=answer.refusal)
             if self._harness.mute(effect):
@@ -54,11 +55,19 @@
         if self._harness.is_current(cell):
             cell.on_start(run, answer, now_ms=self._harness.now)
 
+    def _answer_to_start(self, effect, worker, start):
+        refusal = self._harness.refuse(effect)
+        if refusal is None:
+            return self._carry_out_start(worker, *start, self._harness.now)
+        return OrderAnswer(refusal=refusal, clock_ms=worker.clock(self._harness.now))
+
     def _carry_out_start(self, worker, task, *order):
         """Start a run; its task may crash the worker."""
         answer = worker.start(task, *order)
         if answer.refusal is Refusal.NONE:
             self._harness.check_room(worker, task)
+            if self._harness.gangs is not None:
+                self._harness.gangs.on_start(worker, task, order[0])
         after_ms = self._harness.crashes_after_ms(task)
         if answer.refusal is Refusal.NONE and after_ms is not None:
             self._harness.env.process(
@@ -118,8 +127,9 @@
             yield self._harness.env.timeout(SILENCE_MS)
             answer = OrderAnswer(refusal=Refusal.SILENCE)
         else:
-            yield self._harness.env.timeout(ORDER_MS)
+            yield self._harness.env.timeout(self._harness.order_ms(effect))
             answer = worker.stop(*stop, self._harness.now)
+            yield self._harness.env.timeout(self._harness.answer_ms(effect))
         if self._harness.is_current(cell) and not isinstance(run, fx.StrayRun):
             cell.on_stop(run, answer, now_ms=self._harness.now)
 
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs_under_load.py
@@ -0,0 +1,207 @@
+"""No member of a gang waits in vain for the others, however slow its owner is.
+
+The load: gangs of 2 to 12 tasks, several at once, some of them lasting, whose owner
+takes turns every 5 to 200 ms, stores within 10 to 400 ms and hears answers up to
+0.8 s late; stops take up to 0.9 s. A worker that waits in vain ends its run as
+`alone`: its room was held for nothing, and its caller waits for as long.
+
+The faults: starts that are refused, get no answer, are carried out late or lost.
+"""
+
+import random
+
+import pytest
+
+from thymefork_cells import Refusal
+from thymefork_cells.effects import StartRun, StopRun
+from thymefork_cells.specs import Bounds
+from thymefork_cells.state import JobState
+
+from .harness import job_spec
+
+JOB = "00000000000000aa"
+BOUNDS = Bounds(gang_wait_ms=4_000.0, stop_timeout_ms=900.0)
+REFUSALS = (Refusal.LATE, Refusal.UNWELL, Refusal.NO_ROOM, Refusal.OLD_RUN)
+# A gang that could not begin as a whole begins anew this soon after its first start.
+BEGIN_AGAIN_BOUND_MS = 4_000.0
+
+
+def with_gangs(make_harness, *, workers=8, bounds=BOUNDS):
+    harness = make_harness(workers=workers, max_attempts=20)
+    harness.judge_gangs(bounds=bounds)
+    for worker in harness.workers.values():
+        worker.stop_takes_ms = bounds.stop_timeout_ms
+    return harness
+
+
+def gang(count, **fields):
+    return job_spec({"count": count, "cpu_milli": 4_000, "gang": True, **fields})
+
+
+def only_first(kind, index, answer):
+    """Return what befalls the first effect of a kind for a task of an index."""
+    befallen = []
+
+    def befalls(effect):
+        name = effect.run.key[0] if isinstance(effect, kind) else ""
+        if befallen or not name.endswith(f".{index}"):
+            return None
+        befallen.append(name)
+        return answer
+
+    return befalls
+
+
+def assert_whole_again(harness, jobs=(JOB,)):
+    """Let gangs go on; each is to be done without a member that waited in vain."""
+    harness.run(30_000)
+    assert not harness.gangs.alone
+    for job_id in jobs:
+        assert harness.job(job_id).shown_state is JobState.SUCCEEDED, job_id
+
+
+# One member is missing -------------------------------------------------------------
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+@pytest.mark.parametrize("estimated_ms", [500, 300_000])
+def test_a_member_that_is_refused_keeps_none_waiting(
+    make_harness, refusal, estimated_ms
+):
+    """The longer its tasks are, the longer standing still counts as usual for them."""
+    harness = with_gangs(make_harness)
+    harness.refuse = only_first(StartRun, 2, refusal)
+    harness.submit(JOB, gang(4, estimated_ms=estimated_ms))
+    harness.run(BEGIN_AGAIN_BOUND_MS)
+    assert harness.gangs.begun
+    assert_whole_again(harness)
+
+
+def test_a_member_of_a_lasting_gang_that_is_refused_keeps_none_waiting(make_harness):
+    harness = with_gangs(make_harness)
+    for worker in harness.workers.values():
+        worker.work_ms = 1e9
+    harness.refuse = only_first(StartRun, 1, Refusal.UNWELL)
+    harness.submit(JOB, gang(4, long_running=True))
+    harness.run(20_000)
+    assert not harness.gangs.alone
+    assert len(harness.running()) == 4
+
+
+@pytest.mark.parametrize("late_ms", [400.0, 1_000.0, 2_500.0, 6_000.0])
+def test_a_member_whose_start_comes_late_keeps_none_waiting(make_harness, late_ms):
+    harness = with_gangs(make_harness)
+    befalls = only_first(StartRun, 0, late_ms)
+    harness.late_ms = lambda effect: befalls(effect) or 0.0
+    harness.submit(JOB, gang(4, estimated_ms=300_000))
+    assert_whole_again(harness)
+
+
+@pytest.mark.parametrize("cause", ["list", "worker"])
+def test_a_gang_whose_starts_leave_in_part_is_stopped_as_a_whole(make_harness, cause):
+    """What the starts rest on ends between the first one and the last."""
+    harness = with_gangs(make_harness)
+    left = []
+    may_start = harness.cell.orders.may_start
+
+    def change_midway(run, now_ms):
+        if len(left) == 2 and cause == "list":
+            harness.cell.context.workers_known_ms = now_ms - 4_000.0
+        if len(left) == 2 and cause == "worker":
+            run.worker.is_over = True
+        may = may_start(run, now_ms)
+        run.worker.is_over = False
+        harness.cell.context.workers_known_ms = float("inf")
+        left.append(may)
+        return may
+
+    harness.cell.orders.may_start = change_midway
+    harness.submit(JOB, gang(4, estimated_ms=300_000))
+    assert_whole_again(harness)
+
+
+@pytest.mark.parametrize("standstills", [0, 1, 2])
+def test_a_gang_that_waits_is_not_held_against_its_workers(make_harness, standstills):
+    """Each time that it counted as standing still, the next time it waited longer."""
+    harness = with_gangs(make_harness)
+    harness.refuse = only_first(StartRun, 2, Refusal.UNWELL)
+    harness.submit(JOB, gang(4))
+    for task in harness.job(JOB).steps[0].tasks:
+        task.standstills = standstills
+    assert_whole_again(harness)
+    assert not any(note.event == "run_stands_still" for note in harness.notes)
+
+
+def test_a_gang_is_not_started_without_a_worker_that_fell_silent(make_harness):
+    """One of its workers has fallen silent since its start was decided on."""
+    harness = with_gangs(make_harness)
+    harness.append_ms = lambda: 400.0
+    harness.submit(JOB, gang(8, estimated_ms=300_000))
+    harness.run(450)
+    chosen = harness.job(JOB).steps[0].tasks[3].runs[0].worker
+    chosen.misses_in_row = 2
+    harness.run(405)
+    assert not harness.running()
+    assert_whole_again(harness)
+
+
+# Under load, drawn at random -------------------------------------------------------
+
+
+def slow_owner(harness, rng):
+    """Let turns, appends and answers take as long as under an overloaded owner."""
+    harness.turn_ms = lambda: rng.uniform(5.0, 200.0)
+    harness.append_ms = lambda: rng.choice((10.0, 155.0, 400.0))
+    harness.answer_ms = lambda effect: rng.uniform(0.0, 800.0)
+    harness.order_ms = lambda effect: rng.uniform(3.0, 150.0)
+
+
+def some_starts_go_wrong(harness, rng):
+    harness.refuse = lambda effect: (
+        rng.choice(REFUSALS) if rng.random() < 0.05 else None
+    )
+    harness.mute = lambda effect: rng.random() < 0.03
+    harness.lose = lambda effect: isinstance(effect, StartRun) and rng.random() < 0.03
+    harness.drop = lambda effect: isinstance(effect, StopRun) and rng.random() < 0.05
+    harness.late_ms = lambda effect: (
+        rng.uniform(300.0, 6_000.0)
+        if isinstance(effect, StartRun) and rng.random() < 0.03
+        else 0.0
+    )
+
+
+@pytest.mark.parametrize("goes_wrong", [False, True])
+@pytest.mark.parametrize("seed", range(24))
+def test_no_member_waits_in_vain_under_a_slow_owner(make_harness, seed, goes_wrong):
+    rng = random.Random(f"gangs {seed}")
+    harness = with_gangs(make_harness, workers=16)
+    slow_owner(harness, rng)
+    if goes_wrong:
+        some_starts_go_wrong(harness, rng)
+    jobs = [f"{number:016x}" for number in range(1, 11)]
+    for job_id in jobs:
+        estimated_ms = rng.choice((500, 5_000, 300_000))
+        harness.submit(job_id, gang(rng.randint(2, 12), estimated_ms=estimated_ms))
+        harness.run(rng.uniform(50.0, 1_500.0))
+    harness.run(15_000)
+    slow_owner(harness, random.Random(0))
+    harness.lose = harness.mute = harness.drop = lambda effect: False
+    harness.refuse = lambda effect: None
+    harness.late_ms = lambda effect: 0.0
+    assert_whole_again(harness, jobs)
+
+
+# Under one failure -----------------------------------------------------------------
+
+
+@pytest.mark.parametrize("after_ms", [20.0, 60.0, 400.0])
+def test_a_new_owner_stops_what_is_left_of_a_gang(make_harness, after_ms):
+    """Its predecessor ended while some of the starts were lost."""
+    harness = with_gangs(make_harness)
+    harness.lose = only_first(StartRun, 3, True)
+    harness.submit(JOB, gang(6, estimated_ms=300_000))
+    harness.run(after_ms)
+    harness.dead = True
+    harness.run(300)
+    harness.take_over()
+    assert_whole_again(harness)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -17,7 +17,8 @@
 
     `ended_ms` is None while it runs; `is_noted` tells that its end was acknowledged,
     `is_unforbidden` that it was begun late, by an order to a life before this one,
-    before the owner was answered by this one.
+    before the owner was answered by this one. `stops_ms` is when an answered stop
+    ends it.
     """
 
     task: str
@@ -28,6 +29,7 @@
     ended_ms: float | None = None
     is_noted: bool = False
     is_unforbidden: bool = False
+    stops_ms: float | None = None
 
 
 @define(kw_only=True, eq=False, slots=False)
@@ -37,7 +39,8 @@
     Once it `is_replaced`, another life of the worker answers at its address.
 
     With `waits_at_the_end` its tasks stay at 100%, as of a gang with slower members.
-    The next `idle_stops` stops are answered and not carried out. Serving tasks have a
+    The next `idle_stops` stops are answered and not carried out; any other takes
+    `stop_takes_ms`. Serving tasks have a
     tail of `tail_ms`; `paces` holds each run's share of its speed, 100 at its start.
     `history` holds every run of all lives, `lapsed_ms` is when its lease had run out
     last.
@@ -54,6 +57,7 @@
     stands_still: bool = False
     waits_at_the_end: bool = False
     idle_stops: int = 0
+    stop_takes_ms: float = 0.0
     tail_ms: int = 0
     paces: dict = field(factory=dict)
     slow_factor: float = 1.0
@@ -95,11 +99,17 @@
         for key, run in list(self.running.items()):
             in_time = run.ends_ms < self.lease_until_ms and not self.stands_still
             in_time = in_time and not self.waits_at_the_end
-            if in_time and now_ms >= run.ends_ms:
+            if run.stops_ms is not None and now_ms >= run.stops_ms:
+                self._end(key, "stopped")
+            elif in_time and now_ms >= run.ends_ms:
                 self._end(key, run.how)
             elif now_ms >= self.lease_until_ms:
                 self._end(key, "lapsed")
 
+    def end(self, key, how):
+        """End a run for what befell it elsewhere."""
+        self._end(key, how)
+
     def _end(self, key, how):
         run = self.running.pop(key)
         run.how = how
@@ -163,8 +173,10 @@
             self.idle_stops -= 1
             return OrderAnswer(clock_ms=self.clock(now_ms))
         self.closed[task] = max(run_id, self.closed.get(task, 0))
-        if (task, run_id) in self.running:
-            self._end((task, run_id), "stopped")
+        run = self.running.get((task, run_id))
+        if run is not None and run.stops_ms is None:
+            run.stops_ms = now_ms + self.stop_takes_ms
+        self.advance(now_ms)
         return OrderAnswer(clock_ms=self.clock(now_ms))
 
     def pace(self, task, run_id, percent, fence, now_ms):
