Stop what is left of a gang that lacks a member, and start it anew

Cause: nothing kept a gang whole after its starts had left. A member that was refused, lost or late was released, and the others waited for it until they ended alone; the watch for standing still ended most of them in time, by luck, and paused their workers.

GangWatch stops the rest at once, and a gang that was not seen whole in time, by gang_wait_ms, the time of a stop and that of its own turns. No start leaves while another member is gone, to be stopped, or on a silent worker.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -23,6 +23,7 @@
 from .placing.reservations import Reservations
 from .placing.trials import Trials
 from .state import RunState
+from .workers.gang_watch import GangWatch
 from .workers.lives import LifeVerdict, Lives
 from .workers.looks import Looks
 from .workers.orders import Orders, Refusal
@@ -108,7 +109,7 @@
         self.watch = Watch(
             context=self.context, lifecycle=self.lifecycle, images=self.images
         )
-
+        self.gang_watch = GangWatch(context=self.context, lifecycle=self.lifecycle)
         self.pacing = Pacing(context=self.context)
 
     @property
@@ -194,6 +195,7 @@
             self.orders.check_doubts(now_ms)
             self.orders.note_overdue_stops(now_ms)
             self.watch.check(now_ms)
+            self.gang_watch.check(now_ms)
             self.pacing.check(now_ms)
             self._forget_ended(now_ms)
             self.context.needs_plan = True
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -114,6 +114,11 @@
         """Tell whether its start was not answered and the worker has not listed it."""
         return self.state is RunState.SENT and self.doubted_ms > 0
 
+    @property
+    def is_live(self):
+        """Tell whether its worker has confirmed it and it may go on."""
+        return self.state is RunState.LIVE
+
     @property
     def is_wanted(self):
         """Tell whether it may go on, as far as is known."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -71,6 +71,20 @@
         """Note that a task was started, lost a run or ended."""
         self._waiting = None
 
+    def members(self, run_id):
+        """Return the runs that a run number has now, over all tasks."""
+        return [run for task in self.tasks for run in task.runs if run.run_id == run_id]
+
+    def is_whole(self, run_id):
+        """Tell whether all members of a gang were seen on their workers.
+
+        Their work begins once all are present, so progress of one tells the same.
+        """
+        members = self.members(run_id)
+        if any(run.percent > 0 for run in members):
+            return True
+        return len(members) == len(self.tasks) and all(run.is_live for run in members)
+
     def per_worker(self):
         """Return how many runs of the step each worker holds, by worker id."""
         counts = {}
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs_under_load.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs_under_load.py
@@ -135,12 +135,13 @@
 def test_a_gang_is_not_started_without_a_worker_that_fell_silent(make_harness):
     """One of its workers has fallen silent since its start was decided on."""
     harness = with_gangs(make_harness)
-    harness.append_ms = lambda: 400.0
+    harness.append_ms = lambda: 600.0
     harness.submit(JOB, gang(8, estimated_ms=300_000))
-    harness.run(450)
+    harness.run(50)
     chosen = harness.job(JOB).steps[0].tasks[3].runs[0].worker
-    chosen.misses_in_row = 2
-    harness.run(405)
+    harness.cut_off(harness.workers[chosen.worker_id], for_ms=2_000.0)
+    harness.run(650)
+    assert harness.counts["worker_silent"] == 1
     assert not harness.running()
     assert_whole_again(harness)
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
@@ -1,5 +1,6 @@
 """Workers: which there are, what runs on them, and what they are told."""
 
+from .gang_watch import GangWatch
 from .listings import DOUBT_REASON, Listings
 from .lives import LifeVerdict, Lives
 from .looks import Looks
@@ -12,6 +13,7 @@
 
 __all__ = [
     "DOUBT_REASON",
+    "GangWatch",
     "LifeVerdict",
     "Listings",
     "Lives",
--- a/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
@@ -83,6 +83,10 @@
         """
         if self._context.is_list_stale(now_ms):
             return "list_stale"
+        if run.step.gang:
+            obstacle = self._gang_obstacle(run, now_ms)
+            if obstacle:
+                return obstacle
         for member in _not_sent_with(run):
             if member.worker.is_over:
                 return "worker_restarted"
@@ -94,6 +98,18 @@
                 return "ticket_lapsed"
         return ""
 
+    @staticmethod
+    def _gang_obstacle(run, now_ms):
+        """Return what would keep the members waiting that leave with a start."""
+        members = run.task.step.members(run.run_id)
+        if len(members) < len(run.task.step.tasks):
+            return "gang_incomplete"
+        if any(member.state is RunState.STOPPING for member in members):
+            return "gang_stopped"
+        if any(member.worker.is_silent(now_ms) for member in members):
+            return "worker_silent"
+        return ""
+
     def on_start(self, run, answer, *, now_ms):
         """Apply the answer to a start."""
         if run.state is RunState.GONE:
@@ -225,9 +241,5 @@
     """Return the starts that leave together: those of a gang, or one alone."""
     if not run.step.gang:
         return [run]
-    return [
-        member
-        for task in run.task.step.tasks
-        for member in task.runs
-        if member.run_id == run.run_id and not member.was_sent
-    ]
+    members = run.task.step.members(run.run_id)
+    return [member for member in members if not member.was_sent]
--- a/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
@@ -83,6 +83,8 @@
             return False
         if run.step.gang and run.percent >= 100:
             return False  # it waits for slower members: a gang ends as one
+        if run.step.gang and not run.task.step.is_whole(run.run_id):
+            return False  # it waits for members that are missing (see gang_watch.py)
         usual_ms = self._images.expected_ms(run.step)
         patience_ms = max(STANDSTILL_MS, STANDSTILL_SHARE * usual_ms)
         patience_ms *= 2**run.task.standstills
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -13,6 +13,7 @@
     "run_ends": "Runs by how they ended.",
     "looks": "Looks at workers whose answer was set aside, by reason.",
     "stops": "Runs that a worker has to stop, by what became of the order.",
+    "gangs_stopped": "Runs of gangs that were stopped before they began, by cause.",
     "jobs_ended": "Jobs by their last state.",
     "workers_paused": "Workers given nothing for a while, by reason.",
     "worker_losses": "Workers lost with runs on them, and what came of it.",
