Hand on to the next owner that a worker may hold runs beyond a usual lease

Cause: a start, or a renewal of leases, by the clock of a worker's life before is taken late by its next life, in the moment before anybody has looked at that, and reaches max_hold_ms. Only the owner of that moment knew; the next one counted on 3 s.

Ruled out: telling the lives apart in the order (the id alone names the life, its fence and clock say nothing yet); a longer wait for each young worker (callers waited after every takeover); leaving such workers idle (nearly each that crashes at work has a renewal under way).

LongHolds keeps one record a worker, stored before anything starts there, counted anew by each next owner, dropped once it is over. A lease counts as under way for 10 s, also where newer looks were answered, since an order without an answer comes late after newer ones.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -25,6 +25,7 @@
 from .state import RunState
 from .workers.gang_watch import GangWatch
 from .workers.lives import LifeVerdict, Lives
+from .workers.long_holds import LongHolds
 from .workers.looks import Looks
 from .workers.orders import Orders, Refusal
 from .workers.pacing import Pacing
@@ -72,8 +73,12 @@
             losses=self.losses,
             unstored_ends=self.unstored_ends,
         )
+        self.long_holds = LongHolds(context=self.context)
         self.lives = Lives(
-            context=self.context, lifecycle=self.lifecycle, losses=self.losses
+            context=self.context,
+            lifecycle=self.lifecycle,
+            losses=self.losses,
+            long_holds=self.long_holds,
         )
         self.roster = Roster(context=self.context, losses=self.losses, lives=self.lives)
         self.shares = Shares(context=self.context)
@@ -139,6 +144,7 @@
                 job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
                 self._resume(job, now_ms)
         self._judge_shares()
+        self.long_holds.load(records, self.roster.ghost, now_ms)
         self.quorum.inherit(now_ms)
 
     def _judge_shares(self):
@@ -192,6 +198,7 @@
             self._review_due_ms = now_ms + REVIEW_MS
             self.quorum.check(now_ms)
             self.roster.expire(now_ms)
+            self.long_holds.review(now_ms)
             self.orders.check_doubts(now_ms)
             self.orders.note_overdue_stops(now_ms)
             self.watch.check(now_ms)
@@ -278,6 +285,7 @@
             run = worker.runs.get(key)
             if run is not None and run.state is RunState.LIVE and not run.resumed:
                 self.images.learn(run.step.image, now_ms - run.began_ms)
+        self.long_holds.on_answer(worker, now_ms)
         self.looks.on_report(worker, report, last_end, quick=quick, now_ms=now_ms)
 
     def on_other_life(self, worker, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -18,10 +18,12 @@
 class Batch:
     """Hold the records of one append and the effects that follow it.
 
-    `last_number` is the number of the last change that is in it.
+    `last_number` is the number of the last change that is in it, `others` what it
+    holds beside jobs, by key.
     """
 
     records: list = field(factory=list)
+    others: dict = field(factory=dict)
     effects: list = field(factory=list)
     new_jobs: list = field(factory=list)
     shown: list = field(factory=list)
@@ -70,6 +72,7 @@
         self._new_jobs = {}
         self._changes = {}
         self._dropped_keys = []
+        self._others = {}
         self._held = []
         self._last_number = 0
         self.is_urgent = False
@@ -77,7 +80,8 @@
     @property
     def is_empty(self):
         """Tell whether nothing waits."""
-        return not (self._changes or self._dropped_keys or self._held)
+        waiting = (self._changes, self._dropped_keys, self._others, self._held)
+        return not any(waiting)
 
     def add(self, job):
         """Store a job that is new."""
@@ -97,6 +101,13 @@
         self._changes.pop(job.job_id, None)
         self._dropped_keys += [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id]
 
+    def put(self, key, value):
+        """Store a record that is no job's with the next append, or drop it if empty.
+
+        Whatever effect is held from now on follows it.
+        """
+        self._others[key] = value
+
     def after(self, effect):
         """Carry an effect out once all that waits now is stored."""
         self.is_urgent = self.is_urgent or not isinstance(effect, EndsStored)
@@ -120,7 +131,10 @@
         again = {job.job_id: _Change(job=job, number=number) for job, _ in batch.shown}
         later = {key: row for key, row in self._changes.items() if key not in again}
         self._changes = again | later
-        dropped = [key for key, value in batch.records if not value]
+        self._others = batch.others | self._others
+        dropped = [
+            key for key, value in batch.records if not value and key not in batch.others
+        ]
         self._dropped_keys = dropped + self._dropped_keys
         held = [_Held(effect=effect, number=number) for effect in batch.effects]
         self._held = held + self._held
@@ -132,6 +146,9 @@
         for key in self._dropped_keys:
             batch.add(key, b"")
         self._dropped_keys = []
+        batch.others, self._others = self._others, {}
+        for key, value in batch.others.items():
+            batch.add(key, value)
         epoch_ms = time.time() * 1000.0
         while self._changes and batch.size_bytes <= MOST_BATCH_BYTES:
             change = self._changes.pop(next(iter(self._changes)))
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -25,8 +25,10 @@
     answer may be read much later, by a process that was paused. `missed_ms` is when the
     first of the last looks without an answer was given up, 0 if the last was answered;
     `unlisted_ms` is when the platform's list had it no more, `runs_lost_ms` when its
-    leases were thought over, `leased_ms` when a lease was sent last. `overtaken_in_row`
-    counts the listings since the last one that counted that were set aside as older.
+    leases were thought over, `leased_ms` when a lease was sent last;
+    `long_hold_until_ms` bounds what a lease for an earlier life may allow.
+    `overtaken_in_row` counts the listings since the last one that counted that were
+    set aside as older.
     `born_epoch_ms` tells its lives apart, 0 while none was told of; `number` counts
     those that its owner has followed before, `known_since_ms` is when it came to follow
     this one. `stopped` holds the runs whose stop was answered and whose end is still to
@@ -61,6 +63,7 @@
     unlisted_ms: float = 0.0
     runs_lost_ms: float = 0.0
     leased_ms: float = 0.0
+    long_hold_until_ms: float = 0.0
     doubted_ms: float = 0.0
     slow_until_ms: float = 0.0
     look_due_ms: float = 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
@@ -11,7 +11,6 @@
 from attrs import evolve
 
 from ..state import Run, RunState, Worker
-from .quorum import lease_span_ms
 
 __all__ = ["LifeVerdict", "Lives"]
 
@@ -30,10 +29,11 @@
 class Lives:
     """Tell a worker's lives apart, and go from one to the next."""
 
-    def __init__(self, *, context, lifecycle, losses):
+    def __init__(self, *, context, lifecycle, losses, long_holds):
         self._context = context
         self._lifecycle = lifecycle
         self._losses = losses
+        self._long_holds = long_holds
         self._numbers = {}  # by worker id: its latest life's start and number
 
     def number(self, worker_id, born_epoch_ms):
@@ -125,23 +125,20 @@
     def _successor(self, worker, entry, born_epoch_ms, now_ms):
         """Return the next life, of which nothing is known yet.
 
-        A lease that was sent and not answered may have been taken by it, and counts
-        from there for as long as a worker takes at most.
+        A lease that was sent and not answered may have been taken by it.
         """
-        may_run_until_ms = 0.0
-        if worker.leased_ms > worker.asked_ms:
-            may_run_until_ms = now_ms + lease_span_ms(self._context.bounds.max_hold_ms)
-        return Worker(
+        successor = Worker(
             entry=entry,
             born_epoch_ms=born_epoch_ms,
             number=self.number(worker.worker_id, born_epoch_ms),
             known_since_ms=now_ms,
             is_listed=worker.is_listed,
             unlisted_ms=worker.unlisted_ms,
-            may_run_until_ms=may_run_until_ms,
             inherited_until_ms=worker.inherited_until_ms,
             look_due_ms=now_ms,
         )
+        self._long_holds.on_next_life(worker, successor, now_ms)
+        return successor
 
     def stand_in_entry(self, worker):
         """Return what is known of a next life whose own entry was not read yet.
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -16,6 +16,7 @@
     "gangs_stopped": "Runs of gangs that were stopped before they began, by cause.",
     "jobs_ended": "Jobs by their last state.",
     "workers_paused": "Workers given nothing for a while, by reason.",
+    "long_holds": "Workers that may hold runs beyond a usual lease, by what is known.",
     "worker_losses": "Workers lost with runs on them, and what came of it.",
     "heard_ends": "Ends that their owner could not store, and what came of them.",
     "requests": "Callers' requests, by kind.",
