--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs_under_load.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_gangs_under_load.py
@@ -146,6 +146,19 @@
     assert_whole_again(harness)
 
 
+def test_a_gang_that_has_begun_breaks_by_itself(make_harness):
+    """Its members end with the first of them; stops would only add orders."""
+    harness = with_gangs(make_harness)
+    harness.submit(JOB, gang(4))
+    harness.run(400)
+    assert harness.gangs.begun
+    worker = next(worker for worker in harness.workers.values() if worker.running)
+    worker.end(next(iter(worker.running)), "failed")
+    assert_whole_again(harness)
+    assert not harness.counts["member_gone"]
+    assert len(harness.gangs.begun) == 2
+
+
 # Under load, drawn at random -------------------------------------------------------
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/gang_watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/gang_watch.py
@@ -46,7 +46,12 @@
                 self._stop(step, run_id, members, waiting, cause, now_ms)
 
     def _cause(self, step, members, sent, now_ms):
-        """Return why a gang is stopped, "" if it may go on."""
+        """Return why a gang is stopped, "" if it may go on.
+
+        Of one that has begun, the others end with the first member that does.
+        """
+        if any(run.percent > 0 for run in members):
+            return ""
         if len(members) < len(step.tasks):
             return "member_gone"
         if any(run.state is RunState.STOPPING for run in members):
