--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -24,7 +24,6 @@
 from .placing.preemptor import Preemptor
 from .placing.reservations import Reservations
 from .placing.trials import Trials
-from .state import RunState
 from .workers.lives import LifeVerdict, Lives
 from .workers.looks import Looks
 from .workers.orders import Orders, Refusal
@@ -284,7 +283,7 @@
         ended = {(row.task, row.run_id) for row in report.ended if row.how == "done"}
         for key in ended:
             run = worker.runs.get(key)
-            if run is not None and _was_seen_whole(run):
+            if run is not None and run.was_seen_whole:
                 self.speed_learner.on_done(run, now_ms)
         self.looks.on_report(worker, report, last_end, quick=quick, now_ms=now_ms)
 
@@ -292,10 +291,3 @@
         """Apply that another life of a worker answers at its address."""
         worker.looking = worker.looking_quickly = False
         self.roster.end_life(worker, "another life answers there", now_ms=now_ms)
-
-
-def _was_seen_whole(run):
-    """Tell whether a run's time is that of its whole task."""
-    if run.state is not RunState.LIVE:
-        return False
-    return not run.resumed and not run.was_begun_before
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
@@ -9,6 +9,10 @@
 # Whether workers are uneven, and how slow each is, is judged anew this often: it takes
 # some 0.3 ms for 270 workers, and a worker ends a few runs meanwhile.
 REVIEW_MS = 500.0
+# Progress is told in whole percent and read at looks: from here on it tells a run's
+# whole time to within a tenth.
+LEAST_PERCENT = 15
+LEAST_SPAN_MS = 300.0
 # Speeds are logged this often while workers are uneven.
 NOTE_MS = 10_000.0
 # The other members are told this often, of so many machines at most: some hundred bytes
@@ -32,15 +36,28 @@
 
     def on_done(self, run, now_ms):
         """Learn from the good end of a run that this owner saw begin."""
-        step, worker = run.step, run.worker
         took_ms = now_ms - run.began_ms
-        self._images.learn(step.image, took_ms / run.slowness)
+        self._images.learn(run.step.image, took_ms / run.slowness)
+        if not run.has_told_speed:
+            self._learn(run, took_ms, now_ms)
+
+    def _learn_from_progress(self, now_ms):
+        """Learn from runs that are some way on: long ones end only much later."""
+        for worker in self._context.workers.values():
+            for run in worker.runs.values():
+                if not run.has_told_speed and _is_some_way_on(run):
+                    run.has_told_speed = True
+                    span_ms = run.listed_ms - run.began_ms
+                    self._learn(run, span_ms * 100.0 / run.percent, now_ms)
+
+    def _learn(self, run, took_ms, now_ms):
+        """Learn from the whole time of a run, as it was or as it is going to be."""
         if not _tells_of_worker(run):
             return
         is_set_aside = self._speeds.learn(
-            worker=worker,
+            worker=run.worker,
             step_name=run.task.step.name,
-            step=step,
+            step=run.step,
             took_ms=took_ms,
             now_ms=now_ms,
         )
@@ -62,6 +79,7 @@
 
     def _review(self, now_ms):
         self._review_due_ms = now_ms + REVIEW_MS
+        self._learn_from_progress(now_ms)
         workers = self._context.workers.values()
         machines = list(dict.fromkeys(worker.machine for worker in workers))
         if self._speeds.review(machines):
@@ -108,6 +126,13 @@
             self._context.emit(TellSpeeds(speeds=tuple(news)))
 
 
+def _is_some_way_on(run):
+    """Tell whether a run's progress tells how long it takes."""
+    if run.percent < LEAST_PERCENT or run.percent >= 100 or not run.was_seen_whole:
+        return False
+    return run.percent_changed_ms - run.began_ms >= LEAST_SPAN_MS
+
+
 def _tells_of_worker(run):
     """Tell whether a run's time says how fast its worker is."""
     step = run.step
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -32,6 +32,7 @@
     its start was meant for. Where the worker has started again since, `successor` is
     the run that is counted there in its place; that one `is_carried_over`, and unless
     it is found there, its `earlier_loss`, if any, counts against its task.
+    One that `has_told_speed` was learned from by its progress.
     Of one that `was_begun_before` this owner came, `began_ms` is when it was found.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
@@ -56,6 +57,7 @@
     first_listed_ms: float = 0.0
     resumed: bool = False
     was_begun_before: bool = False
+    has_told_speed: bool = False
     pace_percent: int = 100
     pace_told_percent: int | None = 100
     pace_due_ms: float = 0.0
@@ -91,6 +93,13 @@
         others = [run for task in self.task.step.tasks for run in task.runs]
         return max([own, *(run.worker.slowness for run in others)])
 
+    @property
+    def was_seen_whole(self):
+        """Tell whether its time so far is that of its task from the beginning."""
+        if self.state is not RunState.LIVE or not self.began_ms:
+            return False
+        return not self.resumed and not self.was_begun_before
+
     @property
     def key(self):
         """Return the name that the worker lists it by."""
