--- a/packages/thymefork-cells/src/thymefork_cells/accounts/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/__init__.py
@@ -1,6 +1,8 @@
 """Client accounts: their limits and shares."""
 
+from .part_exchange import PartExchange
+from .parts_ledger import PartsLedger
 from .quotas import Quotas
 from .shares import Shares
 
-__all__ = ["Quotas", "Shares"]
+__all__ = ["PartExchange", "PartsLedger", "Quotas", "Shares"]
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/quotas.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/quotas.py
@@ -3,10 +3,11 @@
 from collections import Counter
 from copy import copy
 
-from attrs import field, frozen
+from attrs import define, field
 
 from ..specs import RoomLimit
 from ..state import AccountUsage
+from .demand import Demand
 
 __all__ = ["Quotas"]
 
@@ -22,16 +23,21 @@
 NOTHING = RoomLimit(cpu_milli=1, memory_mb=1, accelerators=1)
 
 
-@frozen(kw_only=True)
+@define(kw_only=True, eq=False)
 class Quotas:
     """Keep each account's runs over all cells within its limit.
 
-    Each cell keeps to an equal part of it: jobs are dealt to cells by their ids, so an
-    account's work spreads evenly, and no cell has to hear from another before a start.
-    An account that was removed keeps its last limit while its jobs go on.
+    Each cell keeps to the parts of it that it holds: an equal share of its own, less
+    what it has lent to other cells, and what it has borrowed, so that none has to hear
+    from another before a start. An account that was removed keeps its last limit while
+    its jobs go on. `demands` tells, of the accounts with work to start in a cell among
+    several, what that asks for, as of the latest plan, which `plan_number` names.
     """
 
     _context = field()
+    _parts = field()
+    demands = field(factory=dict)
+    plan_number = field(default=0)
     _last_limits = field(factory=dict)
 
     def learn(self, configuration):
@@ -39,6 +45,15 @@
         for account in configuration.accounts or ():
             self._last_limits[account.name] = account.limit
 
+    @property
+    def has_limits(self):
+        """Tell whether any account was ever known."""
+        return bool(self._last_limits)
+
+    def known_limit(self, name):
+        """Return the whole limit of an account, None if it was never read."""
+        return self._last_limits.get(name)
+
     def limit(self, job, now_ms):
         """Return what a job's account may have running in this cell."""
         name = job.account_name
@@ -46,7 +61,9 @@
             return NO_LIMIT
         limit = self._last_limits.get(name)
         if limit is not None:
-            return limit.share(self._context.cell_count)
+            if self._context.cell_count == 1:
+                return limit
+            return self._parts.allowed(name, limit)
         waited_ms = now_ms - job.accepted_ms
         return NOTHING if waited_ms < UNKNOWN_ACCOUNT_MS else NO_LIMIT
 
@@ -58,6 +75,8 @@
     def in_view(self, steps, now_ms):
         """Return the steps, in their order, without most of those held by a limit."""
         planned, held_back, kept = {}, Counter(), []
+        self.demands.clear()
+        self.plan_number += 1
         for step in steps:
             usage = step.job.usage
             if usage.name:
@@ -67,18 +86,27 @@
                 if not left and held_back[usage.name] > MOST_IN_VIEW:
                     continue
                 if step.ready:
+                    self._note_demand(step, usage, left)
                     usage.add(step.spec, min(left, len(step.waiting)))
             kept.append(step)
         return kept
 
+    def _note_demand(self, step, usage, left):
+        """Note what a step asks for, where parts may come from other cells."""
+        name = usage.name
+        if self._context.cell_count == 1 or name not in self._last_limits:
+            return
+        if name not in self.demands:
+            self.demands[name] = Demand(wanted=copy(step.job.usage))
+        self.demands[name].add(step, usage, left)
+
     def can_ever_run(self, spec, account_name):
         """Tell whether each task, and each gang as a whole, fits an account's limit."""
         limit = self._last_limits.get(account_name)
         if limit is None:
             return True
-        share = limit.share(self._context.cell_count)
         idle = AccountUsage(name=account_name)
         return all(
-            idle.tasks_left(step, share) >= (step.count if step.gang else 1)
+            idle.tasks_left(step, limit) >= (step.count if step.gang else 1)
             for step in spec.steps
         )
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -1,7 +1,6 @@
 """One cell: a share of the workers of every hall and a share of the jobs."""
 
-from .accounts.quotas import Quotas
-from .accounts.shares import Shares
+from .accounts import PartExchange, PartsLedger, Quotas, Shares
 from .advice.desk import AdviceDesk
 from .context import CellContext
 from .estimates.images import ImageTimes
@@ -76,8 +75,12 @@
         )
         self.roster = Roster(context=self.context, losses=self.losses, lives=self.lives)
         self.shares = Shares(context=self.context)
-        self.quotas = Quotas(context=self.context)
+        self.parts = PartsLedger(context=self.context)
+        self.quotas = Quotas(context=self.context, parts=self.parts)
         self.quotas.learn(configuration)
+        self.exchange = PartExchange(
+            context=self.context, ledger=self.parts, quotas=self.quotas
+        )
         self.intake = Intake(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -138,6 +141,7 @@
                 job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
                 self._resume(job, now_ms)
         self._judge_shares()
+        self.parts.load(records)
         self.quorum.inherit(now_ms)
 
     def _judge_shares(self):
@@ -199,9 +203,10 @@
             self.context.needs_plan = True
         if self.context.needs_plan:
             self.placer.plan(now_ms)
+        parts_ms = self.exchange.turn(now_ms)
         self.orders.send_stops(now_ms)
         look_ms = self.looks.schedule(now_ms)
-        return min(look_ms, self._review_due_ms)
+        return min(look_ms, parts_ms, self._review_due_ms)
 
     def _forget_ended(self, now_ms):
         oldest_ms = now_ms - self.context.bounds.status_kept_ms * 1.5
@@ -228,6 +233,12 @@
         self.journal.forget(new_jobs)
         self.journal.put_back(batch)
 
+    # Other cells -------------------------------------------------------------
+
+    def on_parts(self, message, *, now_ms):
+        """Take what another cell's owner says of parts of accounts' limits."""
+        self.exchange.on_message(message, now_ms=now_ms)
+
     # Outcomes of effects -----------------------------------------------------
 
     def on_start(self, run, answer, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -1,5 +1,8 @@
 """What the parts of a cell share."""
 
+import time
+from collections.abc import Callable
+
 from attrs import define, field
 
 from .effects import Count, Note, Observe
@@ -22,7 +25,7 @@
     as keys in their order, the runs that a worker still has to be told to stop.
     `advice_slots` tells how many calls for advice may be made now, None for any number.
     `workers_known_ms` is since when at the latest the list of workers may have changed
-    unseen. Units: `*_ms` on the steady clock.
+    unseen; `epoch_ms()` is the time of day. Units: `*_ms` on the steady clock.
     """
 
     cell: int
@@ -42,6 +45,7 @@
     store_is_away: bool = False
     advice_slots: AdviceSlots | None = None
     workers_known_ms: float = float("inf")
+    epoch_ms: Callable[[], float] = field(default=lambda: time.time() * 1000.0)
 
     def is_list_stale(self, now_ms):
         """Tell whether the list of workers is too old to start work by.
--- a/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
@@ -3,13 +3,17 @@
 from .advice import AskAdvice
 from .looks import EndsStored, LookAt, StrayRun, TellEnds
 from .orders import PaceRun, StartRun, StopRun
+from .parts import AskParts, GrantParts, HoldParts
 from .replies import Outcome, Reply
 from .telling import Count, Note, Observe
 
 __all__ = [
     "AskAdvice",
+    "AskParts",
     "Count",
     "EndsStored",
+    "GrantParts",
+    "HoldParts",
     "LookAt",
     "Note",
     "Observe",
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -18,12 +18,14 @@
 class Batch:
     """Hold the records of one append and the effects that follow it.
 
-    `last_number` is the number of the last change that is in it.
+    `last_number` is the number of the last change that is in it; `loans` are the
+    records of lent parts among its records.
     """
 
     records: list = field(factory=list)
     effects: list = field(factory=list)
     new_jobs: list = field(factory=list)
+    loans: dict = field(factory=dict)
     shown: list = field(factory=list)
     size_bytes: int = 0
     last_number: int = 0
@@ -70,6 +72,7 @@
         self._new_jobs = {}
         self._changes = {}
         self._dropped_keys = []
+        self._loans = {}
         self._held = []
         self._last_number = 0
         self.is_urgent = False
@@ -77,7 +80,7 @@
     @property
     def is_empty(self):
         """Tell whether nothing waits."""
-        return not (self._changes or self._dropped_keys or self._held)
+        return not (self._changes or self._dropped_keys or self._loans or self._held)
 
     def add(self, job):
         """Store a job that is new."""
@@ -97,6 +100,14 @@
         self._changes.pop(job.job_id, None)
         self._dropped_keys += [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id]
 
+    def store_loan(self, key, value):
+        """Store what is lent, before all runs that are intended from here on.
+
+        A start may rest on parts that came back, so a successor has to know of these
+        once it knows of the run: all loans go first, in the next append.
+        """
+        self._loans[key] = value
+
     def after(self, effect):
         """Carry an effect out once all that waits now is stored."""
         self.is_urgent = self.is_urgent or not isinstance(effect, EndsStored)
@@ -120,7 +131,10 @@
         again = {job.job_id: _Change(job=job, number=number) for job, _ in batch.shown}
         later = {key: row for key, row in self._changes.items() if key not in again}
         self._changes = again | later
-        dropped = [key for key, value in batch.records if not value]
+        self._loans = batch.loans | self._loans
+        dropped = [
+            key for key, value in batch.records if not value and key not in batch.loans
+        ]
         self._dropped_keys = dropped + self._dropped_keys
         held = [_Held(effect=effect, number=number) for effect in batch.effects]
         self._held = held + self._held
@@ -129,6 +143,9 @@
         """Return what waits as one batch."""
         batch = Batch()
         self.is_urgent = False
+        batch.loans, self._loans = self._loans, {}
+        for key, value in batch.loans.items():
+            batch.add(key, value)
         for key in self._dropped_keys:
             batch.add(key, b"")
         self._dropped_keys = []
--- a/packages/thymefork-cells/src/thymefork_cells/specs/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/__init__.py
@@ -4,6 +4,7 @@
 from .bounds import Bounds
 from .configuration import Configuration, key_digest
 from .job_spec import JobSpec
+from .limit_parts import PARTS_PER_CELL, LimitParts
 from .queue_policy import AdvicePolicy, QueuePolicy
 from .service_policy import ServicePolicy
 from .step_spec import StepSpec
@@ -15,6 +16,8 @@
     "Bounds",
     "Configuration",
     "JobSpec",
+    "LimitParts",
+    "PARTS_PER_CELL",
     "QueuePolicy",
     "RoomLimit",
     "ServicePolicy",
--- a/packages/thymefork-cells/src/thymefork_cells/specs/account_policy.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/account_policy.py
@@ -7,7 +7,7 @@
 
 @frozen(kw_only=True)
 class RoomLimit:
-    """Bound what may run at once; 0 sets no bound.
+    """Bound what may run at once; 0 sets no bound, -1 allows nothing.
 
     Units: thousandths of a core, megabytes, accelerators.
     """
@@ -16,17 +16,17 @@
     memory_mb: int = 0
     accelerators: int = 0
 
-    def share(self, parts):
-        """Return an equal part of the limit; a bound never becomes none."""
+    def part(self, parts, whole):
+        """Return what parts of the whole limit allow; a bound never becomes none."""
         return RoomLimit(
-            cpu_milli=_part(self.cpu_milli, parts),
-            memory_mb=_part(self.memory_mb, parts),
-            accelerators=_part(self.accelerators, parts),
+            cpu_milli=_part(self.cpu_milli, parts.cpu, whole),
+            memory_mb=_part(self.memory_mb, parts.memory, whole),
+            accelerators=_part(self.accelerators, parts.accelerators, whole),
         )
 
 
-def _part(bound, parts):
-    return max(1, bound // parts) if bound else 0
+def _part(bound, parts, whole):
+    return bound * parts // whole or -1 if bound else 0
 
 
 @frozen(kw_only=True)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -10,9 +10,10 @@
 from thymefork_cells.state.advice_slots import AdviceSlots
 from thymefork_cells.workers.looks import LEASE_MS
 
+from .idle_owners import PARTS, IdleOwners
 from .machine_faults import MachineFaults
 from .order_carrier import OrderCarrier
-from .virtual_site import QUEUE, configuration, job_spec, worker_entries
+from .virtual_site import QUEUE, configuration, job_spec, worker_entries, worker_ids
 from .virtual_worker import EPOCH_MS, VirtualWorker
 
 __all__ = ["EPOCH_MS", "Harness", "SHRINK_KNOWN_MS", "job_spec"]
@@ -35,8 +36,9 @@
     `crashes_after_ms` tells of a task how long after its start it crashes its worker,
     None if it does not; the machine is back after `back_after_ms`, as another worker
     or, where it `keeps_ids`, as the same, listed `entry_after_ms` later; `crashes`
-    lists what happened. `breaches` lists the starts that brought a worker over its
-    processors, by `resize` and the descriptions of the jobs.
+    lists what happened. `owners` carries messages on parts of limits to the owners of
+    other cells, which are idle where nothing is said. `breaches` lists the starts that
+    brought a worker over its processors, by `resize` and the descriptions of the jobs.
     """
 
     def __init__(
@@ -49,12 +51,20 @@
         max_attempts=2,
         hall=None,
         advisers=None,
+        env=None,
+        cell=0,
+        cell_count=1,
+        owners=None,
     ):
-        self.env = simpy.Environment()
+        self.env = env or simpy.Environment()
+        self.cell_index = cell
+        self.cell_count = cell_count
+        self.owners = owners or IdleOwners(harness=self)
         self.carrier = OrderCarrier(harness=self)
         self.faults = MachineFaults(harness=self)
         self.workers = {
-            f"w{n}": VirtualWorker(worker_id=f"w{n}") for n in range(workers)
+            worker_id: VirtualWorker(worker_id=worker_id)
+            for worker_id in worker_ids(workers, cell=cell, cell_count=cell_count)
         }
         self.entries = worker_entries(
             self.workers, cpu_milli=cpu_milli, accelerators=accelerators, hall=hall
@@ -100,17 +110,19 @@
         self.carrier.forget_connections()
         self.appending = False
         self.cell = Cell(
-            cell=0,
+            cell=self.cell_index,
             epoch=self.epoch,
-            cell_count=1,
+            cell_count=self.cell_count,
             bounds=Bounds(),
             configuration=self.configuration,
             membership_ms=1_000.0,
             now_ms=self.now,
         )
+        self.cell.context.epoch_ms = lambda: EPOCH_MS + self.now
         self.cell.load(dict(self.store), epoch_ms=EPOCH_MS + self.now, now_ms=self.now)
         self.cell.roster.update(self.entries, now_ms=self.now)
         self.cell.inherited_ends.apply(self.told_ends, now_ms=self.now)
+        self.owners.on_taken_over()
         self.env.process(self._turns(self.cell))
 
     def resize(self, worker_id, cpu_milli):
@@ -159,6 +171,14 @@
     def run(self, for_ms):
         self.env.run(until=self.env.now + for_ms)
 
+    def run_after(self, after_ms, action):
+        """Do something later."""
+        self.env.process(self._do_after(after_ms, action))
+
+    def _do_after(self, after_ms, action):
+        yield self.env.timeout(after_ms)
+        action()
+
     def take_store_away(self, for_ms):
         """Let an outage of the store pass, which the owner knows of."""
         self.store_down = self.cell.context.store_is_away = True
@@ -254,6 +274,8 @@
             self.env.process(self.carrier.pace(cell, effect))
         elif isinstance(effect, fx.LookAt):
             self.env.process(self.carrier.look(cell, effect))
+        elif isinstance(effect, PARTS):
+            self.owners.send(effect)
         elif isinstance(effect, fx.AskAdvice):
             self.env.process(self._advise(cell, effect))
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_journal.py
@@ -93,3 +93,30 @@
     assert harness.replies["cancel"].outcome is Outcome.CANCELLED
     harness.take_over()
     assert harness.job(LASTING).shown_state is JobState.CANCELLED
+
+
+def test_a_loan_goes_before_all_runs_though_more_waits_than_an_append_carries(harness):
+    submit_more_than_one_append(harness)
+    journal = harness.cell.journal
+    journal.store_loan("l1/a", b"[]")
+    batch = journal.take(harness.now)
+    assert batch.records[0] == ("l1/a", b"[]") and not journal.is_empty
+
+
+def test_a_loan_that_was_not_stored_goes_with_the_next_append_as_it_is_then(harness):
+    journal = harness.cell.journal
+    journal.store_loan("l1/a", b"[]")
+    journal.store_loan("l2/a", b"")
+    batch = journal.take(harness.now)
+    journal.store_loan("l1/a", b"[1]")
+    journal.put_back(batch)
+    assert dict(journal.take(harness.now).records) == {"l1/a": b"[1]", "l2/a": b""}
+    assert journal.is_empty
+
+
+def test_a_grant_waits_for_its_loan(harness):
+    journal = harness.cell.journal
+    journal.store_loan("l1/a", b"[]")
+    journal.after("grant")
+    batch = journal.take(harness.now)
+    assert batch.effects == ["grant"] and dict(batch.records) == {"l1/a": b"[]"}
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_limit_parts.py
@@ -0,0 +1,122 @@
+"""Parts of a limit pass between cells by need, and come back.
+
+The load: all work of an account comes to one of five cells, or one cell after the
+other has work of it. What callers go by: its jobs run as if there were one cell, and
+no moment sees more of it than its limit.
+"""
+
+import pytest
+
+from thymefork_cells.specs import PARTS_PER_CELL, LimitParts, RoomLimit
+
+from .cell_group import CellGroup
+from .harness import job_spec
+
+LIMIT_CPU_MILLI = 50_000
+CELLS = 5
+TASK = {"cpu_milli": 2_000, "estimated_ms": 600}
+# A round of asks, an append and an order are under 60 ms.
+SOON_MS = 100
+
+
+@pytest.fixture
+def group():
+    group = CellGroup(cells=CELLS, limit_cpu_milli=LIMIT_CPU_MILLI)
+    group.run(100)
+    return group
+
+
+def submit(group, cell, number, *steps):
+    group.cells[cell].submit(f"{number:016x}", job_spec(*steps), account_name="a")
+
+
+def state(group, cell, number):
+    return str(group.cells[cell].job(f"{number:016x}").state)
+
+
+def parts_held(group):
+    return [harness.cell.parts.held("a").cpu for harness in group.cells]
+
+
+def test_work_that_is_all_in_one_cell_has_most_of_the_limit_soon(group):
+    submit(group, 1, 1, {**TASK, "count": 60, "estimated_ms": 5_000})
+    group.run(SOON_MS)
+    assert group.cpu_running() >= 0.8 * LIMIT_CPU_MILLI
+    group.run(2_000)
+    assert group.most_cpu_milli <= LIMIT_CPU_MILLI and not group.breaches
+
+
+def test_a_gang_as_wide_as_the_limit_starts_whole_in_any_cell(group):
+    gang = {"cpu_milli": 5_000, "count": 10, "gang": True, "estimated_ms": 400}
+    submit(group, 3, 1, gang)
+    group.run(400)
+    assert group.most_cpu_milli == LIMIT_CPU_MILLI and not group.breaches
+
+
+def test_idle_parts_come_back_by_themselves(group):
+    submit(group, 1, 1, {**TASK, "count": 24, "estimated_ms": 300})
+    group.run(1_500)
+    assert state(group, 1, 1) == "succeeded"
+    group.run(1_000)
+    assert parts_held(group) == [PARTS_PER_CELL] * CELLS
+    assert not any("l" == key[0] for cell in group.cells for key in cell.store)
+
+
+def test_a_lender_with_work_has_its_own_part_again_as_runs_end(group):
+    for number in range(40):
+        submit(group, 1, number, {**TASK, "count": 20})
+    group.run(500)
+    submit(group, 2, 100, {**TASK, "count": 40})
+    group.run(1_000)
+    assert group.cpu_running(2) >= 0.8 * LIMIT_CPU_MILLI / CELLS
+    assert not group.breaches
+
+
+def test_two_gangs_of_more_than_half_do_not_wait_for_each_other(group):
+    gang = {"cpu_milli": 3_000, "count": 10, "gang": True, "estimated_ms": 400}
+    for cell in range(CELLS):
+        submit(group, cell, cell, gang)
+    group.run(6_000)
+    states = [state(group, cell, cell) for cell in range(CELLS)]
+    assert states == ["succeeded"] * CELLS and not group.breaches
+
+
+def test_a_job_in_each_cell_runs_though_one_cell_has_a_flood(group):
+    for number in range(60):
+        submit(group, 0, number, {**TASK, "count": 20})
+    group.run(1_000)
+    for cell in range(1, CELLS):
+        submit(group, cell, 100 + cell, {**TASK, "count": 2})
+    group.run(2_500)
+    states = {state(group, cell, 100 + cell) for cell in range(1, CELLS)}
+    assert states == {"succeeded"} and not group.breaches
+
+
+def time_of_uneven_work(cells):
+    """Return how long 250 tasks take, of which 175 come to one cell."""
+    group = CellGroup(cells=cells, limit_cpu_milli=LIMIT_CPU_MILLI)
+    for number in range(10):
+        submit(group, 0 if number < 7 else cells - 1, number, {**TASK, "count": 25})
+    while any(harness.cell.context.live_jobs for harness in group.cells):
+        group.run(50)
+    assert not group.breaches
+    return group.now
+
+
+def test_work_dealt_unevenly_is_done_about_as_soon_as_in_one_cell():
+    assert time_of_uneven_work(CELLS) <= 1.2 * time_of_uneven_work(1)
+
+
+def test_an_accelerator_that_no_part_holds_can_be_used():
+    """Of three accelerators no cell among five has a whole one."""
+    limit = RoomLimit(accelerators=3)
+    whole = CELLS * PARTS_PER_CELL
+    assert limit.part(LimitParts.all_of(PARTS_PER_CELL), whole).accelerators == -1
+    one = LimitParts.of_room(RoomLimit(accelerators=1), limit, whole)
+    assert limit.part(one, whole).accelerators == 1
+
+
+def test_what_is_idle_asks_and_tells_nothing(group):
+    submit(group, 1, 1, {**TASK, "count": 2, "estimated_ms": 300})
+    group.run(5_000)
+    assert state(group, 1, 1) == "succeeded" and group.messages == 0
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_site.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_site.py
@@ -1,5 +1,8 @@
 """The workers and queues that a harness begins with, and jobs for them."""
 
+import itertools
+
+from thymefork_cells.hashing import cell_of
 from thymefork_cells.specs import (
     AdvicePolicy,
     Configuration,
@@ -11,11 +14,18 @@
 
 from .virtual_worker import EPOCH_MS
 
-__all__ = ["QUEUE", "configuration", "job_spec", "worker_entries"]
+__all__ = ["QUEUE", "configuration", "job_spec", "worker_entries", "worker_ids"]
 
 QUEUE = "q"
 
 
+def worker_ids(count, *, cell, cell_count):
+    """Return the first ids whose machines are a cell's."""
+    ids = (f"w{number}" for number in itertools.count())
+    of_cell = (name for name in ids if cell_of(f"m-{name}", cell_count) == cell)
+    return list(itertools.islice(of_cell, count))
+
+
 def worker_entries(worker_ids, *, cpu_milli, accelerators, hall):
     """Return entries of workers over two racks; `hall` tells the hall of a number."""
     return [
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -23,6 +23,7 @@
 from .owned_cells import OwnedCells
 from .owner_directory import OwnerDirectory
 from .owner_first import OwnerFirst
+from .part_courier import PartCourier
 from .peer_desk import PeerDesk
 from .readiness import Readiness
 from .settings_watch import SettingsWatch
@@ -66,6 +67,7 @@
         self._build_clients()
         self._build_watches()
         self.heard_ends = HeardEnds(daemon=self)
+        self.parts = PartCourier(daemon=self)
         self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -53,6 +53,7 @@
             orders=OrderSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
             tell_ends=self._tell_members,
+            send_parts=lambda message: daemon.parts.send(message),
         )
 
     def _build_takeover(self):
@@ -285,6 +286,12 @@
             self.cell.inherited_ends.apply(ends, now_ms=steady_ms())
             self.settle()
 
+    def take_parts(self, message):
+        """Take what another cell's owner says of parts of accounts' limits."""
+        if self._is_live:
+            self.cell.on_parts(message, now_ms=steady_ms())
+            self.settle()
+
     def settle(self):
         """Do what an event has led to, once the cell was taken over."""
         if self._turns is not None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -14,7 +14,15 @@
     """Answer, log, count, ask and order as a cell's effects say."""
 
     def __init__(
-        self, *, cell_index, metrics, advisers, orders, on_ends_stored, tell_ends
+        self,
+        *,
+        cell_index,
+        metrics,
+        advisers,
+        orders,
+        on_ends_stored,
+        tell_ends,
+        send_parts=None,
     ):
         self._cell_index = cell_index
         self._metrics = metrics
@@ -22,6 +30,7 @@
         self._orders = orders
         self._on_ends_stored = on_ends_stored
         self._tell_ends = tell_ends
+        self._send_parts = send_parts
 
     def perform(self, effects):
         """Carry effects out; one that fails holds up none of the others."""
@@ -65,6 +74,10 @@
     def _ends_told(self, effect: fx.TellEnds):
         self._tell_ends(effect.ends)
 
+    @_perform.register
+    def _move_parts(self, effect: fx.AskParts | fx.GrantParts | fx.HoldParts):
+        self._send_parts(effect)
+
     @_perform.register
     def _order(self, effect: fx.StartRun | fx.StopRun | fx.PaceRun | fx.LookAt):
         self._orders.send(effect)
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/part_courier.py
@@ -0,0 +1,152 @@
+"""Messages on parts of accounts' limits between the owners of cells."""
+
+from functools import singledispatch
+
+from thymefork_cells import effects as fx
+from thymefork_cells.specs import LimitParts
+from thymefork_net.peers import PartsAsk, PartsGrant, PartsHold, PartsRow
+
+from .owner_routes import OwnerRoutes
+
+__all__ = ["PARTS_MESSAGES", "PartCourier"]
+
+PARTS_MESSAGES = (PartsAsk, PartsGrant, PartsHold)
+
+
+class PartCourier:
+    """Carry them to an owner on this instance, or on a link to a peer's.
+
+    One that can't be sent is dropped and counted: who sent it says so again.
+    """
+
+    def __init__(self, *, daemon):
+        self._daemon = daemon
+        self._routes = OwnerRoutes(daemon=daemon)
+
+    def send(self, message):
+        """Send a cell's message to the owner of the cell that it is for."""
+        if message.to_cell in self._daemon.owners:
+            # Owners take messages apart from their own effects.
+            self._daemon.timers.after(0.0, lambda: self._deliver(message))
+            return
+        link = self._routes.link_to(message.to_cell)
+        if link is None:
+            self._daemon.metrics.count("limit_parts_dropped", "no_link")
+        elif not self._daemon.peers.moves_parts(link.listener_address):
+            self._daemon.metrics.count("limit_parts_dropped", "peer_moves_none")
+        else:
+            link.send(to_wire(message))
+
+    def on_message(self, message):
+        """Take a peer's message."""
+        self._deliver(from_wire(message))
+
+    def _deliver(self, message):
+        owner = self._daemon.owners.get(message.to_cell)
+        if owner is None:
+            self._daemon.metrics.count("limit_parts_dropped", "not_owned_here")
+        else:
+            owner.take_parts(message)
+
+
+@singledispatch
+def to_wire(message):
+    """Return the form in which a message goes between instances."""
+    raise TypeError(f"{type(message).__name__} is no message on parts")
+
+
+@to_wire.register
+def _ask_to_wire(ask: fx.AskParts):
+    return PartsAsk(
+        account=ask.account,
+        borrower=ask.borrower,
+        borrower_epoch=ask.borrower_epoch,
+        lender=ask.lender,
+        least=_row(ask.least),
+        most=_row(ask.most),
+        since_epoch_ms=ask.since_epoch_ms,
+        is_within=ask.is_within,
+    )
+
+
+@to_wire.register
+def _grant_to_wire(grant: fx.GrantParts):
+    return PartsGrant(
+        account=grant.account,
+        lender=grant.lender,
+        lender_epoch=grant.lender_epoch,
+        borrower=grant.borrower,
+        borrower_epoch=grant.borrower_epoch,
+        number=grant.number,
+        parts=_row(grant.parts),
+        free=_row(grant.free),
+    )
+
+
+@to_wire.register
+def _hold_to_wire(hold: fx.HoldParts):
+    return PartsHold(
+        account=hold.account,
+        borrower=hold.borrower,
+        borrower_epoch=hold.borrower_epoch,
+        lender=hold.lender,
+        lender_epoch=hold.lender_epoch,
+        number=hold.number,
+        parts=_row(hold.parts),
+    )
+
+
+@singledispatch
+def from_wire(message):
+    """Return the message that a cell takes."""
+    raise TypeError(f"{type(message).__name__} is no message on parts")
+
+
+@from_wire.register
+def _ask_from_wire(ask: PartsAsk):
+    return fx.AskParts(
+        account=ask.account,
+        borrower=ask.borrower,
+        borrower_epoch=ask.borrower_epoch,
+        lender=ask.lender,
+        least=_parts(ask.least),
+        most=_parts(ask.most),
+        since_epoch_ms=ask.since_epoch_ms,
+        is_within=ask.is_within,
+    )
+
+
+@from_wire.register
+def _grant_from_wire(grant: PartsGrant):
+    return fx.GrantParts(
+        account=grant.account,
+        lender=grant.lender,
+        lender_epoch=grant.lender_epoch,
+        borrower=grant.borrower,
+        borrower_epoch=grant.borrower_epoch,
+        number=grant.number,
+        parts=_parts(grant.parts),
+        free=_parts(grant.free),
+    )
+
+
+@from_wire.register
+def _hold_from_wire(hold: PartsHold):
+    return fx.HoldParts(
+        account=hold.account,
+        borrower=hold.borrower,
+        borrower_epoch=hold.borrower_epoch,
+        lender=hold.lender,
+        lender_epoch=hold.lender_epoch,
+        number=hold.number,
+        parts=_parts(hold.parts),
+    )
+
+
+def _row(parts):
+    cpu, memory, accelerators = parts.row
+    return PartsRow(cpu=cpu, memory=memory, accelerators=accelerators)
+
+
+def _parts(row):
+    return LimitParts(cpu=row.cpu, memory=row.memory, accelerators=row.accelerators)
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -15,6 +15,7 @@
 )
 
 from .owner_watch import OWNER_BEAT_MS, OwnerWatch
+from .part_courier import PARTS_MESSAGES
 
 __all__ = ["PeerDesk"]
 
@@ -36,6 +37,7 @@
         self._owned_by_link = {}
         self._without_store = set()
         self._leaving = set()
+        self._moving_parts = set()
         self._neighbours_due_ms = 0.0
         self._owner_watch = None
         daemon.timers.every(OWNER_BEAT_MS, self._beat)
@@ -80,6 +82,7 @@
             leaving=self._daemon.is_stopping,
             in_group=membership.in_group,
             store_lost=membership.store_lost,
+            moves_parts=True,
         )
 
     def _keep_links(self):
@@ -122,6 +125,8 @@
             self._on_advice_reply(message)
         elif isinstance(message, EndsHeard):
             self._daemon.heard_ends.on_message(message)
+        elif isinstance(message, PARTS_MESSAGES):
+            self._daemon.parts.on_message(message)
         else:
             self._on_links_changed()
 
@@ -129,6 +134,10 @@
         """Tell whether the instance at an address has not lost the store."""
         return address not in self._without_store
 
+    def moves_parts(self, address):
+        """Tell whether the instance at an address has said that it moves parts."""
+        return address in self._moving_parts
+
     def is_leaving(self, address):
         """Tell whether the instance at an address was asked to stop."""
         return address in self._leaving
@@ -143,6 +152,10 @@
             self._without_store.add(address)
         else:
             self._without_store.discard(address)
+        if message.moves_parts:
+            self._moving_parts.add(address)
+        else:
+            self._moving_parts.discard(address)
         if message.in_group:
             self._member_links.add(link)
         self._daemon.owned_cells.on_peer_owns(message.owned)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -24,6 +24,8 @@
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
+    "limit_parts": "Parts of accounts' limits asked for, lent and returned, by what.",
+    "limit_parts_dropped": "Messages on parts of limits that reached nobody.",
     "log_lines_left_out": "Log lines that were not written, by event.",
 }
 HISTOGRAMS = {
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_part_courier.py
@@ -0,0 +1,151 @@
+"""Messages on parts of limits reach the owner of the cell that they are for.
+
+How parts move is told in the cells' `test_limit_parts.py`; here is the way between the
+owners: on one instance, on links, and to peers that do not know of parts.
+"""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_cells import effects as fx
+from thymefork_cells.specs import LimitParts
+from thymefork_daemon import peer_desk as peer_desk_module
+from thymefork_daemon.part_courier import PartCourier, to_wire
+from thymefork_daemon.peer_desk import PeerDesk
+from thymefork_net import Address
+from thymefork_net.peers import Heartbeat
+from thymefork_net.peers.envelope import decode, encode
+
+from .fakes import FakeMetrics
+
+CLOCKED = (peer_desk_module,)
+OWN = Address(host="10.0.0.1", port=7000)
+PEER = Address(host="10.0.0.2", port=7000)
+PARTS = LimitParts(cpu=3, memory=2_000_000_000_000, accelerators=0)
+ASK = fx.AskParts(
+    account="a",
+    borrower=0,
+    borrower_epoch=4,
+    lender=1,
+    least=PARTS,
+    most=PARTS + PARTS,
+    since_epoch_ms=1_700_000_000_000,
+    is_within=True,
+)
+GRANT = fx.GrantParts(
+    account="a",
+    lender=0,
+    lender_epoch=3,
+    borrower=1,
+    borrower_epoch=4,
+    number=9,
+    parts=PARTS,
+    free=LimitParts(),
+)
+HOLD = fx.HoldParts(
+    account="a",
+    borrower=0,
+    borrower_epoch=4,
+    lender=1,
+    lender_epoch=3,
+    number=9,
+    parts=PARTS,
+)
+MESSAGES = [ASK, GRANT, HOLD]
+
+
+class FakeLink:
+    listener_address = PEER
+    address = PEER
+
+    def __init__(self):
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(decode(encode(message), peer="edge-1"))
+
+
+class FakeOwner:
+    def __init__(self):
+        self.taken = []
+
+    def take_parts(self, message):
+        self.taken.append(message)
+
+
+@pytest.fixture
+def daemon(timers):
+    link = FakeLink()
+    daemon = SimpleNamespace(
+        timers=timers,
+        metrics=FakeMetrics(),
+        owners={},
+        link=link,
+        owner_addresses={1: PEER},
+        settings=SimpleNamespace(peer=OWN),
+        membership=SimpleNamespace(in_group=False, hurry=lambda: None),
+        owned_cells=SimpleNamespace(on_peer_owns=lambda owned: None),
+        gateway=SimpleNamespace(on_heartbeat=lambda link, message: None),
+        links=SimpleNamespace(to=lambda address: link),
+        directory=SimpleNamespace(
+            owner_of=lambda cell: daemon.owner_addresses.get(cell),
+            refresh=lambda: None,
+        ),
+    )
+    daemon.parts = PartCourier(daemon=daemon)
+    daemon.peers = PeerDesk(daemon=daemon)
+    return daemon
+
+
+def hear_of_parts(daemon, *, moves_parts):
+    beat = Heartbeat(owned=[], config_version=1, leaving=False, moves_parts=moves_parts)
+    daemon.peers.on_message(daemon.link, decode(encode(beat), peer="edge-2"))
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_a_message_reaches_the_owner_on_a_peer_as_it_left(daemon, message):
+    hear_of_parts(daemon, moves_parts=True)
+    daemon.parts.send(message)
+    (wire,) = daemon.link.sent
+    owner = daemon.owners[1] = FakeOwner()
+    daemon.peers.on_message(daemon.link, wire)
+    assert owner.taken == [message]
+
+
+@pytest.mark.parametrize("message", MESSAGES)
+def test_a_message_reaches_an_owner_here_after_the_effects_of_its_sender(
+    daemon, timers, message
+):
+    owner = daemon.owners[1] = FakeOwner()
+    daemon.parts.send(message)
+    assert not owner.taken
+    timers.run(1)
+    assert owner.taken == [message] and not daemon.link.sent
+
+
+@pytest.mark.parametrize("moves_parts", [None, False])
+def test_a_peer_that_does_not_know_of_parts_is_sent_none(daemon, moves_parts):
+    hear_of_parts(daemon, moves_parts=True)
+    hear_of_parts(daemon, moves_parts=moves_parts)
+    daemon.parts.send(ASK)
+    assert not daemon.link.sent
+    assert daemon.metrics.counts == [("limit_parts_dropped", "peer_moves_none")]
+
+
+def test_a_message_without_an_owner_to_reach_is_dropped_and_counted(daemon):
+    daemon.owner_addresses.clear()
+    daemon.parts.send(ASK)
+    daemon.parts.on_message(to_wire(ASK))
+    assert daemon.metrics.counts == [
+        ("limit_parts_dropped", "no_link"),
+        ("limit_parts_dropped", "not_owned_here"),
+    ]
+
+
+def test_an_owner_that_is_lost_meanwhile_takes_nothing(daemon, timers):
+    owner = daemon.owners[1] = FakeOwner()
+    daemon.parts.send(ASK)
+    del daemon.owners[1]
+    timers.run(1)
+    assert not owner.taken
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -21,6 +21,8 @@
   4: optional bool in_group
   /* The sender's joins are not answered: its cells should pass to another. */
   5: optional bool store_lost
+  /* The sender understands messages on parts of limits. */
+  9: optional bool moves_parts
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
@@ -80,6 +82,50 @@
   3: required list<HeardEnd> ends
 }
 
+/* Parts of a client account's limit, of each kind of room that it bounds. */
+struct PartsRow {
+  1: required i64 cpu
+  2: required i64 memory
+  3: required i64 accelerators
+}
+
+/* The owner of a cell asks that of another to lend parts of a limit. */
+struct PartsAsk {
+  1: required string account
+  2: required i32 borrower
+  3: required i64 borrower_epoch
+  4: required i32 lender
+  /* What lets its first step begin, and what all its work wants. */
+  5: required PartsRow least
+  6: required PartsRow most
+  /* Since when that step waits; 0 where more runs than the borrower has parts for. */
+  7: required i64 since_epoch_ms
+  8: required bool is_within
+}
+
+/* All that is lent to a cell; a number of 0 grants nothing and tells what is free. */
+struct PartsGrant {
+  1: required string account
+  2: required i32 lender
+  3: required i64 lender_epoch
+  4: required i32 borrower
+  5: required i64 borrower_epoch
+  6: required i64 number
+  7: required PartsRow parts
+  8: required PartsRow free
+}
+
+/* What a borrower still counts on, of the grant of that epoch and number. */
+struct PartsHold {
+  1: required string account
+  2: required i32 borrower
+  3: required i64 borrower_epoch
+  4: required i32 lender
+  5: required i64 lender_epoch
+  6: required i64 number
+  7: required PartsRow parts
+}
+
 struct Envelope {
   1: optional Hello hello
   2: optional Heartbeat heartbeat
@@ -88,4 +134,7 @@
   5: optional AdviceRequest advice_request
   6: optional AdviceReply advice_reply
   7: optional EndsHeard ends_heard
+  9: optional PartsAsk parts_ask
+  10: optional PartsGrant parts_grant
+  11: optional PartsHold parts_hold
 }
--- a/packages/thymefork-net/src/thymefork_net/peers/__init__.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/__init__.py
@@ -10,6 +10,10 @@
     Heartbeat,
     Hello,
     OwnedCell,
+    PartsAsk,
+    PartsGrant,
+    PartsHold,
+    PartsRow,
     WorkerTicket,
 )
 from .link import Link
@@ -27,5 +31,9 @@
     "Link",
     "Links",
     "OwnedCell",
+    "PartsAsk",
+    "PartsGrant",
+    "PartsHold",
+    "PartsRow",
     "WorkerTicket",
 ]
--- a/packages/thymefork-net/src/thymefork_net/peers/envelope.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/envelope.py
@@ -18,6 +18,9 @@
     ttypes.AdviceRequest: "advice_request",
     ttypes.AdviceReply: "advice_reply",
     ttypes.EndsHeard: "ends_heard",
+    ttypes.PartsAsk: "parts_ask",
+    ttypes.PartsGrant: "parts_grant",
+    ttypes.PartsHold: "parts_hold",
 }
 
 
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -220,6 +220,7 @@
      - leaving
      - in_group
      - store_lost
+     - moves_parts
 
     """
 
@@ -229,15 +230,17 @@
         'leaving',
         'in_group',
         'store_lost',
+        'moves_parts',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, moves_parts=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
         self.in_group = in_group
         self.store_lost = store_lost
+        self.moves_parts = moves_parts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -279,6 +282,11 @@
                     self.store_lost = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.BOOL:
+                    self.moves_parts = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -312,6 +320,10 @@
             oprot.writeFieldBegin('store_lost', TType.BOOL, 5)
             oprot.writeBool(self.store_lost)
             oprot.writeFieldEnd()
+        if self.moves_parts is not None:
+            oprot.writeFieldBegin('moves_parts', TType.BOOL, 9)
+            oprot.writeBool(self.moves_parts)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1179,6 +1191,599 @@
         return not (self == other)
 
 
+class PartsRow(object):
+    """
+    Attributes:
+     - cpu
+     - memory
+     - accelerators
+
+    """
+
+    __slots__ = (
+        'cpu',
+        'memory',
+        'accelerators',
+    )
+
+
+    def __init__(self, cpu=None, memory=None, accelerators=None,):
+        self.cpu = cpu
+        self.memory = memory
+        self.accelerators = accelerators
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.cpu = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.memory = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.accelerators = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsRow')
+        if self.cpu is not None:
+            oprot.writeFieldBegin('cpu', TType.I64, 1)
+            oprot.writeI64(self.cpu)
+            oprot.writeFieldEnd()
+        if self.memory is not None:
+            oprot.writeFieldBegin('memory', TType.I64, 2)
+            oprot.writeI64(self.memory)
+            oprot.writeFieldEnd()
+        if self.accelerators is not None:
+            oprot.writeFieldBegin('accelerators', TType.I64, 3)
+            oprot.writeI64(self.accelerators)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cpu is None:
+            raise TProtocolException(message='Required field cpu is unset!')
+        if self.memory is None:
+            raise TProtocolException(message='Required field memory is unset!')
+        if self.accelerators is None:
+            raise TProtocolException(message='Required field accelerators is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartsAsk(object):
+    """
+    Attributes:
+     - account
+     - borrower
+     - borrower_epoch
+     - lender
+     - least
+     - most
+     - since_epoch_ms
+     - is_within
+
+    """
+
+    __slots__ = (
+        'account',
+        'borrower',
+        'borrower_epoch',
+        'lender',
+        'least',
+        'most',
+        'since_epoch_ms',
+        'is_within',
+    )
+
+
+    def __init__(self, account=None, borrower=None, borrower_epoch=None, lender=None, least=None, most=None, since_epoch_ms=None, is_within=None,):
+        self.account = account
+        self.borrower = borrower
+        self.borrower_epoch = borrower_epoch
+        self.lender = lender
+        self.least = least
+        self.most = most
+        self.since_epoch_ms = since_epoch_ms
+        self.is_within = is_within
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.borrower = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.borrower_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.lender = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRUCT:
+                    self.least = PartsRow()
+                    self.least.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.STRUCT:
+                    self.most = PartsRow()
+                    self.most.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I64:
+                    self.since_epoch_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.BOOL:
+                    self.is_within = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsAsk')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.borrower is not None:
+            oprot.writeFieldBegin('borrower', TType.I32, 2)
+            oprot.writeI32(self.borrower)
+            oprot.writeFieldEnd()
+        if self.borrower_epoch is not None:
+            oprot.writeFieldBegin('borrower_epoch', TType.I64, 3)
+            oprot.writeI64(self.borrower_epoch)
+            oprot.writeFieldEnd()
+        if self.lender is not None:
+            oprot.writeFieldBegin('lender', TType.I32, 4)
+            oprot.writeI32(self.lender)
+            oprot.writeFieldEnd()
+        if self.least is not None:
+            oprot.writeFieldBegin('least', TType.STRUCT, 5)
+            self.least.write(oprot)
+            oprot.writeFieldEnd()
+        if self.most is not None:
+            oprot.writeFieldBegin('most', TType.STRUCT, 6)
+            self.most.write(oprot)
+            oprot.writeFieldEnd()
+        if self.since_epoch_ms is not None:
+            oprot.writeFieldBegin('since_epoch_ms', TType.I64, 7)
+            oprot.writeI64(self.since_epoch_ms)
+            oprot.writeFieldEnd()
+        if self.is_within is not None:
+            oprot.writeFieldBegin('is_within', TType.BOOL, 8)
+            oprot.writeBool(self.is_within)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.borrower is None:
+            raise TProtocolException(message='Required field borrower is unset!')
+        if self.borrower_epoch is None:
+            raise TProtocolException(message='Required field borrower_epoch is unset!')
+        if self.lender is None:
+            raise TProtocolException(message='Required field lender is unset!')
+        if self.least is None:
+            raise TProtocolException(message='Required field least is unset!')
+        if self.most is None:
+            raise TProtocolException(message='Required field most is unset!')
+        if self.since_epoch_ms is None:
+            raise TProtocolException(message='Required field since_epoch_ms is unset!')
+        if self.is_within is None:
+            raise TProtocolException(message='Required field is_within is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartsGrant(object):
+    """
+    Attributes:
+     - account
+     - lender
+     - lender_epoch
+     - borrower
+     - borrower_epoch
+     - number
+     - parts
+     - free
+
+    """
+
+    __slots__ = (
+        'account',
+        'lender',
+        'lender_epoch',
+        'borrower',
+        'borrower_epoch',
+        'number',
+        'parts',
+        'free',
+    )
+
+
+    def __init__(self, account=None, lender=None, lender_epoch=None, borrower=None, borrower_epoch=None, number=None, parts=None, free=None,):
+        self.account = account
+        self.lender = lender
+        self.lender_epoch = lender_epoch
+        self.borrower = borrower
+        self.borrower_epoch = borrower_epoch
+        self.number = number
+        self.parts = parts
+        self.free = free
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.lender = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.lender_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.borrower = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.borrower_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.parts = PartsRow()
+                    self.parts.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.STRUCT:
+                    self.free = PartsRow()
+                    self.free.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsGrant')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.lender is not None:
+            oprot.writeFieldBegin('lender', TType.I32, 2)
+            oprot.writeI32(self.lender)
+            oprot.writeFieldEnd()
+        if self.lender_epoch is not None:
+            oprot.writeFieldBegin('lender_epoch', TType.I64, 3)
+            oprot.writeI64(self.lender_epoch)
+            oprot.writeFieldEnd()
+        if self.borrower is not None:
+            oprot.writeFieldBegin('borrower', TType.I32, 4)
+            oprot.writeI32(self.borrower)
+            oprot.writeFieldEnd()
+        if self.borrower_epoch is not None:
+            oprot.writeFieldBegin('borrower_epoch', TType.I64, 5)
+            oprot.writeI64(self.borrower_epoch)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 6)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.STRUCT, 7)
+            self.parts.write(oprot)
+            oprot.writeFieldEnd()
+        if self.free is not None:
+            oprot.writeFieldBegin('free', TType.STRUCT, 8)
+            self.free.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.lender is None:
+            raise TProtocolException(message='Required field lender is unset!')
+        if self.lender_epoch is None:
+            raise TProtocolException(message='Required field lender_epoch is unset!')
+        if self.borrower is None:
+            raise TProtocolException(message='Required field borrower is unset!')
+        if self.borrower_epoch is None:
+            raise TProtocolException(message='Required field borrower_epoch is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.free is None:
+            raise TProtocolException(message='Required field free is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class PartsHold(object):
+    """
+    Attributes:
+     - account
+     - borrower
+     - borrower_epoch
+     - lender
+     - lender_epoch
+     - number
+     - parts
+
+    """
+
+    __slots__ = (
+        'account',
+        'borrower',
+        'borrower_epoch',
+        'lender',
+        'lender_epoch',
+        'number',
+        'parts',
+    )
+
+
+    def __init__(self, account=None, borrower=None, borrower_epoch=None, lender=None, lender_epoch=None, number=None, parts=None,):
+        self.account = account
+        self.borrower = borrower
+        self.borrower_epoch = borrower_epoch
+        self.lender = lender
+        self.lender_epoch = lender_epoch
+        self.number = number
+        self.parts = parts
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.account = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.borrower = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.borrower_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.lender = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.lender_epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.number = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.STRUCT:
+                    self.parts = PartsRow()
+                    self.parts.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('PartsHold')
+        if self.account is not None:
+            oprot.writeFieldBegin('account', TType.STRING, 1)
+            oprot.writeString(self.account.encode('utf-8') if sys.version_info[0] == 2 else self.account)
+            oprot.writeFieldEnd()
+        if self.borrower is not None:
+            oprot.writeFieldBegin('borrower', TType.I32, 2)
+            oprot.writeI32(self.borrower)
+            oprot.writeFieldEnd()
+        if self.borrower_epoch is not None:
+            oprot.writeFieldBegin('borrower_epoch', TType.I64, 3)
+            oprot.writeI64(self.borrower_epoch)
+            oprot.writeFieldEnd()
+        if self.lender is not None:
+            oprot.writeFieldBegin('lender', TType.I32, 4)
+            oprot.writeI32(self.lender)
+            oprot.writeFieldEnd()
+        if self.lender_epoch is not None:
+            oprot.writeFieldBegin('lender_epoch', TType.I64, 5)
+            oprot.writeI64(self.lender_epoch)
+            oprot.writeFieldEnd()
+        if self.number is not None:
+            oprot.writeFieldBegin('number', TType.I64, 6)
+            oprot.writeI64(self.number)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.STRUCT, 7)
+            self.parts.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.account is None:
+            raise TProtocolException(message='Required field account is unset!')
+        if self.borrower is None:
+            raise TProtocolException(message='Required field borrower is unset!')
+        if self.borrower_epoch is None:
+            raise TProtocolException(message='Required field borrower_epoch is unset!')
+        if self.lender is None:
+            raise TProtocolException(message='Required field lender is unset!')
+        if self.lender_epoch is None:
+            raise TProtocolException(message='Required field lender_epoch is unset!')
+        if self.number is None:
+            raise TProtocolException(message='Required field number is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Envelope(object):
     """
     Attributes:
@@ -1189,6 +1794,9 @@
      - advice_request
      - advice_reply
      - ends_heard
+     - parts_ask
+     - parts_grant
+     - parts_hold
 
     """
 
@@ -1200,10 +1808,13 @@
         'advice_request',
         'advice_reply',
         'ends_heard',
+        'parts_ask',
+        'parts_grant',
+        'parts_hold',
     )
 
 
-    def __init__(self, hello=None, heartbeat=None, caller_request=None, caller_reply=None, advice_request=None, advice_reply=None, ends_heard=None,):
+    def __init__(self, hello=None, heartbeat=None, caller_request=None, caller_reply=None, advice_request=None, advice_reply=None, ends_heard=None, parts_ask=None, parts_grant=None, parts_hold=None,):
         self.hello = hello
         self.heartbeat = heartbeat
         self.caller_request = caller_request
@@ -1211,6 +1822,9 @@
         self.advice_request = advice_request
         self.advice_reply = advice_reply
         self.ends_heard = ends_heard
+        self.parts_ask = parts_ask
+        self.parts_grant = parts_grant
+        self.parts_hold = parts_hold
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1263,6 +1877,24 @@
                     self.ends_heard.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.STRUCT:
+                    self.parts_ask = PartsAsk()
+                    self.parts_ask.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.STRUCT:
+                    self.parts_grant = PartsGrant()
+                    self.parts_grant.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 11:
+                if ftype == TType.STRUCT:
+                    self.parts_hold = PartsHold()
+                    self.parts_hold.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1301,6 +1933,18 @@
             oprot.writeFieldBegin('ends_heard', TType.STRUCT, 7)
             self.ends_heard.write(oprot)
             oprot.writeFieldEnd()
+        if self.parts_ask is not None:
+            oprot.writeFieldBegin('parts_ask', TType.STRUCT, 9)
+            self.parts_ask.write(oprot)
+            oprot.writeFieldEnd()
+        if self.parts_grant is not None:
+            oprot.writeFieldBegin('parts_grant', TType.STRUCT, 10)
+            self.parts_grant.write(oprot)
+            oprot.writeFieldEnd()
+        if self.parts_hold is not None:
+            oprot.writeFieldBegin('parts_hold', TType.STRUCT, 11)
+            self.parts_hold.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1346,6 +1990,10 @@
     (3, TType.BOOL, 'leaving', None, None, ),  # 3
     (4, TType.BOOL, 'in_group', None, None, ),  # 4
     (5, TType.BOOL, 'store_lost', None, None, ),  # 5
+    None,  # 6
+    None,  # 7
+    None,  # 8
+    (9, TType.BOOL, 'moves_parts', None, None, ),  # 9
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
@@ -1405,6 +2053,48 @@
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.LIST, 'ends', (TType.STRUCT, [HeardEnd, None], False), None, ),  # 3
 )
+all_structs.append(PartsRow)
+PartsRow.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'cpu', None, None, ),  # 1
+    (2, TType.I64, 'memory', None, None, ),  # 2
+    (3, TType.I64, 'accelerators', None, None, ),  # 3
+)
+all_structs.append(PartsAsk)
+PartsAsk.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'borrower', None, None, ),  # 2
+    (3, TType.I64, 'borrower_epoch', None, None, ),  # 3
+    (4, TType.I32, 'lender', None, None, ),  # 4
+    (5, TType.STRUCT, 'least', [PartsRow, None], None, ),  # 5
+    (6, TType.STRUCT, 'most', [PartsRow, None], None, ),  # 6
+    (7, TType.I64, 'since_epoch_ms', None, None, ),  # 7
+    (8, TType.BOOL, 'is_within', None, None, ),  # 8
+)
+all_structs.append(PartsGrant)
+PartsGrant.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'lender', None, None, ),  # 2
+    (3, TType.I64, 'lender_epoch', None, None, ),  # 3
+    (4, TType.I32, 'borrower', None, None, ),  # 4
+    (5, TType.I64, 'borrower_epoch', None, None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
+    (7, TType.STRUCT, 'parts', [PartsRow, None], None, ),  # 7
+    (8, TType.STRUCT, 'free', [PartsRow, None], None, ),  # 8
+)
+all_structs.append(PartsHold)
+PartsHold.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'account', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'borrower', None, None, ),  # 2
+    (3, TType.I64, 'borrower_epoch', None, None, ),  # 3
+    (4, TType.I32, 'lender', None, None, ),  # 4
+    (5, TType.I64, 'lender_epoch', None, None, ),  # 5
+    (6, TType.I64, 'number', None, None, ),  # 6
+    (7, TType.STRUCT, 'parts', [PartsRow, None], None, ),  # 7
+)
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
     None,  # 0
@@ -1415,6 +2105,10 @@
     (5, TType.STRUCT, 'advice_request', [AdviceRequest, None], None, ),  # 5
     (6, TType.STRUCT, 'advice_reply', [AdviceReply, None], None, ),  # 6
     (7, TType.STRUCT, 'ends_heard', [EndsHeard, None], None, ),  # 7
+    None,  # 8
+    (9, TType.STRUCT, 'parts_ask', [PartsAsk, None], None, ),  # 9
+    (10, TType.STRUCT, 'parts_grant', [PartsGrant, None], None, ),  # 10
+    (11, TType.STRUCT, 'parts_hold', [PartsHold, None], None, ),  # 11
 )
 fix_spec(all_structs)
 del all_structs
