--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -1,7 +1,6 @@
 """One cell: a share of the workers of every hall and a share of the jobs."""
 
-from .accounts.quotas import Quotas
-from .accounts.shares import Shares
+from .accounts import PartExchange, PartsLedger, Quotas, Shares
 from .advice.desk import AdviceDesk
 from .context import CellContext
 from .estimates.images import ImageTimes
@@ -87,8 +86,12 @@
         )
         self.roster = Roster(context=self.context, losses=self.losses, lives=self.lives)
         self.shares = Shares(context=self.context)
-        self.quotas = Quotas(context=self.context)
+        self.parts = PartsLedger(context=self.context)
+        self.quotas = Quotas(context=self.context, parts=self.parts)
         self.quotas.learn(configuration)
+        self.exchange = PartExchange(
+            context=self.context, ledger=self.parts, quotas=self.quotas
+        )
         self.intake = Intake(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -153,6 +156,7 @@
                 self._resume(job, now_ms)
         self._judge_shares()
         self.long_holds.load(records, self.roster.ghost, now_ms)
+        self.parts.load(records)
         self.quorum.inherit(now_ms)
 
     def _judge_shares(self):
@@ -217,9 +221,10 @@
             self.context.needs_plan = True
         if self.context.needs_plan:
             self.placer.plan(now_ms)
+        parts_ms = self.exchange.turn(now_ms)
         self.orders.send_stops(now_ms)
         look_ms = self.looks.schedule(now_ms)
-        return min(look_ms, self._review_due_ms)
+        return min(look_ms, parts_ms, self._review_due_ms)
 
     def _forget_ended(self, now_ms):
         oldest_ms = now_ms - self.context.bounds.status_kept_ms * 1.5
@@ -246,6 +251,12 @@
         self.journal.forget(new_jobs)
         self.journal.put_back(batch)
 
+    # Other cells -------------------------------------------------------------
+
+    def on_parts(self, message, *, now_ms):
+        """Take what another cell's owner says of parts of accounts' limits."""
+        self.exchange.on_message(message, now_ms=now_ms)
+
     # Outcomes of effects -----------------------------------------------------
 
     def on_start(self, run, answer, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -104,7 +104,8 @@
     def put(self, key, value):
         """Store a record that is no job's with the next append, or drop it if empty.
 
-        Whatever effect is held from now on follows it.
+        Such records go first: a start may rest on one, so a successor has to know of
+        it once it knows of the run.
         """
         self._others[key] = value
 
@@ -143,12 +144,12 @@
         """Return what waits as one batch."""
         batch = Batch()
         self.is_urgent = False
-        for key in self._dropped_keys:
-            batch.add(key, b"")
-        self._dropped_keys = []
         batch.others, self._others = self._others, {}
         for key, value in batch.others.items():
             batch.add(key, value)
+        for key in self._dropped_keys:
+            batch.add(key, b"")
+        self._dropped_keys = []
         epoch_ms = time.time() * 1000.0
         while self._changes and batch.size_bytes <= MOST_BATCH_BYTES:
             change = self._changes.pop(next(iter(self._changes)))
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -27,6 +27,7 @@
 from .owner_directory import OwnerDirectory
 from .owner_first import OwnerFirst
 from .owner_load_watch import OwnerLoadWatch
+from .part_courier import PartCourier
 from .peer_desk import PeerDesk
 from .readiness import Readiness
 from .settings_watch import SettingsWatch
@@ -72,6 +73,7 @@
         self._build_watches()
         self.heard_ends = HeardEnds(daemon=self)
         self.learned_speeds = LearnedSpeeds(daemon=self)
+        self.parts = PartCourier(daemon=self)
         self.peers = PeerDesk(daemon=self)
         self.links = Links(
             sockets=self.sockets,
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -55,6 +55,7 @@
             tell_ends=self._tell_members,
             sheds=daemon.owner_load.shedding.sheds,
             tell_speeds=self._tell_speeds,
+            send_parts=lambda message: daemon.parts.send(message),
         )
 
     def _build_takeover(self):
@@ -298,6 +299,12 @@
             self.cell.inherited_ends.apply(ends, now_ms=steady_ms())
             self.settle()
 
+    def take_parts(self, message):
+        """Take what another cell's owner says of parts of accounts' limits."""
+        if self._is_live:
+            self.cell.on_parts(message, now_ms=steady_ms())
+            self.settle()
+
     def settle(self):
         """Do what an event has led to, once the cell was taken over."""
         if self._turns is not None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_performer.py
@@ -27,6 +27,7 @@
         tell_ends,
         tell_speeds,
         sheds=lambda kind: False,
+        send_parts=None,
     ):
         self._cell_index = cell_index
         self._metrics = metrics
@@ -36,6 +37,7 @@
         self._tell_ends = tell_ends
         self._sheds = sheds
         self._tell_speeds = tell_speeds
+        self._send_parts = send_parts
 
     def perform(self, effects):
         """Carry effects out; one that fails holds up none of the others."""
@@ -86,6 +88,10 @@
     def _speeds_told(self, effect: fx.TellSpeeds):
         self._tell_speeds(effect.speeds)
 
+    @_perform.register
+    def _move_parts(self, effect: fx.AskParts | fx.GrantParts | fx.HoldParts):
+        self._send_parts(effect)
+
     @_perform.register
     def _order(self, effect: fx.StartRun | fx.StopRun | fx.PaceRun | fx.LookAt):
         self._orders.send(effect)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -30,6 +30,8 @@
     "owner_handovers": "Cells given to members that are better placed, by reason.",
     "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
+    "limit_parts": "Parts of accounts' limits asked for, lent and returned, by what.",
+    "limit_parts_dropped": "Messages on parts of limits that reached nobody.",
     "log_lines_left_out": "Log lines that were not written, by event.",
 }
 HISTOGRAMS = {
--- a/packages/thymefork-net/src/thymefork_net/peers/__init__.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/__init__.py
@@ -11,6 +11,10 @@
     Hello,
     MachineSpeed,
     OwnedCell,
+    PartsAsk,
+    PartsGrant,
+    PartsHold,
+    PartsRow,
     SpeedsLearned,
     WorkerTicket,
 )
@@ -31,5 +35,9 @@
     "MachineSpeed",
     "OwnedCell",
     "SpeedsLearned",
+    "PartsAsk",
+    "PartsGrant",
+    "PartsHold",
+    "PartsRow",
     "WorkerTicket",
 ]
