Give back at once what a cancelled job holds

While the store is slow, a start whose intent was in the append under way held its room for the rest of that append, though its job had been cancelled.

Of a worker whose runs are being stopped, making room for an urgent step counted one task's room; a live run was stopped beside room for four.

Stops of cancelled jobs leave first among those due in a turn, the ones that free the largest part of what is waited for before the others.

--- a/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
@@ -265,6 +265,8 @@
         """Keep the tickets; `tickets` is None where no answer came."""
         step.advice_asked = False
         self._context.needs_plan = True
+        if tickets is None and not step.job.is_live:
+            return  # the call was withdrawn, or nobody waits for it any more
         if tickets is None:
             step.advice_not_before_ms = now_ms + ASK_AGAIN_MS
             self._context.count("retries", "advice_unanswered")
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -108,6 +108,10 @@
         self._held = [row for row in self._held if row not in taken]
         return [row.effect for row in taken]
 
+    def take_replies_of_untaken(self):
+        """Return the replies about new jobs that no append has held, and drop them."""
+        return self.take_replies(set(self._new_jobs))
+
     def forget(self, job_ids):
         """Drop what waits of jobs that were withdrawn."""
         for job_id in job_ids:
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -166,8 +166,7 @@
         job.reason = reason
         job.ended_ms = now_ms
         self._context.live_jobs.pop(job.job_id, None)
-        for run in job.runs:
-            self.stop(run, f"the job is {state}", now_ms=now_ms)
+        dropped, stopped = self._leave(job, now_ms)
         self._context.journal.change(job)
         self._context.needs_plan = True
         self._context.count("jobs_ended", str(state))
@@ -180,12 +179,35 @@
             queue=job.queue_name,
             state=str(state),
             reason=reason,
+            starts_dropped=dropped,
+            runs_stopped=stopped,
             after_ms=round(now_ms - job.accepted_ms),
             worked_ms=round(job.worked_ms),
             objective_ms=round(job.objective_ms - job.accepted_ms),
             measured_objective_ms=round(self._measured_objective_ms(job)),
         )
 
+    def _leave(self, job, now_ms):
+        """Give back what an ended job holds; return how much was dropped and stopped.
+
+        A start that has not left never will, though its intent may be in the append
+        under way: its room need not wait for that.
+        """
+        unsent = [run for run in job.runs if not run.was_sent]
+        for run in unsent:
+            self.release(run, now_ms=now_ms)
+        going_on = [run for run in job.runs if run.state is not RunState.STOPPING]
+        for run in going_on:
+            self.stop(run, f"the job is {job.state}", now_ms=now_ms)
+        if job.state is JobState.CANCELLED:
+            self._count_given_back("starts_dropped", len(unsent))
+            self._count_given_back("runs_stopped", len(going_on))
+        return len(unsent), len(going_on)
+
+    def _count_given_back(self, kind, count):
+        if count:
+            self._context.count("cancelled", kind, count)
+
     def _measured_objective_ms(self, job):
         """Return how long the job may take by what its work took, 0 if unknown."""
         queue = self._context.queue(job)
--- a/packages/thymefork-cells/src/thymefork_cells/placing/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/preemptor.py
@@ -46,7 +46,8 @@
         for worker in workers:
             room = _room_to_come(worker)
             if room.fits(step.spec):
-                wanted -= 1  # what was stopped before makes room here
+                # What was stopped before makes room here.
+                wanted -= _tasks_that_fit(step, worker, room)
                 continue
             if not self._images.ends_in_time(step, room_ms, worker):
                 continue
@@ -123,5 +124,15 @@
     return room
 
 
+def _tasks_that_fit(step, worker, room):
+    """Return how many more tasks of a step a worker may hold in some room."""
+    count = len(room.take_all(step.spec, 0.0))
+    most = step.spec.most_per_worker
+    if not most:
+        return count
+    held = step.per_worker().get(worker.worker_id, 0)
+    return max(0, min(count, most - held))
+
+
 def _cost(victims):
     return sum(run.step.reserved_cpu_milli for run in victims)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/orders.py
@@ -7,6 +7,7 @@
 from ..effects import StopRun
 from ..state import RunState
 from .listings import DOUBT_REASON
+from .stop_order import in_stop_order
 
 __all__ = ["OrderAnswer", "Orders", "Refusal"]
 
@@ -178,9 +179,12 @@
 
     def send_stops(self, now_ms):
         """Send the stops that are owed and due to the workers that have an address."""
-        for run in self._context.owed_stops:
-            if not run.worker.entry.host or now_ms < run.stop_due_ms:
-                continue
+        due = [
+            run
+            for run in self._context.owed_stops
+            if run.worker.entry.host and now_ms >= run.stop_due_ms
+        ]
+        for run in in_stop_order(due, self._context.live_jobs.values()):
             if run.stop_tries:
                 self._context.count("retries", "stop_unanswered")
             run.stop_tries += 1
