--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advisers.py
@@ -4,13 +4,12 @@
 import random
 from itertools import count
 
-from attrs import define
-
 from thymefork_cells import LONG_CALL_MS, AdviceSlots
 from thymefork_cells.advice.desk import PRIORITY_STEP_MS
 from thymefork_net import steady_ms
 from thymefork_net.peers import AdviceRequest
 
+from .adviser import Adviser, is_wanted
 from .short_call_reserve import ShortCallReserve
 
 __all__ = ["Advisers"]
@@ -30,30 +29,32 @@
 _CALL_IDS = count(random.SystemRandom().randrange(1, MOST_FIRST_CALL_ID))
 
 
-@define(kw_only=True, eq=False)
-class _Adviser:
-    name: str
-    link: object = None
-    effect: object = None
-    call_id: int = 0
-    timer_id: int = 0
-    paused_until_ms: float = 0.0
-
-
 class Advisers:
     """Give each instance one call at a time, the most urgent first, none for ever.
 
     `on_answer(step, worker_ids, tickets, valid_ms)` takes each outcome; tickets are
     None where no answer came. `turn`, from 0 to 1, is where this owner begins among
     the instances: owners that all began with the same ones would wait for each other.
+    `tell_withdrawn(link, call_ids)` tells an instance of calls that nobody wants.
     """
 
-    def __init__(self, *, client, timers, metrics, instance, turn, on_answer):
+    def __init__(
+        self,
+        *,
+        client,
+        timers,
+        metrics,
+        instance,
+        turn,
+        on_answer,
+        tell_withdrawn=lambda link, call_ids: None,
+    ):
         self._client = client
         self._timers = timers
         self._metrics = metrics
         self._on_answer = on_answer
-        self._advisers = {instance: _Adviser(name=instance)}
+        self._tell_withdrawn = tell_withdrawn
+        self._advisers = {instance: Adviser(name=instance)}
         self._own_name = instance
         self._turn = turn
         self._waiting = []
@@ -68,7 +69,7 @@
         """Take the links to the other instances that are open now."""
         names = {link.peer.instance: link for link in links}
         for name, link in names.items():
-            adviser = self._advisers.setdefault(name, _Adviser(name=name))
+            adviser = self._advisers.setdefault(name, Adviser(name=name))
             if adviser.name != self._own_name:
                 adviser.link = link
         self._drop({*self._advisers} - {*names, self._own_name})
@@ -93,6 +94,35 @@
             adviser.effect = None
             self._timers.cancel(adviser.timer_id)
 
+    def withdraw_unwanted(self):
+        """Drop the calls for jobs that have ended.
+
+        What another instance has not passed on to the service yet is not made there;
+        one that the service works on is let be, and keeps the instance busy.
+        """
+        wanted = [row for row in self._waiting if is_wanted(row[3])]
+        if len(wanted) < len(self._waiting):
+            dropped = len(self._waiting) - len(wanted)
+            self._metrics.count("advice_withdrawn", "waiting", dropped)
+            heapq.heapify(wanted)
+            self._waiting = wanted
+        in_vain = [
+            adviser
+            for adviser in self._advisers.values()
+            if adviser.is_in_vain and not adviser.is_withdrawn
+        ]
+        for adviser in in_vain:
+            adviser.is_withdrawn = True
+            self._metrics.count("advice_withdrawn", "under_way")
+        for adviser in in_vain:  # a link that breaks under it changes the advisers
+            if adviser.link is not None and adviser.is_in_vain:
+                self._tell_withdrawn(adviser.link, [adviser.call_id])
+
+    def wanted_slots(self):
+        """Return the slots that are left once nothing unwanted waits."""
+        self.withdraw_unwanted()
+        return self.slots
+
     @property
     def slots(self):
         """Return how many calls would be made at once, beside what waits already."""
@@ -150,7 +180,8 @@
             while self._waiting and not self._ended:
                 row = heapq.heappop(self._waiting)
                 effect = row[3]
-                if not effect.step.job.is_live:
+                if not is_wanted(effect):
+                    self._metrics.count("advice_withdrawn", "waiting")
                     continue
                 adviser = self._free_adviser(effect)
                 if adviser is None:
@@ -189,6 +220,7 @@
     def _send(self, adviser, effect):
         call_id = next(_CALL_IDS)
         adviser.effect, adviser.call_id = effect, call_id
+        adviser.is_withdrawn = False
         self._note_short_calls()
         patience_ms = effect.cost_ms * PATIENCE_FACTOR + PATIENCE_SLACK_MS
         if adviser.link is None:
@@ -196,6 +228,7 @@
                 step_name=effect.step.name,
                 worker_ids=effect.worker_ids,
                 patience_ms=patience_ms,
+                wanted=lambda: is_wanted(effect),
                 done=lambda tickets, valid_ms: self._own_answer(
                     adviser, call_id, tickets, valid_ms
                 ),
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -19,8 +19,7 @@
 
 __all__ = ["CellOwner"]
 
-# A cell that is loaded before the configuration and the list of workers were read looks
-# this often whether they are there.
+# A cell loaded before the configuration and the workers were read looks again so often.
 INPUTS_AGAIN_MS = 30.0
 
 
@@ -84,6 +83,7 @@
             instance=self._daemon.settings.instance,
             turn=self.cell_index / max(1, self._daemon.layout.cells),
             on_answer=self._on_advice,
+            tell_withdrawn=lambda *call: self._daemon.peers.withdraw_advice(*call),
         )
 
     @property
@@ -132,6 +132,7 @@
         self._advisers.end()
         if self._turns is not None:
             self._turns.end()
+            self._requests.give_back()
         self._daemon.metrics.count("ownership", "lost")
         self._log("ownership_lost").info("{}", reason)
 
@@ -187,6 +188,12 @@
     def _serve(self, records):
         now_ms = steady_ms()
         self.cell = cell = self._load_cell(records, now_ms)
+        self._requests = RequestHandler(
+            cell=cell,
+            ownership=self._ownership,
+            pump=self._pump,
+            metrics=self._daemon.metrics,
+        )
         self._turns = TurnLoop(
             cell=cell,
             ownership=self._ownership,
@@ -194,15 +201,9 @@
             performer=self._performer,
             timers=self._daemon.timers,
             workers_known_ms=lambda: self._daemon.worker_list.known_ms,
-            advice_slots=lambda: self._advisers.slots,
+            advice_slots=self._advisers.wanted_slots,
             load_watch=self._daemon.owner_load,
         )
-        self._requests = RequestHandler(
-            intake=cell.intake,
-            ownership=self._ownership,
-            pump=self._pump,
-            metrics=self._daemon.metrics,
-        )
         cell.roster.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
         heard = self._daemon.heard_ends.before(self.cell_index, self.epoch)
         cell.inherited_ends.apply(heard, now_ms=now_ms)
@@ -267,9 +268,8 @@
 
     def _on_advice(self, step, worker_ids, tickets, valid_ms):
         if self._is_live:
-            self.cell.advice.on_answer(
-                step, worker_ids, tickets, valid_ms, now_ms=steady_ms()
-            )
+            advice = self.cell.advice
+            advice.on_answer(step, worker_ids, tickets, valid_ms, now_ms=steady_ms())
             self.settle()
 
     def _on_ends_stored(self, worker, last_end, *, now_ms):
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -38,6 +38,7 @@
         self._owned_by_link = {}
         self._without_store = set()
         self._leaving = set()
+        self._asked_calls = set()
         self._neighbours_due_ms = 0.0
         self._owner_watch = None
         daemon.timers.every(OWNER_BEAT_MS, self._beat)
@@ -158,6 +159,8 @@
             self._member_links.discard(link)  # it may stand by again
         self._daemon.owned_cells.on_peer_owns(message.owned)
         self._daemon.gateway.on_heartbeat(link, message)
+        for call_id in message.withdrawn_calls or ():
+            self._asked_calls.discard((link, call_id))
         for learned in message.speeds or ():
             self._daemon.learned_speeds.on_message(learned)
         for owned in message.owned:
@@ -171,8 +174,23 @@
             self._daemon.membership.hurry()
         self._owned_by_link[link] = owned
 
+    def withdraw_advice(self, link, call_ids):
+        """Tell an instance that nobody wants the answers to some calls any more.
+
+        Where there is one owner alone, its call there is with the service already.
+        """
+        if self._daemon.layout.cells < 2:
+            return
+        message = self._heartbeat()
+        message.withdrawn_calls = call_ids
+        link.send(message)
+
     def _advise(self, link, message):
+        call = (link, message.call_id)
+        self._asked_calls.add(call)
+
         def answer(tickets, valid_ms):
+            self._asked_calls.discard(call)
             rows = [
                 WorkerTicket(worker_id=worker_id, ticket=text)
                 for worker_id, text in (tickets or {}).items()
@@ -190,6 +208,7 @@
             step_name=message.step,
             worker_ids=message.workers,
             patience_ms=message.patience_ms,
+            wanted=lambda: call in self._asked_calls,
             done=answer,
         )
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_advisers.py
@@ -26,9 +26,11 @@
 
     def __init__(self):
         self.asked = []
+        self.wanted = []
 
-    def ask(self, *, step_name, worker_ids, patience_ms, done):
+    def ask(self, *, step_name, worker_ids, patience_ms, done, wanted):
         self.asked.append(step_name)
+        self.wanted.append(wanted)
 
 
 def make(
@@ -38,6 +40,7 @@
     on_answer=lambda *answer: None,
     instance="edge-own",
     client=None,
+    tell_withdrawn=lambda link, call_ids: None,
 ):
     advisers = Advisers(
         client=client or OwnClient(),
@@ -46,6 +49,7 @@
         instance=instance,
         turn=turn,
         on_answer=on_answer,
+        tell_withdrawn=tell_withdrawn,
     )
     advisers.update(links)
     return advisers
@@ -255,3 +259,70 @@
     for _ in range(2):
         advisers.ask(long_call(cost_ms=60.0))
     assert advisers.slots.long_call == 14  # of 20, five are kept and one is under way
+
+
+def leave(call):
+    """Let a call's job end."""
+    call.step.job.is_live = False
+
+
+def test_what_waits_for_jobs_that_have_ended_takes_no_slot(timers):
+    advisers = make(timers, [FakeLink("edge-0")], 0.0)
+    calls = [long_call(f"s{number}") for number in range(6)]
+    for call in calls:
+        advisers.ask(call)
+    assert advisers.slots.any_call == -4  # one is under way, five wait for long calls
+    for call in calls[1:]:
+        leave(call)
+    slots = advisers.wanted_slots()
+    assert (slots.any_call, slots.long_call) == (1, 0)
+
+
+def test_another_instance_is_told_once_of_a_call_in_vain(timers):
+    told = []
+    link = FakeLink("edge-0")
+    advisers = make(
+        timers, [link], 0.0, tell_withdrawn=lambda link, ids: told.append((link, ids))
+    )
+    call, stays = long_call("leaves"), long_call("stays")
+    advisers.ask(call)
+    advisers.ask(stays)
+    advisers.wanted_slots()
+    assert not told
+    leave(call)
+    for _ in range(3):
+        advisers.wanted_slots()
+    assert told == [(link, [link.sent[0].call_id])]
+    reply = reply_to(link.sent[0])
+    reply.answered = False
+    advisers.on_reply(reply)
+    assert [message.step for message in link.sent] == ["leaves", "stays"]
+
+
+def test_an_own_call_that_has_not_left_is_not_made_in_vain(timers):
+    client = OwnClient()
+    advisers = make(timers, [], 0.0, client=client)
+    call = long_call()
+    advisers.ask(call)
+    (wanted,) = client.wanted
+    assert wanted()
+    leave(call)
+    assert not wanted()
+
+
+def test_a_link_that_breaks_under_the_news_of_a_call_in_vain(timers):
+    links = [FakeLink("edge-0"), FakeLink("edge-1")]
+    told = []
+
+    def tell(link, call_ids):
+        told.append(call_ids)
+        advisers.update([])
+
+    advisers = make(timers, links, 0.0, tell_withdrawn=tell)
+    calls = [long_call(f"s{n}", cost_ms=100.0) for n in range(3)]
+    for call in calls:
+        advisers.ask(call)
+    for call in calls:
+        leave(call)
+    assert advisers.wanted_slots().any_call == 0  # the own one is busy still
+    assert len(told) == 1
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_order_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_order_sender.py
@@ -6,18 +6,22 @@
 
 from thymefork_cells import OrderAnswer, Refusal, effects as fx
 from thymefork_cells.specs import WorkerEntry
-from thymefork_cells.state import Worker
+from thymefork_cells.state import Run, RunState, Worker
 from thymefork_daemon.owner.order_sender import OrderSender
 
 EPOCH = 3
 
 
 class FakeClient:
-    """Keep the stops that are sent."""
+    """Keep the orders that are sent."""
 
     def __init__(self):
+        self.starts = []
         self.stops = []
 
+    def start(self, **fields):
+        self.starts.append(fields)
+
     def stop(self, **fields):
         self.stops.append(fields)
 
@@ -41,6 +45,7 @@
         lose=lost.append,
         may_look=lambda: True,
         may_renew=lambda: True,
+        may_order=lambda: True,
         settle=lambda: None,
     )
 
@@ -76,3 +81,23 @@
     worker.is_over = True
     stop["done"](OrderAnswer(refusal=Refusal.FENCED, clock_ms=5))
     assert not owner.lost and owner.heard == [Refusal.FENCED]
+
+
+@pytest.mark.parametrize("state", [RunState.STOPPING, RunState.GONE])
+def test_a_start_that_waits_for_a_connection_does_not_leave_once_cancelled(
+    owner, client, state
+):
+    """It left after its job was cancelled, beside the order to stop it."""
+    worker = life()
+    job = SimpleNamespace(spec=SimpleNamespace(payload=""))
+    step = SimpleNamespace(job=job, ticket_for=lambda worker_id, now_ms: None)
+    task = SimpleNamespace(step=step, checkpoint="")
+    run = Run(task=task, run_id=1, worker=worker, state=RunState.SENT)
+    worker.clock_offset_ms = 0.0
+    owner.cell.orders = SimpleNamespace(may_start=lambda run, now_ms: True)
+    owner.cell.looks = SimpleNamespace(note_lease=lambda *row, now_ms: None)
+    OrderSender(owner=owner, client=client).send(fx.StartRun(run=run))
+    (start,) = client.starts
+    assert start["wanted"]()
+    run.state = state
+    assert not start["wanted"]()
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -10,7 +10,13 @@
 )
 from thymefork_daemon.peer_desk import PeerDesk
 from thymefork_net import Address
-from thymefork_net.peers import AdviceReply, Heartbeat, Hello, OwnedCell
+from thymefork_net.peers import (
+    AdviceReply,
+    AdviceRequest,
+    Heartbeat,
+    Hello,
+    OwnedCell,
+)
 
 from .fakes import FakeMetrics, owning_parts
 
@@ -145,3 +151,77 @@
     daemon.membership.in_group = True
     timers.run(300)
     assert asked
+
+
+class AdviceQueue:
+    """Take calls for the service, and make them when the test says so."""
+
+    def __init__(self):
+        self.calls = []
+
+    def ask(self, *, step_name, worker_ids, patience_ms, done, wanted):
+        self.calls.append((step_name, wanted, done))
+
+    def made(self):
+        """Return the steps whose calls leave; the others fail unsent."""
+        made = []
+        for step, wanted, done in self.calls:
+            if wanted():
+                made.append(step)
+            done({} if wanted() else None, 0)
+        return made
+
+
+class TalkingLink(FakeLink):
+    def __init__(self, address):
+        super().__init__(address)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def make_adviser(timers):
+    daemon = make_daemon(timers, in_group=True, opened=[])
+    nothing = lambda *arguments: None
+    daemon.owned_cells = SimpleNamespace(on_peer_owns=nothing)
+    daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
+    daemon.advice = AdviceQueue()
+    daemon.peers = PeerDesk(daemon=daemon)
+    return daemon
+
+
+def ask_advice(desk, link, call_id):
+    desk.on_message(
+        link,
+        AdviceRequest(
+            call_id=call_id, step=f"s{call_id}", workers=["w"], patience_ms=500
+        ),
+    )
+
+
+def test_a_call_that_waits_here_is_not_made_once_its_owner_has_withdrawn_it(timers):
+    daemon = make_adviser(timers)
+    desk, owner = daemon.peers, daemon.directory.owner_of(0)
+    link, other = TalkingLink(owner), TalkingLink(owner)
+    for call_id in (1, 2):
+        ask_advice(desk, link, call_id)
+    ask_advice(desk, other, 3)
+    message = Heartbeat(
+        owned=[], config_version=1, in_group=True, withdrawn_calls=[1, 3, 9]
+    )
+    desk.on_message(link, message)  # numbers of others' calls are theirs to withdraw
+    assert daemon.advice.made() == ["s2", "s3"]
+    assert [reply.answered for reply in link.sent] == [False, True]
+    assert not desk._asked_calls
+
+
+@pytest.mark.parametrize("cells", [1, 3])
+def test_only_where_calls_of_several_owners_meet_they_are_withdrawn(timers, cells):
+    daemon = make_adviser(timers)
+    daemon.layout.cells = cells
+    daemon.membership.round_trip_ms = 3.0
+    link = TalkingLink(daemon.directory.owner_of(0))
+    daemon.peers.withdraw_advice(link, [5])
+    told = [message.withdrawn_calls for message in link.sent]
+    assert told == ([[5]] if cells > 1 else [])
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -45,6 +45,8 @@
   /* For the next owners. Part of a message that older instances know, since they break
      a link on one that they don't. */
   16: optional list<SpeedsLearned> speeds
+  /* Numbers of the sender's calls for advice that it does not want answered. */
+  24: optional list<i64> withdrawn_calls
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -416,6 +416,7 @@
      - best_tier
      - join_ms
      - speeds
+     - withdrawn_calls
 
     """
 
@@ -430,10 +431,11 @@
         'best_tier',
         'join_ms',
         'speeds',
+        'withdrawn_calls',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None, withdrawn_calls=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
@@ -444,6 +446,7 @@
         self.best_tier = best_tier
         self.join_ms = join_ms
         self.speeds = speeds
+        self.withdrawn_calls = withdrawn_calls
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -516,6 +519,16 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.withdrawn_calls = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readI64()
+                        self.withdrawn_calls.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -529,8 +542,8 @@
         if self.owned is not None:
             oprot.writeFieldBegin('owned', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.owned))
-            for iter19 in self.owned:
-                iter19.write(oprot)
+            for iter25 in self.owned:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -568,8 +581,15 @@
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter20 in self.speeds:
-                iter20.write(oprot)
+            for iter26 in self.speeds:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.withdrawn_calls is not None:
+            oprot.writeFieldBegin('withdrawn_calls', TType.LIST, 24)
+            oprot.writeListBegin(TType.I64, len(self.withdrawn_calls))
+            for iter27 in self.withdrawn_calls:
+                oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -927,10 +947,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -960,8 +980,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter27 in self.workers:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.workers:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patience_ms is not None:
@@ -1131,11 +1151,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = WorkerTicket()
-                        _elem33.read(iprot)
-                        self.tickets.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = WorkerTicket()
+                        _elem40.read(iprot)
+                        self.tickets.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1165,8 +1185,8 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tickets))
-            for iter34 in self.tickets:
-                iter34.write(oprot)
+            for iter41 in self.tickets:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_ms is not None:
@@ -1375,11 +1395,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = HeardEnd()
-                        _elem40.read(iprot)
-                        self.ends.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = HeardEnd()
+                        _elem47.read(iprot)
+                        self.ends.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1404,8 +1424,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter41 in self.ends:
-                iter41.write(oprot)
+            for iter48 in self.ends:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1630,6 +1650,14 @@
     None,  # 14
     None,  # 15
     (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedsLearned, None], False), None, ),  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    (24, TType.LIST, 'withdrawn_calls', (TType.I64, None, False), None, ),  # 24
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
