Call not run what certainly reached no owner

A submit or cancel was answered 504 though its link had never come about or not sent a byte of it, though each instance that got it was no owner (where one said so after the successor was heard), or though its owner was lost before the job was in any append. Tries are followed one by one now, by their numbers and the bytes that their link has handed to the socket, and an owner that ends tells who asked about new jobs that no append has held.

What may have been taken stays in doubt: a message of which a byte has left, one that waits on an open link, a job in an append under way, and the same request handed in again beside it. Reads and counts never were.

--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -41,6 +41,7 @@
         self._routes = OwnerRoutes(daemon=daemon)
         self._numbers = count(1)
         self._pending = {}
+        self._earlier_numbers = {}
         daemon.timers.every(OWN_CELLS_MS, self._send_to_own_cells)
 
     def request(
@@ -121,7 +122,7 @@
     def _ask_here(self, call_id, pending, owner):
         pending.link = None
         pending.holder = self._routes.holder_here(pending.cell, owner)
-        pending.tries += 1
+        pending.tries.add(call_id)
         self._await_reply(call_id, pending)
         owner.request(
             pending.kind,
@@ -135,7 +136,7 @@
     def _ask_on(self, call_id, pending, link):
         pending.link = link
         pending.holder = self._routes.holder_on(pending.cell, link)
-        pending.tries += 1
+        pending.tries.add(call_id, link)
         self._await_reply(call_id, pending)
         link.send(request_message(call_id, pending))
 
@@ -174,21 +175,27 @@
     def _on_reply(self, call_id, reply):
         pending = self._pending.get(call_id)
         if pending is None:
+            self._on_late_reply(call_id, reply)
             return
         if reply.outcome == fx.Outcome.NOT_OWNER:
-            pending.tries -= 1
+            pending.tries.on_not_owner(call_id)
             pending.holder = None
             self._routes.forget(pending.cell, pending.link)
             self._try_soon(call_id, pending)
             return
         self._finish(call_id, reply)
 
+    def _on_late_reply(self, call_id, reply):
+        """Heed only that an instance was no owner: what else it says is out of date."""
+        pending = self._earlier_numbers.get(call_id)
+        if pending is not None and reply.outcome == fx.Outcome.NOT_OWNER:
+            pending.tries.on_not_owner(call_id)
+
     def _give_up(self, call_id, reason):
         pending = self._pending.get(call_id)
         if pending is None:
             return
-        doubtful = pending.tries and pending.kind in ("submit", "cancel")
-        outcome = fx.Outcome.IN_DOUBT if doubtful else fx.Outcome.REFUSED
+        outcome = fx.Outcome.IN_DOUBT if pending.is_in_doubt else fx.Outcome.REFUSED
         self._daemon.metrics.count("refusals", reason)
         logger.bind(
             event="request_given_up",
@@ -205,6 +212,8 @@
 
     def _finish(self, call_id, reply):
         pending = self._pending.pop(call_id)
+        for number in pending.earlier_numbers:
+            self._earlier_numbers.pop(number, None)
         self._daemon.timers.cancel(pending.timer_id)
         pending.respond(reply)
 
@@ -233,6 +242,8 @@
     def on_link_broken(self, link):
         """Try the requests that were sent on a link at the cell's next owner."""
         for call_id, pending in list(self._pending.items()):
+            if pending.tries.on_link_broken(link):
+                self._daemon.metrics.count("retries", "request_never_left")
             if pending.link is link:
                 self._routes.forget(pending.cell, link)
                 pending.link = pending.holder = None
@@ -280,5 +291,7 @@
                 continue  # a link that broke meanwhile has ended it
             new_id = next(self._numbers)
             self._pending[new_id] = pending
+            self._earlier_numbers[call_id] = pending
+            pending.earlier_numbers.append(call_id)
             self._daemon.metrics.count("retries", "owner_changed")
             self._try(new_id)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -10,8 +10,9 @@
 class RequestHandler:
     """Have requests decided; refuse at once what the store could not take."""
 
-    def __init__(self, *, intake, ownership, pump, metrics):
-        self._intake = intake
+    def __init__(self, *, cell, ownership, pump, metrics):
+        self._intake = cell.intake
+        self._journal = cell.journal
         self._ownership = ownership
         self._pump = pump
         self._metrics = metrics
@@ -32,6 +33,16 @@
         else:
             intake.cancel(respond, job_id, account_name=account_name, now_ms=now_ms)
 
+    def give_back(self):
+        """Tell who asked about new jobs that they were not taken, as the cell is lost.
+
+        No append has held these jobs, and none of this ownership will.
+        """
+        for reply in self._journal.take_replies_of_untaken():
+            self._metrics.count("refusals", "given_back")
+            respond = reply.request_id
+            respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
+
     def _store_is_away(self):
         return self._pump.store_is_away or not self._ownership.is_certain()
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
@@ -1,17 +1,19 @@
 """A caller's request on its way to the owner of its cell."""
 
-from attrs import define
+from attrs import define, field
 
 from .request_holder import RequestHolder
+from .request_tries import RequestTries
 
 __all__ = ["PendingRequest"]
 
 
 @define(kw_only=True, eq=False)
 class PendingRequest:
-    """Follow one request; `tries` counts the owners that may have taken it.
+    """Follow one request; `tries` holds the owners that may have taken it.
 
-    The `holder` is the ownership that is expected to answer, None while one is looked
+    `earlier_numbers` are those that it was sent under before its present one. The
+    `holder` is the ownership that is expected to answer, None while one is looked
     for.
     """
 
@@ -26,9 +28,15 @@
     account_name: str = ""
     link: object = None
     holder: RequestHolder | None = None
-    tries: int = 0
+    tries: RequestTries = field(factory=RequestTries)
+    earlier_numbers: list = field(factory=list)
     timer_id: int = 0
 
+    @property
+    def is_in_doubt(self):
+        """Tell whether an owner may have carried it out, or may yet."""
+        return self.kind in ("submit", "cancel") and bool(self.tries)
+
     def belongs_to(self, owner):
         """Tell whether an ownership, the newest that is known, has yet to get this."""
         if self.cell != owner.cell:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -6,7 +6,8 @@
 from attrs import evolve
 from loguru import logger
 
-from thymefork_cells import HeardEnd
+from thymefork_cells import HeardEnd, encode_spec
+from thymefork_cells.effects import Outcome
 from thymefork_cells.jobs.codec import encode_progress, store_job
 from thymefork_cells.specs import (
     Bounds,
@@ -53,7 +54,7 @@
         settings=SimpleNamespace(instance="edge-1", bounds=Bounds()),
         configuration=Configuration(version=1),
         worker_list=SimpleNamespace(
-            is_complete=True, entries={}, want=lambda wanted: None
+            is_complete=True, entries={}, want=lambda wanted: None, known_ms=1e9
         ),
         links=SimpleNamespace(incoming=[]),
         peers=SimpleNamespace(send_heartbeats=lambda: None),
@@ -150,3 +151,39 @@
     assert [task.done for task in tasks] == [True, False]
     daemon.owners[0].take_heard_ends([evolve(ends[0], worker_id="w1", task="aa.0.0.1")])
     assert [task.done for task in tasks] == [True, True]
+
+
+NEW_JOB, SECOND_JOB = "00000000000000aa", "00000000000000bb"
+
+
+def hand_in(owner, job_id, replies, kind="submit"):
+    data = encode_spec(JobSpec(payload="", steps=(StepSpec(),)))
+    owner.request(kind, "q", job_id, data, replies.append)
+
+
+def test_who_asked_for_what_no_append_has_held_may_ask_the_next_owner(daemon):
+    """They were left in doubt though nothing of it had left this instance."""
+    daemon.owned_cells.update()
+    owner, replies = daemon.owners[0], []
+    hand_in(owner, NEW_JOB, replies)
+    hand_in(owner, NEW_JOB, replies, kind="cancel")
+    assert not replies
+    owner.lose("the test says so")
+    assert [reply.outcome for reply in replies] == [Outcome.NOT_OWNER] * 2
+    assert ("refusals", "given_back") in daemon.metrics.counts
+
+
+def test_what_an_append_has_held_stays_in_doubt(daemon, timers):
+    daemon.owned_cells.update()
+    owner, replies, later = daemon.owners[0], [], []
+    appends = []
+    daemon.store.append = lambda **fields: appends.append(fields)
+    hand_in(owner, NEW_JOB, replies)
+    timers.run(10)
+    assert len(appends) == 1
+    hand_in(owner, NEW_JOB, replies)  # the same again waits for that append, too
+    hand_in(owner, SECOND_JOB, later)
+    timers.run(10)
+    owner.lose("the test says so")
+    assert not replies
+    assert [reply.outcome for reply in later] == [Outcome.NOT_OWNER]
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -21,12 +21,26 @@
 
 
 class FakeLink:
+    """Carry messages; one that `keeps_all` sends none of the bytes from then on."""
+
     def __init__(self, address=OWNER):
         self.address = self.listener_address = address
         self.sent = []
+        self.keeps_all = False
+        self.kept_bytes = 0
+        self.bytes_each = 1
+
+    @property
+    def sent_bytes(self):
+        return self.bytes_each * len(self.sent)
+
+    @property
+    def handed_bytes(self):
+        return self.sent_bytes - self.kept_bytes
 
     def send(self, message):
         self.sent.append(message)
+        self.kept_bytes += self.keeps_all
 
 
 class FakeOwner:
@@ -70,6 +84,11 @@
 
 @pytest.fixture
 def daemon(timers):
+    return make_daemon(timers)
+
+
+def make_daemon(timers):
+    """Return an instance beside an owner and its successor, of which none is known."""
     link = FakeLink()
     links = {OWNER: link, SUCCESSOR: FakeLink(SUCCESSOR)}
     return SimpleNamespace(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thymefork_cells import effects as fx
+from thymefork_cells.jobs.journal import Journal
 from thymefork_daemon.owner.request_handler import RequestHandler
 
 from .fakes import FakeMetrics
@@ -40,7 +41,7 @@
 def handle(kind, job_id, *, pump_says_away=False, is_certain=True):
     intake, metrics, replies = FakeIntake(), FakeMetrics(), []
     handler = RequestHandler(
-        intake=intake,
+        cell=SimpleNamespace(intake=intake, journal=Journal()),
         ownership=SimpleNamespace(is_certain=lambda: is_certain),
         pump=SimpleNamespace(store_is_away=pump_says_away),
         metrics=metrics,
--- a/packages/thymefork-net/src/thymefork_net/peers/link.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/link.py
@@ -61,6 +61,11 @@
         elif self.connected:
             self.on_writable()
 
+    @property
+    def handed_bytes(self):
+        """Return how much of `sent_bytes` the socket has taken; the rest never left."""
+        return self.sent_bytes - len(self._out)
+
     @property
     def queued_bytes(self):
         """Return the bytes that the socket has not taken yet."""
--- a/packages/thymefork-net/src/thymefork_net/tests/test_links.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_links.py
@@ -85,3 +85,20 @@
     loop.until(lambda: all(link.connected for link in a.all))
     a.drop_silent(-1.0)
     assert heard.broken
+
+
+def test_a_link_tells_how_much_of_what_was_sent_has_left(loop, pair):
+    (a, _), (b, heard_b) = pair
+    link = a.to(address_of(b))
+    link.send(Heartbeat(owned=[], config_version=4, leaving=True))
+    assert link.sent_bytes > 0 and link.handed_bytes == 0
+    loop.until(lambda: len(heard_b.messages) == 2)
+    assert link.handed_bytes == link.sent_bytes
+
+
+def test_nothing_has_left_on_a_link_that_was_refused(loop, pair):
+    (a, heard), _ = pair
+    link = a.to(free_address())
+    link.send(Heartbeat(owned=[], config_version=4, leaving=True))
+    loop.until(lambda: heard.broken)
+    assert link.sent_bytes > 0 and link.handed_bytes == 0
