--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -1,5 +1,7 @@
 """Callers' requests at the owner of their cell."""
 
+from loguru import logger
+
 from thymefork_cells import effects as fx
 from thymefork_cells.jobs.intake import STORE_AWAY_RETRY_MS
 from thymefork_net import steady_ms
@@ -40,6 +42,8 @@
         """
         for reply in self._journal.take_replies_of_untaken():
             self._metrics.count("refusals", "given_back")
+            line = logger.bind(event="job_withdrawn", job=reply.job_id)
+            line.bind(reason="the cell was lost before").info("nothing was stored")
             respond = reply.request_id
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
 
