Withdraw what no append has held by its caller's deadline

In an outage of the store, what was handed in within its first second waits behind an append without an answer, and was told 504 at its caller's deadline. The owner is told now how long a caller waits, and withdraws a new job that no append has held 100 ms before: 503, and it never runs. What an append may hold stays in doubt, and an older instance that tells no patience is served as before. Telling callers at once was ruled out earlier (their tries were used up before the store was back), so the time of the answer is unchanged but for those 100 ms.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
@@ -96,6 +96,16 @@
             self._context.live_jobs.pop(job.job_id, None)
             self._context.note("job_withdrawn", job=job.job_id, reason="not stored")
 
+    def give_up(self, job_id, *, now_ms):
+        """Refuse a new job that no append has held, as its caller's time is over."""
+        journal = self._context.journal
+        if not journal.is_untaken(job_id):
+            return
+        self.withdraw([self._context.jobs[job_id]], now_ms=now_ms)
+        journal.forget({job_id})
+        for reply in journal.take_replies({job_id}):
+            self.refuse(reply)
+
     def refuse(self, reply):
         """Refuse a request instead of the reply that its job's record was to bring."""
         self._context.count("refusals", "store_away")
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -108,6 +108,10 @@
         self._held = [row for row in self._held if row not in taken]
         return [row.effect for row in taken]
 
+    def is_untaken(self, job_id):
+        """Tell whether a job is new and no append has held it."""
+        return job_id in self._new_jobs
+
     def take_replies_of_untaken(self):
         """Return the replies about new jobs that no append has held, and drop them."""
         return self.take_replies(set(self._new_jobs))
@@ -116,6 +120,7 @@
         """Drop what waits of jobs that were withdrawn."""
         for job_id in job_ids:
             self._changes.pop(job_id, None)
+            self._new_jobs.pop(job_id, None)
 
     def put_back(self, batch):
         """Let a batch's remaining jobs and effects wait again, before all others."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_callers_who_leave.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_callers_who_leave.py
@@ -325,3 +325,23 @@
     assert not away.running
     assert not harness.runs_of("w0")
     assert not harness.cell.context.owed_stops
+
+
+def test_a_job_given_up_before_any_append_held_it_leaves_nothing(
+    make_harness, monkeypatch
+):
+    monkeypatch.setattr(harness_module, "APPEND_MS", SLOW_APPEND_MS)
+    harness = make_harness(workers=1)
+    harness.submit(STAYS, job_spec({"count": 1, "cpu_milli": 2_000}))
+    harness.run(20)
+    harness.submit(LEAVES, job_spec({"count": 3, "cpu_milli": 2_000}))
+    harness.run(20)
+    assert len(harness.runs_of("w0")) == 4
+    for job_id in (STAYS, LEAVES):  # the first is in the append under way
+        harness.cell.intake.give_up(job_id, now_ms=harness.now)
+    assert len(harness.runs_of("w0")) == 1
+    harness.run(10 * SLOW_APPEND_MS)
+    assert harness.replies[LEAVES].outcome is Outcome.REFUSED
+    assert not harness.starts_of(f"{LEAVES}.0.0.0")
+    assert not any(LEAVES in key for key in harness.store)
+    assert harness.job(STAYS).shown_state is JobState.SUCCEEDED
--- a/packages/thymefork-daemon/src/thymefork_daemon/caller_messages.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/caller_messages.py
@@ -16,6 +16,7 @@
         job_id=pending.job_id,
         body=pending.data,
         account_name=pending.account_name,
+        patience_ms=round(pending.left_ms()),
     )
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -131,6 +131,7 @@
             pending.data,
             lambda reply: self._on_reply(call_id, reply),
             account_name=pending.account_name,
+            patience_ms=pending.left_ms(),
         )
 
     def _ask_on(self, call_id, pending, link):
@@ -141,8 +142,8 @@
         link.send(request_message(call_id, pending))
 
     def _await_reply(self, call_id, pending):
-        left_ms = pending.deadline_ms - steady_ms()
-        self._set_timer(pending, left_ms, lambda: self._give_up(call_id, "no_reply"))
+        action = lambda: self._give_up(call_id, "no_reply")
+        self._set_timer(pending, pending.left_ms(), action)
 
     def _await_owner(self, call_id, pending):
         in_vain = not pending.tries and self._daemon.readiness.is_cut_off
@@ -237,6 +238,7 @@
             message.body,
             respond,
             account_name=message.account_name or "",
+            patience_ms=message.patience_ms or 0,
         )
 
     def on_link_broken(self, link):
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -193,6 +193,8 @@
             ownership=self._ownership,
             pump=self._pump,
             metrics=self._daemon.metrics,
+            timers=self._daemon.timers,
+            settle=self.settle,
         )
         self._turns = TurnLoop(
             cell=cell,
@@ -235,14 +237,12 @@
 
     # Inputs ------------------------------------------------------------------
 
-    def request(self, kind, queue, job_id, data, respond, *, account_name=""):
+    def request(self, kind, queue, job_id, data, respond, **options):
         """Decide a caller's request; `respond` takes the reply."""
         if not self.is_serving:
             respond(fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER))
             return
-        self._requests.handle(
-            kind, queue, job_id, data, respond, account_name=account_name
-        )
+        self._requests.handle(kind, queue, job_id, data, respond, **options)
         self.settle()
 
     def on_workers(self):
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/request_handler.py
@@ -8,19 +8,33 @@
 
 __all__ = ["RequestHandler"]
 
+# The word that a job was not taken has to reach who asked before that gives up: a round
+# trip between distant halls, and a turn.
+REPLY_MARGIN_MS = 100.0
+
 
 class RequestHandler:
-    """Have requests decided; refuse at once what the store could not take."""
+    """Have requests decided; refuse at once what the store could not take.
+
+    `settle()` has effects carried out.
+    """
 
-    def __init__(self, *, cell, ownership, pump, metrics):
+    def __init__(self, *, cell, ownership, pump, metrics, timers, settle):
         self._intake = cell.intake
         self._journal = cell.journal
         self._ownership = ownership
         self._pump = pump
         self._metrics = metrics
+        self._timers = timers
+        self._settle = settle
+
+    def handle(
+        self, kind, queue, job_id, data, respond, *, account_name="", patience_ms=0
+    ):
+        """Decide a request; `respond` takes the reply once it may be told.
 
-    def handle(self, kind, queue, job_id, data, respond, *, account_name=""):
-        """Decide a request; `respond` takes the reply once it may be told."""
+        Who asked waits for `patience_ms`, 0 where that is not known.
+        """
         intake, now_ms = self._intake, steady_ms()
         if self._store_is_away() and not self._needs_no_append(kind, job_id):
             self._refuse(respond)
@@ -32,9 +46,21 @@
             intake.submit(
                 respond, job_id, queue, data, account_name=account_name, now_ms=now_ms
             )
+            self._bound_wait(job_id, patience_ms)
         else:
             intake.cancel(respond, job_id, account_name=account_name, now_ms=now_ms)
 
+    def _bound_wait(self, job_id, patience_ms):
+        """Have a job given up that no append has held by the end of a wait."""
+        if patience_ms > REPLY_MARGIN_MS and self._journal.is_untaken(job_id):
+            delay_ms = patience_ms - REPLY_MARGIN_MS
+            self._timers.after(delay_ms, lambda: self._give_up(job_id))
+
+    def _give_up(self, job_id):
+        if self._journal.is_untaken(job_id):
+            self._intake.give_up(job_id, now_ms=steady_ms())
+            self._settle()
+
     def give_back(self):
         """Tell who asked about new jobs that they were not taken, as the cell is lost.
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/pending_request.py
@@ -2,6 +2,8 @@
 
 from attrs import define, field
 
+from thymefork_net import steady_ms
+
 from .request_holder import RequestHolder
 from .request_tries import RequestTries
 
@@ -32,6 +34,10 @@
     earlier_numbers: list = field(factory=list)
     timer_id: int = 0
 
+    def left_ms(self):
+        """Return for how long its caller still waits."""
+        return max(0.0, self.deadline_ms - steady_ms())
+
     @property
     def is_in_doubt(self):
         """Tell whether an owner may have carried it out, or may yet."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -22,13 +22,14 @@
 from thymefork_daemon.owned_cells import OwnedCells
 from thymefork_daemon.owner import (
     cell_owner as cell_owner_module,
+    request_handler as request_handler_module,
     turn_loop as turn_loop_module,
 )
 
 from .fakes import FakeMetrics, owning_parts
 from .test_takeover import PartitionStore
 
-CLOCKED = (cell_owner_module, turn_loop_module)
+CLOCKED = (cell_owner_module, request_handler_module, turn_loop_module)
 
 
 class PooledStore(PartitionStore):
@@ -156,9 +157,9 @@
 NEW_JOB, SECOND_JOB = "00000000000000aa", "00000000000000bb"
 
 
-def hand_in(owner, job_id, replies, kind="submit"):
+def hand_in(owner, job_id, replies, kind="submit", **options):
     data = encode_spec(JobSpec(payload="", steps=(StepSpec(),)))
-    owner.request(kind, "q", job_id, data, replies.append)
+    owner.request(kind, "q", job_id, data, replies.append, **options)
 
 
 def test_who_asked_for_what_no_append_has_held_may_ask_the_next_owner(daemon):
@@ -187,3 +188,56 @@
     owner.lose("the test says so")
     assert not replies
     assert [reply.outcome for reply in later] == [Outcome.NOT_OWNER]
+
+
+def silence_store(daemon, timers):
+    """Let appends go unanswered from now on; return them, one job in the first."""
+    appends = []
+    daemon.store.append = lambda **fields: appends.append(fields)
+    hand_in(daemon.owners[0], NEW_JOB, [], patience_ms=400)
+    timers.run(10)
+    assert len(appends) == 1
+    return appends
+
+
+def test_what_no_append_has_held_by_its_callers_deadline_was_not_taken(daemon, timers):
+    """The store did not answer; who waited behind an append was left in doubt."""
+    daemon.owned_cells.update()
+    appends, replies = silence_store(daemon, timers), []
+    hand_in(daemon.owners[0], SECOND_JOB, replies, patience_ms=400)
+    timers.run(280)
+    assert not replies
+    timers.run(119)  # before who asked gives up
+    (reply,) = replies
+    assert reply.outcome is Outcome.REFUSED and reply.retry_after_ms > 0
+    assert SECOND_JOB not in daemon.owners[0].cell.context.jobs
+    assert all(SECOND_JOB not in str(fields) for fields in appends)
+
+
+def test_what_an_append_may_hold_is_not_given_up(daemon, timers):
+    daemon.owned_cells.update()
+    silence_store(daemon, timers)
+    replies = []
+    hand_in(daemon.owners[0], NEW_JOB, replies, patience_ms=400)
+    timers.run(2_000)
+    assert not replies
+    assert NEW_JOB in daemon.owners[0].cell.context.jobs
+
+
+def test_what_was_stored_in_time_stays(daemon, timers):
+    daemon.owned_cells.update()
+    replies = []
+    hand_in(daemon.owners[0], NEW_JOB, replies, patience_ms=400)
+    timers.run(2_000)
+    assert [reply.outcome for reply in replies] == [Outcome.ACCEPTED]
+    assert NEW_JOB in daemon.owners[0].cell.context.jobs
+
+
+def test_without_a_word_of_its_callers_patience_a_job_waits_on(daemon, timers):
+    """As asked by an older instance."""
+    daemon.owned_cells.update()
+    silence_store(daemon, timers)
+    replies = []
+    hand_in(daemon.owners[0], SECOND_JOB, replies)
+    timers.run(5_000)
+    assert not replies
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -6,14 +6,17 @@
 import pytest
 
 from thymefork_cells import effects as fx
-from thymefork_daemon import gateway as gateway_module
+from thymefork_daemon import (
+    gateway as gateway_module,
+    pending_request as pending_request_module,
+)
 from thymefork_daemon.gateway import Gateway
 from thymefork_net import Address
 from thymefork_net.peers import Heartbeat, OwnedCell
 
 from .fakes import FakeMetrics
 
-CLOCKED = (gateway_module,)
+CLOCKED = (gateway_module, pending_request_module)
 
 JOB = "00000000000000aa"
 OWNER = Address(host="10.0.0.2", port=7000)
@@ -53,8 +56,9 @@
         self.epoch = next(self.epochs)
         self.requests = []
 
-    def request(self, kind, queue, job_id, data, respond, *, account_name=""):
+    def request(self, kind, queue, job_id, data, respond, **options):
         self.requests.append(respond)
+        self.options = options
 
 
 class FakeDirectory:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway_doubt.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway_doubt.py
@@ -7,7 +7,10 @@
 import pytest
 
 from thymefork_cells import effects as fx
-from thymefork_daemon import gateway as gateway_module
+from thymefork_daemon import (
+    gateway as gateway_module,
+    pending_request as pending_request_module,
+)
 
 from .test_gateway import (
     OWNER,
@@ -19,7 +22,7 @@
     make_daemon,
 )
 
-CLOCKED = (gateway_module,)
+CLOCKED = (gateway_module, pending_request_module)
 
 NOT_OWNER = fx.Reply(request_id=None, outcome=fx.Outcome.NOT_OWNER)
 KINDS = ["submit", "cancel"]
@@ -158,3 +161,18 @@
     timers.run(3_000)
     assert not gateway.open_requests
     assert not gateway._earlier_numbers
+
+
+def test_an_owner_is_told_how_long_the_caller_still_waits(daemon, timers):
+    daemon.directory.known[0] = OWNER
+    gateway, _ = ask(daemon, timers)
+    timers.run(500)
+    gateway.on_heartbeat(daemon.successor, heartbeat_of_successor())
+    told = [link.sent[0].patience_ms for link in (daemon.link, daemon.successor)]
+    assert told == [2_500, 2_000]
+
+
+def test_an_owner_that_is_asked_here_is_told_it_too(daemon, timers):
+    daemon.owners[0] = owner = FakeOwner()
+    ask(daemon, timers)
+    assert owner.options["patience_ms"] == 2_500
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_request_handler.py
@@ -45,6 +45,8 @@
         ownership=SimpleNamespace(is_certain=lambda: is_certain),
         pump=SimpleNamespace(store_is_away=pump_says_away),
         metrics=metrics,
+        timers=None,  # where nothing is told of a caller's patience, none is needed
+        settle=lambda: None,
     )
     handler.handle(kind, "q", job_id, b"", replies.append)
     return intake.asked, metrics.counts, replies
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -59,6 +59,8 @@
   6: required binary body
   /* The client account whose key came with it, empty if none did. */
   7: optional string account_name
+  /* How long the sender waits for the reply; 0 or missing where it does not tell. */
+  8: optional i64 patience_ms
 }
 
 struct CallerReply {
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -633,6 +633,7 @@
      - job_id
      - body
      - account_name
+     - patience_ms
 
     """
 
@@ -644,10 +645,11 @@
         'job_id',
         'body',
         'account_name',
+        'patience_ms',
     )
 
 
-    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None, account_name=None,):
+    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None, account_name=None, patience_ms=None,):
         self.call_id = call_id
         self.cell = cell
         self.kind = kind
@@ -655,6 +657,7 @@
         self.job_id = job_id
         self.body = body
         self.account_name = account_name
+        self.patience_ms = patience_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -700,6 +703,11 @@
                     self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.patience_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -738,6 +746,10 @@
             oprot.writeFieldBegin('account_name', TType.STRING, 7)
             oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
             oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I64, 8)
+            oprot.writeI64(self.patience_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1669,6 +1681,7 @@
     (5, TType.STRING, 'job_id', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'account_name', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'patience_ms', None, None, ),  # 8
 )
 all_structs.append(CallerReply)
 CallerReply.thrift_spec = (
