--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_gateway.py
@@ -6,14 +6,17 @@
 import pytest
 
 from thymefork_cells import effects as fx
-from thymefork_daemon import gateway as gateway_module
+from thymefork_daemon import (
+    gateway as gateway_module,
+    pending_request as pending_request_module,
+)
 from thymefork_daemon.gateway import Gateway
 from thymefork_net import Address
 from thymefork_net.peers import Heartbeat, OwnedCell
 
 from .fakes import FakeMetrics
 
-CLOCKED = (gateway_module,)
+CLOCKED = (gateway_module, pending_request_module)
 
 JOB = "00000000000000aa"
 OWNER = Address(host="10.0.0.2", port=7000)
@@ -21,12 +24,26 @@
 
 
 class FakeLink:
+    """Carry messages; one that `keeps_all` sends none of the bytes from then on."""
+
     def __init__(self, address=OWNER):
         self.address = self.listener_address = address
         self.sent = []
+        self.keeps_all = False
+        self.kept_bytes = 0
+        self.bytes_each = 1
+
+    @property
+    def sent_bytes(self):
+        return self.bytes_each * len(self.sent)
+
+    @property
+    def handed_bytes(self):
+        return self.sent_bytes - self.kept_bytes
 
     def send(self, message):
         self.sent.append(message)
+        self.kept_bytes += self.keeps_all
 
 
 class FakeOwner:
@@ -39,8 +56,9 @@
         self.epoch = next(self.epochs)
         self.requests = []
 
-    def request(self, kind, queue, job_id, data, respond, *, account_name=""):
+    def request(self, kind, queue, job_id, data, respond, **options):
         self.requests.append(respond)
+        self.options = options
 
 
 class FakeDirectory:
@@ -70,6 +88,11 @@
 
 @pytest.fixture
 def daemon(timers):
+    return make_daemon(timers)
+
+
+def make_daemon(timers):
+    """Return an instance beside an owner and its successor, of which none is known."""
     link = FakeLink()
     links = {OWNER: link, SUCCESSOR: FakeLink(SUCCESSOR)}
     return SimpleNamespace(
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -47,6 +47,8 @@
   16: optional list<SpeedsLearned> speeds
   /* The sender understands messages on parts of limits. */
   10: optional bool moves_parts
+  /* Numbers of the sender's calls for advice that it does not want answered. */
+  24: optional list<i64> withdrawn_calls
 }
 
 /* A caller's request that an entry instance forwards to the owner of a cell. */
@@ -59,6 +61,8 @@
   6: required binary body
   /* The client account whose key came with it, empty if none did. */
   7: optional string account_name
+  /* How long the sender waits for the reply; 0 or missing where it does not tell. */
+  8: optional i64 patience_ms
 }
 
 struct CallerReply {
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -417,6 +417,7 @@
      - join_ms
      - speeds
      - moves_parts
+     - withdrawn_calls
 
     """
 
@@ -432,10 +433,11 @@
         'join_ms',
         'moves_parts',
         'speeds',
+        'withdrawn_calls',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None, moves_parts=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None, moves_parts=None, withdrawn_calls=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
@@ -447,6 +449,7 @@
         self.join_ms = join_ms
         self.speeds = speeds
         self.moves_parts = moves_parts
+        self.withdrawn_calls = withdrawn_calls
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -524,6 +527,16 @@
                     self.moves_parts = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 24:
+                if ftype == TType.LIST:
+                    self.withdrawn_calls = []
+                    (_etype22, _size19) = iprot.readListBegin()
+                    for _i23 in range(_size19):
+                        _elem24 = iprot.readI64()
+                        self.withdrawn_calls.append(_elem24)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -537,8 +550,8 @@
         if self.owned is not None:
             oprot.writeFieldBegin('owned', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.owned))
-            for iter19 in self.owned:
-                iter19.write(oprot)
+            for iter25 in self.owned:
+                iter25.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -580,8 +593,15 @@
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter20 in self.speeds:
-                iter20.write(oprot)
+            for iter26 in self.speeds:
+                iter26.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.withdrawn_calls is not None:
+            oprot.writeFieldBegin('withdrawn_calls', TType.LIST, 24)
+            oprot.writeListBegin(TType.I64, len(self.withdrawn_calls))
+            for iter27 in self.withdrawn_calls:
+                oprot.writeI64(iter27)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -625,6 +645,7 @@
      - job_id
      - body
      - account_name
+     - patience_ms
 
     """
 
@@ -636,10 +657,11 @@
         'job_id',
         'body',
         'account_name',
+        'patience_ms',
     )
 
 
-    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None, account_name=None,):
+    def __init__(self, call_id=None, cell=None, kind=None, queue=None, job_id=None, body=None, account_name=None, patience_ms=None,):
         self.call_id = call_id
         self.cell = cell
         self.kind = kind
@@ -647,6 +669,7 @@
         self.job_id = job_id
         self.body = body
         self.account_name = account_name
+        self.patience_ms = patience_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -692,6 +715,11 @@
                     self.account_name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.I64:
+                    self.patience_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -730,6 +758,10 @@
             oprot.writeFieldBegin('account_name', TType.STRING, 7)
             oprot.writeString(self.account_name.encode('utf-8') if sys.version_info[0] == 2 else self.account_name)
             oprot.writeFieldEnd()
+        if self.patience_ms is not None:
+            oprot.writeFieldBegin('patience_ms', TType.I64, 8)
+            oprot.writeI64(self.patience_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -939,10 +971,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem26)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -972,8 +1004,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter27 in self.workers:
-                oprot.writeString(iter27.encode('utf-8') if sys.version_info[0] == 2 else iter27)
+            for iter34 in self.workers:
+                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patience_ms is not None:
@@ -1143,11 +1175,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = WorkerTicket()
-                        _elem33.read(iprot)
-                        self.tickets.append(_elem33)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = WorkerTicket()
+                        _elem40.read(iprot)
+                        self.tickets.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1177,8 +1209,8 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tickets))
-            for iter34 in self.tickets:
-                iter34.write(oprot)
+            for iter41 in self.tickets:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_ms is not None:
@@ -1387,11 +1419,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = HeardEnd()
-                        _elem40.read(iprot)
-                        self.ends.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = HeardEnd()
+                        _elem47.read(iprot)
+                        self.ends.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1416,8 +1448,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter41 in self.ends:
-                iter41.write(oprot)
+            for iter48 in self.ends:
+                iter48.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2274,6 +2306,14 @@
     None,  # 14
     None,  # 15
     (16, TType.LIST, 'speeds', (TType.STRUCT, [SpeedsLearned, None], False), None, ),  # 16
+    None,  # 17
+    None,  # 18
+    None,  # 19
+    None,  # 20
+    None,  # 21
+    None,  # 22
+    None,  # 23
+    (24, TType.LIST, 'withdrawn_calls', (TType.I64, None, False), None, ),  # 24
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
@@ -2285,6 +2325,7 @@
     (5, TType.STRING, 'job_id', 'UTF8', None, ),  # 5
     (6, TType.STRING, 'body', 'BINARY', None, ),  # 6
     (7, TType.STRING, 'account_name', 'UTF8', None, ),  # 7
+    (8, TType.I64, 'patience_ms', None, None, ),  # 8
 )
 all_structs.append(CallerReply)
 CallerReply.thrift_spec = (
