--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_unknown_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_unknown_workers.py
@@ -1,9 +1,9 @@
 """A new owner that was told no speeds looks for fast workers where jobs are late.
 
 The load: small urgent jobs alone that ask a tenth of the room, on 24 workers of which 8
-are 2.4 times as fast. The tightest fit keeps such jobs on the few workers that were used
-first. Where these are slow, they pass for ordinary ones, and all jobs stay on them: their
-callers wait, though fast workers idle.
+are 2.4 times as fast. The tightest fit keeps such jobs on the few workers that were
+used first. Where these are slow, they pass for ordinary ones, and all jobs stay on
+them: their callers wait, though fast workers idle.
 """
 
 import pytest
