Tell learned speeds again, and all of them to a member that comes

Members forgot in five minutes what was told once; a later member heard nothing, an heir told nothing on, machines that moved held up the last ones. A turn without workers raised an IndexError. Each distinct speed is judged once for a step. A machine that is doubtful after a pause is told as before; that uneven workers are called even while none is listed was weighed and left: the same machines come back.

--- a/packages/thymefork-cells/src/thymefork_cells/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/__init__.py
@@ -2,6 +2,7 @@
 
 from .cell import Cell
 from .context import STALE_MS
+from .estimates.speed_news import TELL_AGAIN_MS
 from .estimates.worker_speeds import LearnedSpeed
 from .hashing import cell_of
 from .jobs.codec import decode_spec, encode_spec
@@ -20,6 +21,7 @@
     "Refusal",
     "RunRow",
     "STALE_MS",
+    "TELL_AGAIN_MS",
     "WorkerReport",
     "cell_of",
     "decode_spec",
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/__init__.py
@@ -5,6 +5,7 @@
 from .room import Room
 from .room_forecast import RoomForecast
 from .speed_learner import SpeedLearner
+from .speed_news import TELL_AGAIN_MS, SpeedNews
 from .worker_speeds import LearnedSpeed, WorkerSpeeds
 
 __all__ = [
@@ -14,5 +15,7 @@
     "Room",
     "RoomForecast",
     "SpeedLearner",
+    "SpeedNews",
+    "TELL_AGAIN_MS",
     "WorkerSpeeds",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/late_chance.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/late_chance.py
@@ -1,28 +1,27 @@
 """How likely a step's tasks are late on a worker, by its speed."""
 
-from functools import cache
 from math import erf, log, sqrt
 
+from .spread import RUN_DEVIATION
+
 __all__ = ["LateChance"]
 
-# Tasks of one image on one worker differ by this much (deviation of the logarithm).
-RUN_DEVIATION = 0.3
-# A task may rather be late than that it is given a worker on which this much is likely.
+# A worker suits if it is at most this much likelier to make the task late than the
+# best one.
 LIKELY_LATE = 0.1
 
 
 class LateChance:
     """Judge workers for the tasks of a step that would start now.
 
-    Workers of the same speed are judged once; speeds come in steps.
+    Each distinct slowness among them is judged once; learned ones come in steps.
     """
 
     def __init__(self, *, usual_ms, left_ms):
         self._usual_ms = usual_ms
         self._left_ms = left_ms
-        self.at = cache(self._at)
 
-    def _at(self, slowness):
+    def at(self, slowness):
         """Return the chance that a task is late on workers of a slowness."""
         if self._left_ms <= 0.0:
             return 1.0
@@ -36,13 +35,20 @@
 
     def needs_speed(self, workers):
         """Tell whether some of the workers are too slow for a task, and others not."""
-        chances = {self.on(worker) for worker in workers}
-        if not chances:
-            return False
-        return max(chances) > LIKELY_LATE + min(chances)
+        slownesses = _distinct(workers)
+        return self.suitable_of(slownesses) != slownesses
 
     def suitable(self, workers):
         """Return the workers on which a task is about as likely in time as on any."""
-        least = min(map(self.on, workers), default=0.0)
-        bound = least + LIKELY_LATE
-        return [worker for worker in workers if self.on(worker) <= bound]
+        suitable = self.suitable_of(_distinct(workers))
+        return [worker for worker in workers if worker.slowness in suitable]
+
+    def suitable_of(self, slownesses):
+        """Return those of some slownesses that suit as well as the best of them."""
+        chances = {slowness: self.at(slowness) for slowness in slownesses}
+        bound = min(chances.values(), default=0.0) + LIKELY_LATE
+        return {slowness for slowness, chance in chances.items() if chance <= bound}
+
+
+def _distinct(workers):
+    return {worker.slowness for worker in workers}
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
@@ -3,11 +3,12 @@
 from math import exp
 
 from ..effects import TellSpeeds
+from .speed_news import SpeedNews
 
 __all__ = ["SpeedLearner"]
 
-# Whether workers are uneven, and how slow each is, is judged anew this often: it takes
-# some 0.3 ms for 270 workers, and a worker ends a few runs meanwhile.
+# Whether workers are uneven, and how slow each is, is judged anew this often: each
+# review is a pass over all workers, and a worker ends a few runs in between.
 REVIEW_MS = 500.0
 # Speeds are logged this often while workers are uneven.
 NOTE_MS = 10_000.0
@@ -26,6 +27,7 @@
         self._context = context
         self._images = images
         self._speeds = speeds
+        self._news = SpeedNews(speeds=speeds)
         self._review_due_ms = 0.0
         self._note_due_ms = 0.0
         self._tell_due_ms = 0.0
@@ -52,6 +54,7 @@
         if not speeds:
             return
         self._speeds.inherit(speeds, now_ms)
+        self._news.inherit(speeds)
         self._context.note("speeds_inherited", machines=len(speeds))
         self._review(now_ms)
 
@@ -64,6 +67,8 @@
         self._review_due_ms = now_ms + REVIEW_MS
         workers = self._context.workers.values()
         machines = list(dict.fromkeys(worker.machine for worker in workers))
+        if not machines:
+            return
         if self._speeds.review(machines):
             kind = "uneven" if self._speeds.is_uneven else "even"
             self._context.count("speeds", kind)
@@ -103,7 +108,7 @@
         if now_ms < self._tell_due_ms:
             return
         self._tell_due_ms = now_ms + TELL_MS
-        news = self._speeds.take_news(machines, MOST_TOLD)
+        news = self._news.take(machines, MOST_TOLD, now_ms)
         if news:
             self._context.emit(TellSpeeds(speeds=tuple(news)))
 
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_late_chance.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_late_chance.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from thymefork_cells.estimates import LateChance
+from thymefork_cells.estimates import LateChance, late_chance, worker_speeds
 
 SLOW, FAST = (SimpleNamespace(slowness=value) for value in (1.43, 0.59))
 
@@ -29,3 +29,20 @@
     chance = LateChance(usual_ms=850.0, left_ms=1_000.0)
     assert chance.suitable([]) == []
     assert not chance.needs_speed([])
+
+
+def test_learning_and_judging_go_by_one_spread_of_runs():
+    deviation = late_chance.RUN_DEVIATION
+    assert deviation**2 == pytest.approx(worker_speeds.RUN_VARIANCE)
+
+
+def test_each_distinct_speed_is_judged_once(monkeypatch):
+    """A wide service has many workers and few speeds."""
+    judged = []
+    at = LateChance.at
+    monkeypatch.setattr(
+        LateChance, "at", lambda self, s: judged.append(s) or at(self, s)
+    )
+    chance = LateChance(usual_ms=850.0, left_ms=1_500.0)
+    assert chance.suitable([SLOW, FAST] * 320) == [FAST] * 320
+    assert sorted(judged) == sorted({SLOW.slowness, FAST.slowness})
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
@@ -8,21 +8,21 @@
 from attrs import define
 
 from .log_belief import LogBelief
+from .spread import RUN_VARIANCE
 
 __all__ = ["LearnedSpeed", "WorkerSpeeds"]
 
-# Variances of logarithms. Workers of one service differ by two to three times; callers'
-# estimates are off by about as much; tasks of one image on one worker by a quarter.
-WORKER_VARIANCE = 0.25
+# Variances of logarithms. Workers of one service differ by two to three times, and
+# images by more than callers' estimates of them tell.
+MACHINE_VARIANCE = 0.25
 IMAGE_VARIANCE = 0.36
-RUN_VARIANCE = 0.07
 # Steps of one image differ, too: what tasks of one step took on different workers says
 # more than what tasks of different steps took.
 STEP_VARIANCE = 0.08
-# Callers' estimates are off by as much, and more before a step of the image was seen.
+# Callers' estimates of one step.
 ESTIMATE_VARIANCE = 0.4
 # Machines change seldom, images with each release of their callers' code.
-WORKER_DRIFT_PER_S = 0.0005
+MACHINE_DRIFT_PER_S = 0.0005
 IMAGE_DRIFT_PER_S = 0.0005
 # A worker that has started again is most likely the machine that it was.
 RESTART_DOUBT = 0.03
@@ -49,10 +49,10 @@
 UNEVEN_SHARE = 0.1
 EVEN_SHARE = 0.04
 # Slowness is told in steps of this factor: less makes no difference to any decision.
-STEP = log(1.1)
+SLOWNESS_QUANTUM = log(1.1)
 MOST_IMAGES = 1_000
 MOST_STEPS = 400
-MOST_WORKERS = 4_000
+MOST_MACHINES = 4_000
 
 
 @define(kw_only=True)
@@ -64,7 +64,7 @@
 
 
 @define(kw_only=True)
-class _Known:
+class _Machine:
     """Hold what is known of a machine.
 
     `off_*` tells of runs in a row that were off one way.
@@ -72,7 +72,6 @@
 
     belief: LogBelief
     born_epoch_ms: int = 0
-    told: float = 0.0
     noted: str = "ordinary"
     off_runs: int = 0
     off_since_ms: float = 0.0
@@ -91,12 +90,12 @@
     def __init__(self):
         self._images = OrderedDict()
         self._steps = OrderedDict()
-        self._workers = OrderedDict()
+        self._machines = OrderedDict()
         self.is_uneven = False
 
     def learn(self, *, worker, step_name, step, took_ms, now_ms):
         """Note the good end of a whole run; tell whether it was set aside."""
-        known = self._worker(worker.machine, worker.born_epoch_ms, now_ms)
+        known = self._machine(worker.machine, worker.born_epoch_ms, now_ms)
         image = self._image(step, now_ms)
         work = self._work(step_name, step, image, now_ms)
         took = log(max(1.0, took_ms))
@@ -119,14 +118,14 @@
         self._watch_change(known, residual if is_off else 0.0, now_ms)
         return is_outlier
 
-    def _worker(self, machine, born_epoch_ms, now_ms):
-        known = self._workers.pop(machine, None)
+    def _machine(self, machine, born_epoch_ms, now_ms):
+        known = self._machines.pop(machine, None)
         if known is None:
-            known = _Known(belief=_belief(0.0, WORKER_VARIANCE, now_ms))
+            known = _Machine(belief=_belief(0.0, MACHINE_VARIANCE, now_ms))
             known.born_epoch_ms = born_epoch_ms
-        self._workers[machine] = known
-        _drop_oldest(self._workers, MOST_WORKERS)
-        known.belief.age(now_ms, WORKER_DRIFT_PER_S)
+        self._machines[machine] = known
+        _drop_oldest(self._machines, MOST_MACHINES)
+        known.belief.age(now_ms, MACHINE_DRIFT_PER_S)
         if born_epoch_ms != known.born_epoch_ms:
             if known.born_epoch_ms:
                 known.belief.doubt(RESTART_DOUBT)
@@ -157,42 +156,47 @@
         return work
 
     @staticmethod
-    def _watch_change(worker, residual, now_ms):
+    def _watch_change(machine, residual, now_ms):
         """Learn a machine anew that has been off one way for long."""
         sign = (residual > 0.0) - (residual < 0.0)
-        if not sign or sign != worker.off_sign:
-            worker.off_sign, worker.off_runs, worker.off_since_ms = sign, 0, now_ms
+        if not sign or sign != machine.off_sign:
+            machine.off_sign, machine.off_runs, machine.off_since_ms = sign, 0, now_ms
         if not sign:
             return
-        worker.off_runs += 1
-        lasted_ms = now_ms - worker.off_since_ms
+        machine.off_runs += 1
+        lasted_ms = now_ms - machine.off_since_ms
         if sign > 0:
             has_changed = (
-                worker.off_runs >= CHANGED_RUNS and lasted_ms >= CHANGED_AFTER_MS
+                machine.off_runs >= CHANGED_RUNS and lasted_ms >= CHANGED_AFTER_MS
             )
         else:
-            has_changed = worker.off_runs >= RECOVERED_RUNS
+            has_changed = machine.off_runs >= RECOVERED_RUNS
         if has_changed:
-            worker.belief.doubt(WORKER_VARIANCE)
-            worker.off_sign = 0
+            machine.belief.doubt(MACHINE_VARIANCE)
+            machine.off_sign = 0
 
     def inherit(self, speeds, now_ms):
         """Begin with what an earlier owner has told, unless it is known here."""
         for speed in speeds:
-            if speed.machine not in self._workers:
+            if speed.machine not in self._machines:
                 belief = _belief(speed.log_slowness, INHERITED_VARIANCE, now_ms)
-                self._workers[speed.machine] = _Known(
-                    belief=belief, told=speed.log_slowness
-                )
-        _drop_oldest(self._workers, MOST_WORKERS)
+                self._machines[speed.machine] = _Machine(belief=belief)
+        _drop_oldest(self._machines, MOST_MACHINES)
 
     # What is known ------------------------------------------------------------
 
     def log_slowness(self, machine):
         """Return the logarithm of a machine's slowness, 0 while nothing is known."""
-        known = self._workers.get(machine)
+        known = self._machines.get(machine)
         return known.belief.mean if known is not None else 0.0
 
+    def known_log_slowness(self, machine):
+        """Return the logarithm of a machine's slowness, None while it is doubtful."""
+        known = self._machines.get(machine)
+        if known is None or known.belief.variance > KNOWN_VARIANCE:
+            return None
+        return known.belief.mean
+
     def slowness(self, machine):
         """Return how many times as long as on an ordinary worker runs take.
 
@@ -200,11 +204,12 @@
         """
         if not self.is_uneven:
             return 1.0
-        return exp(STEP * round(self.log_slowness(machine) / STEP))
+        quanta = round(self.log_slowness(machine) / SLOWNESS_QUANTUM)
+        return exp(SLOWNESS_QUANTUM * quanta)
 
     def review(self, machines):
         """Judge whether the present machines are uneven; tell whether that changed."""
-        beliefs = [self._workers[m].belief for m in machines if m in self._workers]
+        beliefs = [self._machines[m].belief for m in machines if m in self._machines]
         known = [belief for belief in beliefs if belief.variance <= KNOWN_VARIANCE]
         if not known:
             return False
@@ -223,8 +228,8 @@
         estimates may be off all one way.
         """
         offset = fmean(belief.mean for belief in known)
-        for worker in self._workers.values():
-            worker.belief.mean -= offset
+        for machine in self._machines.values():
+            machine.belief.mean -= offset
         for work in chain(self._images.values(), self._steps.values()):
             work.mean += offset
 
@@ -232,33 +237,18 @@
         """Return the machines that became notably slow or fast, or ordinary again."""
         found = []
         for machine in machines:
-            known = self._workers.get(machine)
-            if known is None or known.belief.variance > KNOWN_VARIANCE:
+            log_slowness = self.known_log_slowness(machine)
+            if log_slowness is None:
                 continue
-            kind = _kind(known.belief.mean)
-            if kind != known.noted:
-                known.noted = kind
-                found.append((machine, kind, known.belief.mean))
+            kind = _kind(log_slowness)
+            if kind != self._machines[machine].noted:
+                self._machines[machine].noted = kind
+                found.append((machine, kind, log_slowness))
         return found
 
-    def take_news(self, machines, most):
-        """Return what has changed by a notable step since it was told last."""
-        news = []
-        for machine in machines:
-            known = self._workers.get(machine)
-            if known is None or known.belief.variance > KNOWN_VARIANCE:
-                continue
-            if abs(known.belief.mean - known.told) < NOTABLE / 2:
-                continue
-            known.told = known.belief.mean
-            news.append(LearnedSpeed(machine=machine, log_slowness=known.told))
-            if len(news) == most:
-                break
-        return news
-
 
 def _belief(mean, variance, now_ms):
-    most = max(variance, WORKER_VARIANCE)
+    most = max(variance, MACHINE_VARIANCE)
     return LogBelief(mean=mean, variance=variance, at_ms=now_ms, most_variance=most)
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/learned_speeds.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/learned_speeds.py
@@ -2,16 +2,18 @@
 
 from attrs import frozen
 
-from thymefork_cells import LearnedSpeed
+from thymefork_cells import TELL_AGAIN_MS, LearnedSpeed
 from thymefork_net import steady_ms
 from thymefork_net.peers import MachineSpeed, SpeedsLearned
 
 __all__ = ["LearnedSpeeds"]
 
-# Machines change seldom, and a wrong speed is corrected by a few runs.
-KEPT_MS = 300_000.0
+# What still holds is told again meanwhile; one telling may be missed.
+KEPT_MS = 3.0 * TELL_AGAIN_MS
 # Some 20 bytes each on a link, a few times that in memory.
 MOST_KEPT = 4_000
+# Far beyond what sound machines differ by; a peer's figure is bounded by it.
+MOST_LOG_SLOWNESS = 3.0
 
 
 @frozen(kw_only=True)
@@ -35,21 +37,25 @@
     def tell(self, cell, epoch, speeds):
         """Keep what an owner here has learned; the next heartbeat tells it."""
         self._keep(cell, speeds)
-        rows = [
-            MachineSpeed(
-                machine=speed.machine,
-                log_slowness_milli=round(1000.0 * speed.log_slowness),
-            )
-            for speed in speeds
-        ]
-        self._untold.append(SpeedsLearned(cell=cell, epoch=epoch, speeds=rows))
-        self._daemon.metrics.count("speeds", "told", len(rows))
+        self._untold.append(_message(cell, epoch, speeds))
+        self._daemon.metrics.count("speeds", "told", len(speeds))
 
     def take_untold(self):
-        """Return what the next heartbeat tells, None if nothing."""
+        """Return what the next heartbeat tells, None if nothing.
+
+        Where no member hears it, nothing is lost: one that comes is told all.
+        """
         untold, self._untold = self._untold, []
         return untold or None
 
+    def of_owners(self):
+        """Return what is known of the cells owned here, for a member that has come."""
+        messages = [
+            _message(cell, owner.epoch, self.of(cell))
+            for cell, owner in self._daemon.owners.items()
+        ]
+        return [message for message in messages if message.speeds] or None
+
     def on_message(self, message):
         """Keep what a peer tells, unless a later owner serves here by now."""
         owner = self._daemon.owners.get(message.cell)
@@ -57,7 +63,8 @@
             return
         speeds = [
             LearnedSpeed(
-                machine=row.machine, log_slowness=row.log_slowness_milli / 1000.0
+                machine=row.machine,
+                log_slowness=_bounded(row.log_slowness_milli / 1000.0),
             )
             for row in message.speeds
         ]
@@ -77,3 +84,18 @@
             kept[speed.machine] = _Kept(speed=speed, forget_at_ms=forget_at_ms)
         while len(kept) > MOST_KEPT:
             del kept[next(iter(kept))]
+
+
+def _message(cell, epoch, speeds):
+    rows = [
+        MachineSpeed(
+            machine=speed.machine,
+            log_slowness_milli=round(1000.0 * speed.log_slowness),
+        )
+        for speed in speeds
+    ]
+    return SpeedsLearned(cell=cell, epoch=epoch, speeds=rows)
+
+
+def _bounded(log_slowness):
+    return max(-MOST_LOG_SLOWNESS, min(MOST_LOG_SLOWNESS, log_slowness))
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -35,6 +35,7 @@
         self._daemon = daemon
         self.members_heard = MembersHeard()
         self._member_links = set()
+        self._newcomers = set()
         self._owned_by_link = {}
         self._without_store = set()
         self._leaving = set()
@@ -66,8 +67,15 @@
             return
         message = self._heartbeat()
         message.speeds = self._daemon.learned_speeds.take_untold()
+        newcomers, self._newcomers = self._newcomers, set()
         for link in list(self._member_links):  # one that breaks leaves the set
-            link.send(message)
+            link.send(self._beat_with_all_speeds() if link in newcomers else message)
+
+    def _beat_with_all_speeds(self):
+        """Return the first heartbeat to a member, which missed what was told before."""
+        message = self._heartbeat()
+        message.speeds = self._daemon.learned_speeds.of_owners()
+        return message
 
     def _heartbeat(self):
         owned = [
@@ -153,6 +161,7 @@
         else:
             self._without_store.discard(address)
         if message.in_group:
+            self._newcomers |= {link} - self._member_links
             self._member_links.add(link)
         else:
             self._member_links.discard(link)  # it may stand by again
@@ -203,6 +212,7 @@
     def on_link_broken(self, link):
         """Route around a link that broke."""
         self._member_links.discard(link)
+        self._newcomers.discard(link)
         self.members_heard.forget(link.listener_address)
         self._owned_by_link.pop(link, None)
         self._daemon.gateway.on_link_broken(link)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -145,3 +145,34 @@
     daemon.membership.in_group = True
     timers.run(300)
     assert asked
+
+
+class NotingLink(FakeLink):
+    def __init__(self, address):
+        super().__init__(address)
+        self.sent = []
+
+    def send(self, message):
+        self.sent.append(message)
+
+
+def test_a_member_that_comes_is_told_what_it_has_missed_once(timers):
+    """News is told once in a while; who owns the cell next may have come since."""
+    daemon = make_daemon(timers, in_group=False, opened=[])
+    nothing = lambda *arguments: None
+    daemon.owned_cells = SimpleNamespace(on_peer_owns=nothing)
+    daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
+    daemon.heard_ends = SimpleNamespace(on_owner=nothing)
+    daemon.learned_speeds = SimpleNamespace(
+        take_untold=lambda: None, of_owners=lambda: ["all"]
+    )
+    desk = PeerDesk(daemon=daemon)
+    daemon.owners = {0: SimpleNamespace(epoch=1, is_serving=True)}
+    link = NotingLink(Address(host="10.0.0.3", port=7000))
+    message = Heartbeat(owned=[], config_version=1, leaving=False, in_group=True)
+    for _ in range(3):
+        desk.on_message(link, message)
+        timers.run(300)
+    told = [beat.speeds for beat in link.sent]
+    assert told[0] == ["all"]
+    assert len(told) > 3 and not any(told[1:])
