Keep the order of penalties where workers are uneven; bound far slower machines

Fast room that is kept weighed more than doubt, another hall and, for a very slow machine, disturbance. It is bounded now below another hall; disturbance and two failures in a row outweigh any speed, one failure outweighs fast room that is kept, not a task that would be late. Data far away counts in the chance of being late. A machine four times slower than the average is doubtful in placing, and its runs are judged by ordinary ones.

A gang's slowness is noted at its start, not read off the members that are left; times of images are bounded; comments without stories.

--- a/packages/thymefork-cells/src/thymefork_cells/advice/choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/choice.py
@@ -83,7 +83,8 @@
     if chance is None:
         yield from _by_hall(step, with_room)
     else:
-        suitable = chance.suitable(with_room)
+        sound = [worker for worker in with_room if not worker.is_far_slower]
+        suitable = chance.suitable(sound)
         rest = set(with_room).difference(suitable)
         slow = [worker for worker in suitable if worker.slowness >= 1.0]
         fast = [worker for worker in suitable if worker.slowness < 1.0]
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/images.py
@@ -1,14 +1,14 @@
 """How long tasks of the same image take."""
 
+from collections import OrderedDict
+
 from .late_chance import LateChance
 
 __all__ = ["ImageTimes"]
 
 # A new duration counts this much beside what was known.
 WEIGHT_OF_NEWEST = 0.3
-
-
-# A duration this many times the known one was seen on a slow worker, and counts less.
+# A duration this many times the known one is a long tail, and counts less.
 OUTLIER = 2.0
 WEIGHT_OF_OUTLIER = 0.05
 # A run counts as late once its expected total is this many times the usual one.
@@ -17,6 +17,8 @@
 SHORTEST_SPAN_MS = 250.0
 # A start is stored and sent before a task begins, its end heard and stored after it.
 OVERHEAD_MS = 100.0
+# Images are callers' text, a new one for each build: those seen last are kept.
+MOST_IMAGES = 1_000
 
 
 class ImageTimes:
@@ -27,19 +29,18 @@
     """
 
     def __init__(self):
-        self._mean_ms = {}
+        self._mean_ms = OrderedDict()
 
     def learn(self, image, took_ms):
         """Note how long a task took, or would have, on an ordinary worker."""
         if not image:
             return
-        known_ms = self._mean_ms.get(image)
-        if known_ms is None:
-            self._mean_ms[image] = took_ms
-            return
+        known_ms = self._mean_ms.pop(image, took_ms)
         outlier = took_ms > OUTLIER * known_ms
         weight = WEIGHT_OF_OUTLIER if outlier else WEIGHT_OF_NEWEST
-        self._mean_ms[image] += weight * (took_ms - known_ms)
+        self._mean_ms[image] = known_ms + weight * (took_ms - known_ms)
+        while len(self._mean_ms) > MOST_IMAGES:
+            self._mean_ms.popitem(last=False)
 
     def known_ms(self, image):
         """Return the learned duration, or None."""
@@ -50,7 +51,7 @@
 
         On a worker, or on an ordinary one.
         """
-        known_ms = self._mean_ms.get(step.image) if step.image else None
+        known_ms = self.known_ms(step.image)
         usual_ms = known_ms if known_ms is not None else float(step.estimated_ms)
         return usual_ms if worker is None else usual_ms * worker.slowness
 
@@ -66,20 +67,20 @@
         job = step.job
         if step.spec.long_running or step.spec.fills_idle_cpu or not job.objective_ms:
             return None
-        rest_ms = self._rest_ms(job.spec.steps, step.index)
+        chain_ms = self._later_chain_ms(job.spec.steps, step.index)
         return LateChance(
             usual_ms=self.expected_ms(step.spec),
-            left_ms=job.objective_ms - rest_ms - now_ms - OVERHEAD_MS,
+            left_ms=job.objective_ms - chain_ms - now_ms - OVERHEAD_MS,
         )
 
-    def _rest_ms(self, steps, index):
+    def _later_chain_ms(self, steps, index):
         """Return the longest chain of work that follows a step."""
-        rest_ms = [0.0] * len(steps)
+        chain_ms = [0.0] * len(steps)
         for later in range(len(steps) - 1, index, -1):
-            total_ms = rest_ms[later] + self.expected_ms(steps[later])
+            total_ms = chain_ms[later] + self.expected_ms(steps[later])
             for earlier in steps[later].after:
-                rest_ms[earlier] = max(rest_ms[earlier], total_ms)
-        return rest_ms[index]
+                chain_ms[earlier] = max(chain_ms[earlier], total_ms)
+        return chain_ms[index]
 
     def left_ms(self, run, now_ms):
         """Return how long a run is expected to go on."""
@@ -108,10 +109,10 @@
 
         It is behind only if it takes far longer than usual on its worker.
         """
-        known_ms = self._mean_ms.get(run.step.image) if run.step.image else None
-        if known_ms is None or run.step.long_running or run.step.fills_idle_cpu:
+        known_ms = self._known_work_ms(run.step)
+        if known_ms is None:
             return 0.0
-        usual_ms = known_ms * run.worker.slowness
+        usual_ms = known_ms * run.worker.sound_slowness
         total_ms = self._pace_total_ms(run)
         if total_ms is None:
             # It was never listed: late if it should have ended a while ago.
@@ -121,13 +122,19 @@
             return 0.0
         return max(0.0, self.left_ms(run, now_ms) - 1.2 * known_ms)
 
-    def slowness(self, run):
+    def overrun_factor(self, run):
         """Return how many times as long as usual on its worker a run takes.
 
         None if not known.
         """
-        known_ms = self._mean_ms.get(run.step.image) if run.step.image else None
-        if known_ms is None or run.step.long_running or run.step.fills_idle_cpu:
-            return None
+        known_ms = self._known_work_ms(run.step)
         total_ms = self._pace_total_ms(run)
-        return None if total_ms is None else total_ms / (known_ms * run.worker.slowness)
+        if known_ms is None or total_ms is None:
+            return None
+        return total_ms / (known_ms * run.worker.sound_slowness)
+
+    def _known_work_ms(self, step):
+        """Return what a task takes on an ordinary worker, None where it isn't known."""
+        if step.long_running or step.fills_idle_cpu:
+            return None
+        return self.known_ms(step.image)
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -209,14 +209,21 @@
         if chosen is None:
             return
         starts = list(zip(step.tasks, chosen, strict=True))
+        gang_slowness = max(worker.slowness for worker in chosen)
         for task, worker in starts:
-            self._intend(task, worker, run_id)
+            self._intend(task, worker, run_id, gang_slowness=gang_slowness)
             for suspect in suspected:
                 self._trials.begin(suspect, worker, now_ms)
         self._notes.note_starts(step, starts, len(starts), now_ms)
 
-    def _intend(self, task, worker, run_id):
-        run = Run(task=task, run_id=run_id, worker=worker, state=RunState.INTENDED)
+    def _intend(self, task, worker, run_id, *, gang_slowness=0.0):
+        run = Run(
+            task=task,
+            run_id=run_id,
+            worker=worker,
+            state=RunState.INTENDED,
+            gang_slowness=gang_slowness,
+        )
         job = task.step.job
         task.run_count = run_id
         task.runs.append(run)
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
@@ -39,9 +39,9 @@
         """Count starts by whether a step needs fast workers and has got one."""
         if not starts:
             return
-        classes = fit.classes(workers)
+        labels = fit.metric_labels(workers)
         for _, worker in starts:
-            self._context.count("placed_by_speed", classes[worker.slowness])
+            self._context.count("placed_by_speed", labels[worker.slowness])
 
     def note_wait(self, step, workers, now_ms):
         """Log why a step's tasks have not been started for a while."""
--- a/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
@@ -13,7 +13,7 @@
 # A task counts as large if it takes this share of a worker's processors, memory or
 # accelerators. Two of them fill a worker; smaller ones find room as others end.
 LARGE_SHARE = 0.4
-# The choice of workers is reviewed this often: it takes about 1 ms for 80 workers.
+# The choice of workers is reviewed this often: each is a pass over all workers.
 REVIEW_MS = 100.0
 # A run's expected end is only an estimate; a task that is let in before the room is
 # there has to end this much earlier.
--- a/packages/thymefork-cells/src/thymefork_cells/placing/starvation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/starvation.py
@@ -12,9 +12,8 @@
     """Return how long a step has run nothing for want of its few workers, 0 for most.
 
     A starved step goes before steps of its priority that are due sooner: those mostly
-    have other workers to go to, or wait once. Without that, a job whose policy allows
-    one worker of 22 ran nothing for 18 s with most of the room elsewhere free (by its
-    log).
+    have other workers to go to, or wait once. Without that, they would take each piece
+    of room on its few workers for as long as they come, with room free elsewhere.
     """
     if step.allowed is None or len(step.allowed) > FEW_WORKERS or not step.ready:
         return 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/placing/tests/test_speed_fit.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/tests/test_speed_fit.py
@@ -48,11 +48,11 @@
     assert rate(worker(0, SLOW)) < rate(worker(1, FAST))
 
 
-def test_classes_tell_what_a_start_means_to_fast_room():
+def test_metric_labels_tell_what_a_start_means_to_fast_room():
     workers = [worker(0, SLOW), worker(1, FAST)]
-    tight = fit(1_400.0).classes(workers)
+    tight = fit(1_400.0).metric_labels(workers)
     assert tight == {SLOW: "tight_on_slow", FAST: "tight_on_fast"}
-    slack = fit(10_000.0).classes(workers)
+    slack = fit(10_000.0).metric_labels(workers)
     assert slack == {SLOW: "slack_on_slow", FAST: "slack_on_fast"}
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
@@ -2,12 +2,22 @@
 
 import heapq
 
+from ..state.worker_health import FAILURES_TO_QUARANTINE
+from .speed_fit import SPEED_SPAN
+
 __all__ = ["WorkerRanking", "best_hall", "copies_in", "fit_score", "fits_labels"]
 
+# The order of importance where workers are uneven: what disturbs tasks with users of
+# their own, and a worker that is likely bad; then the chance of being late (speed_fit),
+# since a late task is worth nothing to its caller wherever it runs; then one failure,
+# which tasks have by their own fault; then the hall; then fast room that is kept, the
+# tightest fit and data on another rack. Data counts in the chance of being late, too.
+
 # What a step that fills idle processors adds to a worker's score where tasks with
 # users of their own run, and the other way round: more than any difference in room.
 DISTURBANCE_PENALTY = 4.0
-# A worker whose last run failed is taken only if no other has room.
+# A worker whose last run failed, or that is far slower than any sound one, is taken
+# only if no other has room.
 DOUBT_PENALTY = 2.0
 # A step's tasks keep together in one hall where it has room for them: a hall is cut off
 # as a whole, and a step is late if one of its tasks is. Counts more than any difference
@@ -41,10 +51,8 @@
     A worker that a task avoids is taken for want of others only, here or, as
     `may_find_others` tells, among those that the policy was not asked about yet.
     `rate` gives a worker's score but for its hall; the lowest is best.
-    Each worker is rated once, and once more after it was given a task. With that, and
-    with workers checked each 20 ms for looks and tasks, a start of a step of six among
-    640 workers costs the owner 0.23 to 0.33 ms of processor; rated for each task and
-    checked in each turn, 0.45 to 0.53 (cell alone, on virtual time).
+    Each worker is rated once, and once more after it was given a task: a wide step
+    costs one pass over the workers, not one for each task.
     """
 
     def __init__(self, *, spec, workers, hall, counts, rate, may_find_others=False):
@@ -137,22 +145,33 @@
     left_cpu = (worker.free_cpu_milli - spec.reserved_cpu_milli) / entry.cpu_milli
     left_memory = (worker.free_memory_mb - spec.memory_mb) / max(1, entry.memory_mb)
     points = left_cpu + 0.5 * left_memory
+    is_remote = bool(spec.preferred_rack) and spec.preferred_rack != entry.rack
     if speed_fit is not None:
-        points += speed_fit.rate(worker)
+        points += speed_fit.rate(worker, is_remote=is_remote)
+        points += SPEED_SPAN * _outweighs_speed(spec, worker)
     if spec.accelerators and entry.accelerators:
         # Tasks that want all of a worker's need one that no single task has broken.
         points += (worker.free_accelerators - spec.accelerators) / entry.accelerators
-    if worker.health.failures_in_row:
+    if worker.health.failures_in_row or worker.is_far_slower:
         points += DOUBT_PENALTY
-    if spec.preferred_rack and spec.preferred_rack != entry.rack:
+    if is_remote:
         points += REMOTE_PENALTY
     if spec.fills_idle_cpu:
-        points += DISTURBANCE_PENALTY * any(
-            run.step.target_tail_ms for run in worker.runs.values()
-        )
         points -= 2 * left_cpu  # idle processors are what it needs
-    elif spec.target_tail_ms:
-        points += DISTURBANCE_PENALTY * any(
-            run.step.fills_idle_cpu for run in worker.runs.values()
-        )
+    if _disturbs(spec, worker):
+        points += DISTURBANCE_PENALTY
     return points
+
+
+def _outweighs_speed(spec, worker):
+    """Return how many reasons against a worker weigh more than any speed."""
+    is_likely_bad = worker.health.failures_in_row >= FAILURES_TO_QUARANTINE
+    return is_likely_bad + _disturbs(spec, worker)
+
+
+def _disturbs(spec, worker):
+    """Tell whether tasks with users would run beside tasks that fill processors."""
+    runs = worker.runs.values()
+    if spec.fills_idle_cpu:
+        return any(run.step.target_tail_ms for run in runs)
+    return bool(spec.target_tail_ms) and any(run.step.fills_idle_cpu for run in runs)
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -33,6 +33,8 @@
     the run that is counted there in its place; that one `is_carried_over`, and unless
     it is found there, its `earlier_loss`, if any, counts against its task.
     Of one that `was_begun_before` this owner came, `began_ms` is when it was found.
+    `gang_slowness` is that of the slowest worker on which its gang was started, 0 for
+    runs of no gang.
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -64,6 +66,7 @@
     successor: object = None
     is_carried_over: bool = False
     earlier_loss: object = None
+    gang_slowness: float = 0.0
 
     @born_epoch_ms.default
     def _life_of_worker(self):
@@ -85,11 +88,7 @@
 
         A gang ends with its slowest member.
         """
-        own = self.worker.slowness
-        if not self.step.gang:
-            return own
-        others = [run for task in self.task.step.tasks for run in task.runs]
-        return max([own, *(run.worker.slowness for run in others)])
+        return self.gang_slowness or self.worker.slowness
 
     @property
     def key(self):
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -11,6 +11,9 @@
 FENCES_PER_EPOCH = 1 << 20
 # A worker answers a look in 1.5 to 3.5 ms; one that was asked this long ago is silent.
 SILENT_MS = 100.0
+# Sound workers of one service differ by two to three times; one that is this many times
+# slower than the average is sick, also if it is always so.
+FAR_SLOWER = 4.0
 
 
 @define(kw_only=True, eq=False)
@@ -75,6 +78,19 @@
     trial: object = None
     slowness: float = 1.0
 
+    @property
+    def is_far_slower(self):
+        """Tell whether it is slower, for good, than sound workers differ by."""
+        return self.slowness > FAR_SLOWER
+
+    @property
+    def sound_slowness(self):
+        """Return how much longer than ordinary its runs take while it is sound.
+
+        What is far slower for good is judged as an ordinary worker that is sick.
+        """
+        return 1.0 if self.is_far_slower else self.slowness
+
     @property
     def machine(self):
         """Return what names the machine under it, over its lives."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_uneven_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_uneven_workers.py
@@ -7,9 +7,12 @@
 on a fast worker while one has room, and batch work leaves them that room.
 """
 
+from math import log
+
 import pytest
 
 from thymefork_cells.effects import StartRun
+from thymefork_cells.estimates import LearnedSpeed
 
 from .harness import job_spec
 from .uneven_site import FAST, UnevenSite
@@ -154,7 +157,7 @@
 
 
 @pytest.mark.parametrize("is_told", [True, False])
-def test_a_new_owner(is_told):
+def test_a_new_owner_places_by_speed_at_once_only_if_it_was_told(is_told):
     """With news it places by speed from its first task on; without, it learns anew."""
     site = WatchedSite(seed=7)
     site.load(12_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
@@ -176,6 +179,27 @@
     assert site.share_on_fast(later) >= 0.75
 
 
+def test_a_cell_takes_its_turns_when_all_workers_are_gone():
+    site = UnevenSite(seed=7)
+    site.load(12_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
+    assert site.cell.speeds.is_uneven
+    site.run(30_000.0)
+    site.change_list([])
+    for worker in site.workers.values():
+        worker.cut = True
+    site.run(60_000.0)
+    assert not site.cell.context.workers
+
+
+def test_speeds_are_kept_while_a_cell_has_no_work():
+    """Doubt grows meanwhile, but machines stay what they are."""
+    site = WatchedSite(seed=7)
+    site.load(12_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
+    site.run(300_000.0)
+    first = set(site.load(3_000.0, small=SMALL_GAP_MS))
+    assert site.share_on_fast(first) >= 0.85
+
+
 def test_a_worker_that_starts_again_under_its_id_keeps_its_speed():
     site = UnevenSite(seed=8)
     site.load(8_000.0, small=SMALL_GAP_MS)
@@ -188,6 +212,27 @@
     assert again.slowness == pytest.approx(before, rel=0.25)
 
 
+# A machine that is far slower for good ---------------------------------------
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_machine_that_is_far_slower_for_good_attracts_no_work(seed):
+    """As it was told by an owner before; others have room at this load."""
+    site = UnevenSite(seed=seed)
+    site.load(8_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
+    sick = next(name for name in site.workers if not site.is_fast(name))
+    machine = f"m-{sick}"
+    site.workers[sick].slow_factor = 15.0
+    site.told_speeds[machine] = LearnedSpeed(machine=machine, log_slowness=log(15.0))
+    site.dead = True
+    site.run(500)
+    site.take_over()
+    site.run(1_500)
+    sent = site.load(LOAD_MS, small=3 * SMALL_GAP_MS, batch=3 * BATCH_GAP_MS)
+    assert site.cell.context.workers[sick].slowness > 4.0
+    assert sick not in site.starts(set(sent))
+
+
 # Gangs ------------------------------------------------------------------------
 
 
@@ -210,3 +255,30 @@
     members = site.starts({"ffffffffffffffff"})
     assert len(members) == 6
     assert all(site.is_fast(name) for name in members)
+
+
+def test_members_of_a_gang_are_judged_alike_in_whatever_order_they_end():
+    """All end with the slowest, so the time of each is the slowest one's."""
+    site = UnevenSite(seed=1)
+    site.load(8_000.0, small=SMALL_GAP_MS, batch=BATCH_GAP_MS)
+    site.run(10_000.0)
+    step = {
+        "count": 36,
+        "cpu_milli": 6_000,
+        "memory_mb": 100,
+        "estimated_ms": 800,
+        "image": "g",
+        "gang": True,
+    }
+    site.submit("ffffffffffffffff", job_spec(step))
+    site.run(100.0)
+    runs = [
+        run for task in site.job("ffffffffffffffff").steps[0].tasks for run in task.runs
+    ]
+    slownesses = [run.worker.slowness for run in runs]
+    assert min(slownesses) < 1.0 < max(slownesses)
+    assert {run.slowness for run in runs} == {max(slownesses)}
+    for run in sorted(runs, key=lambda run: -run.worker.slowness):
+        run.task.runs.remove(run)  # its end is listed and applied
+        assert run.slowness == max(slownesses)
+    assert {run.slowness for run in runs} == {max(slownesses)}
--- a/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
@@ -141,6 +141,7 @@
             may_run_until_ms=may_run_until_ms,
             inherited_until_ms=worker.inherited_until_ms,
             look_due_ms=now_ms,
+            slowness=worker.slowness,
         )
 
     def stand_in_entry(self, worker):
@@ -166,6 +167,7 @@
             pace_told_percent=None,
             is_carried_over=True,
             earlier_loss=loss,
+            gang_slowness=run.gang_slowness,
         )
         task.runs[task.runs.index(run)] = run.successor
         successor.add(run.successor)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/watch.py
@@ -41,7 +41,7 @@
         if now_ms < worker.slow_until_ms:
             return
         paces = [
-            self._images.slowness(run)
+            self._images.overrun_factor(run)
             for run in worker.runs.values()
             if run.state is RunState.LIVE and run.listed_ms > now_ms - FRESH_MS
         ]
