--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -54,7 +54,7 @@
     return sorted(steps(order, now_ms), key=rank)
 
 
-def _by_class_alone(fit, worker):
+def _by_class_alone(fit, worker, *, is_remote=False):
     """Rate by speed alone: the first queue takes fast workers, others slow ones."""
     is_first = fit._fast_penalty == speed_fit.FAST_PENALTY_OF_FIRST
     points = speed_fit.FAST_PENALTY * log(worker.slowness)
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_worker_speeds.py
@@ -1,7 +1,7 @@
 """How soon, and how well, workers' speeds are learned from ends of runs alone."""
 
 import random
-from math import exp
+from math import exp, log
 from types import SimpleNamespace
 
 import pytest
@@ -203,6 +203,16 @@
     assert len(news.take(machines, 100, fleet.now_ms)) <= 5
 
 
+def test_machines_are_told_apart_by_how_far_they_are_off():
+    speeds = WorkerSpeeds()
+    told = {"m0": 0.0, "m1": log(1.5), "m2": -log(1.5), "m3": log(15.0)}
+    rows = [LearnedSpeed(machine=m, log_slowness=value) for m, value in told.items()]
+    speeds.inherit(rows, 0.0)
+    kinds = {machine: kind for machine, kind, _ in speeds.newly_notable(told)}
+    assert kinds == {"m1": "slow", "m2": "fast", "m3": "far_slower"}
+    assert not speeds.newly_notable(told)
+
+
 def test_machines_that_come_and_go_for_hours_are_bounded_and_finite():
     speeds, rng = WorkerSpeeds(), random.Random(1)
     for number in range(30_000):
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/worker_speeds.py
@@ -7,6 +7,7 @@
 
 from attrs import define
 
+from ..state.worker import FAR_SLOWER
 from .log_belief import LogBelief
 from .spread import RUN_VARIANCE
 
@@ -267,6 +268,8 @@
 
 
 def _kind(log_slowness):
+    if log_slowness > log(FAR_SLOWER):
+        return "far_slower"
     if log_slowness > NOTABLE:
         return "slow"
     return "fast" if log_slowness < -NOTABLE else "ordinary"
