--- a/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
@@ -9,7 +9,7 @@
 
 # The order of importance where workers are uneven: what disturbs tasks with users of
 # their own, and a worker that is likely bad; then the chance of being late (speed_fit),
-# since a late task is worth nothing to its caller wherever it runs; then one failure,
+# since a late task is worth little to its caller wherever it runs; then one failure,
 # which tasks have by their own fault; then the hall; then fast room that is kept, the
 # tightest fit and data on another rack. Data counts in the chance of being late, too.
 
