--- a/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_images.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/tests/test_images.py
@@ -1,7 +1,13 @@
 """What is kept of images' durations."""
 
+from types import SimpleNamespace
+
+import pytest
+
 from thymefork_cells.estimates import ImageTimes
 from thymefork_cells.estimates.images import MOST_IMAGES
+from thymefork_cells.specs import StepSpec, WorkerEntry
+from thymefork_cells.state import Run, RunState, Worker
 
 
 def test_images_seen_last_are_kept_and_no_more():
@@ -14,3 +20,42 @@
     assert images.known_ms(f"build-{3 * MOST_IMAGES - 1}") == 200.0
     assert images.known_ms("build-0") is None
     assert len(images._mean_ms) == MOST_IMAGES
+
+
+def run_at_half(slowness, after_ms):
+    """Return a run that is half done after a time, on a worker of a slowness."""
+    entry = WorkerEntry(
+        worker_id="w",
+        machine_id="m",
+        host="10.0.0.1",
+        port=1,
+        service="s",
+        hall="a",
+        cpu_milli=1,
+        memory_mb=1,
+    )
+    spec = StepSpec(image="i", estimated_ms=1_000)
+    return Run(
+        task=SimpleNamespace(step=SimpleNamespace(spec=spec)),
+        run_id=1,
+        worker=Worker(entry=entry, slowness=slowness),
+        state=RunState.LIVE,
+        began_ms=1.0,
+        percent=50,
+        first_percent=0,
+        first_listed_ms=1.0,
+        listed_ms=1.0 + after_ms,
+    )
+
+
+@pytest.mark.parametrize(
+    ("slowness", "factor"), [(1.0, 1.0), (2.0, 1.0), (4.0, 1.0), (15.0, 15.0)]
+)
+def test_what_is_usual_on_a_slow_worker_is_no_overrun_unless_it_is_sick(
+    slowness, factor
+):
+    images = ImageTimes()
+    images.learn("i", 1_000.0)
+    run = run_at_half(slowness, 500.0 * slowness)
+    assert images.overrun_factor(run) == pytest.approx(factor)
+    assert (images.late_ms(run, run.listed_ms) > 0) is (factor > 2.0)
--- a/packages/thymefork-cells/src/thymefork_cells/placing/tests/test_order_of_penalties.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/tests/test_order_of_penalties.py
@@ -10,6 +10,7 @@
 import pytest
 from attrs import evolve
 
+from thymefork_cells.placing.trials import Trials
 from thymefork_cells.placing.worker_choice import OTHER_HALL_PENALTY, fit_score
 from thymefork_cells.specs import StepSpec
 from thymefork_cells.state.worker_health import FAILURES_TO_QUARANTINE
@@ -83,6 +84,11 @@
         assert sound_score + OTHER_HALL_PENALTY < sick
 
 
+def test_a_suspected_task_is_tried_on_a_sound_worker_first():
+    step = SimpleNamespace(spec=SPEC, job=None)
+    assert Trials.rate(step, worker(1, SLOW)) < Trials.rate(step, worker(0, 15.0))
+
+
 def test_a_gang_takes_no_machine_that_is_far_slower_before_others():
     rate = fit(SLACK_MS, is_first=False).rate
     assert max(rate(worker(1, s)) for s in (SLOW, 1.0, FAST)) < rate(worker(0, 15.0))
--- a/packages/thymefork-cells/src/thymefork_cells/placing/trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/trials.py
@@ -82,7 +82,7 @@
     def rate(step, worker):
         """Rate a worker for a suspected task; the lowest is best: least is at risk."""
         score = _cpu_at_risk(worker, step.job) / max(1, worker.entry.cpu_milli)
-        if worker.health.failures_in_row:
+        if worker.is_last_choice:
             score += DOUBT_PENALTY
         rack = step.spec.preferred_rack
         if rack and rack != worker.entry.rack:
--- a/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
@@ -152,7 +152,7 @@
     if spec.accelerators and entry.accelerators:
         # Tasks that want all of a worker's need one that no single task has broken.
         points += (worker.free_accelerators - spec.accelerators) / entry.accelerators
-    if worker.health.failures_in_row or worker.is_far_slower:
+    if worker.is_last_choice:
         points += DOUBT_PENALTY
     if is_remote:
         points += REMOTE_PENALTY
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -83,6 +83,11 @@
         """Tell whether it is slower, for good, than sound workers differ by."""
         return self.slowness > FAR_SLOWER
 
+    @property
+    def is_last_choice(self):
+        """Tell whether it is to be given work only if no other has room."""
+        return self.health.failures_in_row > 0 or self.is_far_slower
+
     @property
     def sound_slowness(self):
         """Return how much longer than ordinary its runs take while it is sound.
