--- a/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/lives.py
@@ -136,6 +136,7 @@
             unlisted_ms=worker.unlisted_ms,
             inherited_until_ms=worker.inherited_until_ms,
             look_due_ms=now_ms,
+            slowness=worker.slowness,
         )
         self._long_holds.on_next_life(worker, successor, now_ms)
         return successor
@@ -163,6 +164,7 @@
             pace_told_percent=None,
             is_carried_over=True,
             earlier_loss=loss,
+            gang_slowness=run.gang_slowness,
         )
         task.runs[task.runs.index(run)] = run.successor
         successor.add(run.successor)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -225,3 +225,25 @@
     daemon.peers.withdraw_advice(link, [5])
     told = [message.withdrawn_calls for message in link.sent]
     assert told == ([[5]] if cells > 1 else [])
+
+
+def test_a_member_that_comes_is_told_what_it_has_missed_once(timers):
+    """News is told once in a while; who owns the cell next may have come since."""
+    daemon = make_daemon(timers, in_group=False, opened=[])
+    nothing = lambda *arguments: None
+    daemon.owned_cells = SimpleNamespace(on_peer_owns=nothing)
+    daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
+    daemon.heard_ends = SimpleNamespace(on_owner=nothing)
+    daemon.learned_speeds = SimpleNamespace(
+        take_untold=lambda: None, of_owners=lambda: ["all"]
+    )
+    desk = PeerDesk(daemon=daemon)
+    daemon.owners = {0: SimpleNamespace(epoch=1, is_serving=True)}
+    link = TalkingLink(Address(host="10.0.0.3", port=7000))
+    message = Heartbeat(owned=[], config_version=1, leaving=False, in_group=True)
+    for _ in range(3):
+        desk.on_message(link, message)
+        timers.run(300)
+    told = [beat.speeds for beat in link.sent]
+    assert told[0] == ["all"]
+    assert len(told) > 3 and not any(told[1:])
