Try workers of unknown speed where a queue's tasks may be late on the known ones

Symptom: after a takeover without news small jobs stayed on the few workers that were used first; all slow, these passed for ordinary, and fast ones idled.

Cause: the tightest fit prefers workers in use, and unevenness is judged on known workers alone. Ruled out: a preference for unknown workers at all times (alike workers must be chosen as before), and one by a single step's risk (callers' estimates are off: it moved starts on alike workers, which a test forbids).

Change: the risk of being late on an ordinary worker is followed by queue; above a fifth, known workers are rated worse than unknown ones, by less than another hall counts.

--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -8,6 +8,7 @@
 from .placing_notes import PlacingNotes
 from .speed_fit import SpeedFit
 from .step_order import StepOrder
+from .untried_fit import LateRisk, UntriedFit
 from .worker_choice import (
     WorkerRanking,
     best_hall,
@@ -47,6 +48,7 @@
         self._order = StepOrder(context=context, images=images)
         self._notes = PlacingNotes(context=context, advice=advice, quotas=quotas)
         self._advice = advice
+        self._risk = LateRisk()
         self._by_service = {}
         self._list_due_ms = 0.0
 
@@ -143,14 +145,17 @@
         return starts
 
     def _speed_fit(self, step, now_ms):
-        """Return what rates workers by their speed; None while they are alike."""
-        if not self._speeds.is_uneven:
-            return None
+        """Return what rates workers by speed; None where speed makes no difference."""
         chance = self._images.late_chance(step, now_ms)
         if chance is None:
             return None
-        is_first = self._context.is_most_urgent(step.job)
-        return SpeedFit(chance=chance, is_first=is_first)
+        if self._speeds.is_uneven:
+            is_first = self._context.is_most_urgent(step.job)
+            return SpeedFit(chance=chance, is_first=is_first)
+        queue_name = step.job.queue_name
+        self._risk.note(queue_name, chance.at(1.0))
+        is_wanted = self._risk.is_high(queue_name)
+        return UntriedFit(speeds=self._speeds) if is_wanted else None
 
     def _place_suspected(self, step, tasks, permitted, now_ms):
         """Try tasks under which workers were lost; return each with its worker."""
