Say tier, overloaded and MemberStatus throughout owners by capacity

Cause: code said tier where comments said rank, a load that was drowned where the log line says overload, and a word where a heartbeat is meant. Names only; the daemon's tests pass as before.

--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
@@ -1,7 +1,7 @@
 """How well an instance can own cells, and how much its cells ask of it now."""
 
 from .handover_rule import HandoverRule
-from .member_word import MemberWord
+from .member_status import MemberStatus
 from .owner_load import OwnerLoad, Pressure
 from .owning_capacity import OwningCapacity
 from .shedding import Sheddable, Shedding
@@ -9,7 +9,7 @@
 
 __all__ = [
     "HandoverRule",
-    "MemberWord",
+    "MemberStatus",
     "OwnerLoad",
     "OwningCapacity",
     "Pressure",
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_rule.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_rule.py
@@ -6,10 +6,10 @@
 
 # A member that comes back has joined, has links and knows the store by then.
 SETTLED_MS = 1_000.0
-# Others of a lower rank would be dealt the cell; they leave first, or have this long.
+# Others of a lower tier would be dealt the cell; they leave first, or have this long.
 OTHERS_LEAVE_MS = 2_000.0
 # An owner is overloaded for good, not by one burst, after this long.
-DROWNED_MS = 1_500.0
+OVERLOADED_MS = 1_500.0
 # A takeover is a load of its own, which is over by then.
 LEAST_HELD_MS = 5_000.0
 # A member that takes a cell from an overloaded one has at least this much less to do.
@@ -34,7 +34,7 @@
         self._left_ms = float("-inf")
         self._well_since_ms = None
         self._better_since_ms = None
-        self._drowned_since_ms = None
+        self._overloaded_since_ms = None
         self._owns_since_ms = None
 
     @property
@@ -49,63 +49,69 @@
         self._pause_ms = min(MOST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
         self._left_ms = now_ms
 
-    def reason(self, now_ms, *, owns, is_well, load, words):
+    def reason(self, now_ms, *, owns, is_well, load, statuses):
         """Return why to leave the group now, or None; called often by a member.
 
         `is_well` tells that the store answers and nothing here is half done.
         """
         self._follow(now_ms, owns=owns, is_well=is_well, load=load)
-        better = self._better_is_well(now_ms, words, owns=owns)
+        better = self._better_is_well(now_ms, statuses, owns=owns)
         self._better_since_ms = _since(self._better_since_ms, better, now_ms)
         if self._well_since_ms is None or now_ms - self._well_since_ms < SETTLED_MS:
             return None
-        if better and self._may_step_back(now_ms, words, owns=owns):
+        if better and self._may_step_back(now_ms, statuses, owns=owns):
             return "better_tier"
-        if owns and self._is_drowned(now_ms) and self._has_relief(now_ms, load, words):
+        if (
+            owns
+            and self._is_overloaded(now_ms)
+            and self._has_relief(now_ms, load, statuses)
+        ):
             return "overload"
         return None
 
-    def best_tier(self, now_ms, words):
-        """Return the best rank among members that are well, as far as was heard."""
+    def best_tier(self, now_ms, statuses):
+        """Return the best tier among members that are well, as far as was heard."""
         tiers = [
-            word.tier
-            for word in words
-            if word.tier is not None and word.is_well_for(SETTLED_MS, now_ms)
+            status.tier
+            for status in statuses
+            if status.tier is not None and status.is_well_for(SETTLED_MS, now_ms)
         ]
         return max(tiers, default=None)
 
     def _follow(self, now_ms, *, owns, is_well, load):
         self._well_since_ms = _since(self._well_since_ms, is_well, now_ms)
         self._owns_since_ms = _since(self._owns_since_ms, owns, now_ms)
-        drowned = owns and load.is_drowned
-        self._drowned_since_ms = _since(self._drowned_since_ms, drowned, now_ms)
+        overloaded = owns and load.is_overloaded
+        self._overloaded_since_ms = _since(
+            self._overloaded_since_ms, overloaded, now_ms
+        )
 
-    def _better_is_well(self, now_ms, words, *, owns):
-        """Tell whether a better member can own, by its own word or by an owner's."""
-        best = self.best_tier(now_ms, words)
+    def _better_is_well(self, now_ms, statuses, *, owns):
+        """Tell whether a better member can own, by its own heartbeat or an owner's."""
+        best = self.best_tier(now_ms, statuses)
         if best is not None and best > self._tier:
             return True
         if owns or self._tier == Tier.FULL:
             return False
         return any(
-            word.owns
-            and word.is_fresh(now_ms)
-            and word.best_tier is not None
-            and word.best_tier > self._tier
-            for word in words
+            status.owns
+            and status.is_fresh(now_ms)
+            and status.best_tier is not None
+            and status.best_tier > self._tier
+            for status in statuses
         )
 
-    def _may_step_back(self, now_ms, words, *, owns):
+    def _may_step_back(self, now_ms, statuses, *, owns):
         if not owns:
             return True
         if now_ms - self._better_since_ms < self._pause_ms_left(now_ms):
             return False
         others = any(
-            word.in_group
-            and word.tier is not None
-            and word.tier <= self._tier
-            and word.is_fresh(now_ms)
-            for word in words
+            status.in_group
+            and status.tier is not None
+            and status.tier <= self._tier
+            and status.is_fresh(now_ms)
+            for status in statuses
         )
         return not others or now_ms - self._better_since_ms > OTHERS_LEAVE_MS
 
@@ -113,21 +119,21 @@
         """Return for how long better members have to stay before the next handover."""
         return 0.0 if now_ms - self._left_ms > FORGET_MS else self._pause_ms
 
-    def _is_drowned(self, now_ms):
-        if self._drowned_since_ms is None or now_ms < self.rest_until_ms:
+    def _is_overloaded(self, now_ms):
+        if self._overloaded_since_ms is None or now_ms < self.rest_until_ms:
             return False
         if now_ms - self._owns_since_ms < LEAST_HELD_MS:
             return False
-        return now_ms - self._drowned_since_ms >= DROWNED_MS
+        return now_ms - self._overloaded_since_ms >= OVERLOADED_MS
 
-    def _has_relief(self, now_ms, load, words):
+    def _has_relief(self, now_ms, load, statuses):
         return any(
-            word.tier is not None
-            and word.tier >= self._tier
-            and not word.owns
-            and word.load_percent <= load.percent * LESS_LOAD
-            and word.is_well_for(SETTLED_MS, now_ms)
-            for word in words
+            status.tier is not None
+            and status.tier >= self._tier
+            and not status.owns
+            and status.load_percent <= load.percent * LESS_LOAD
+            and status.is_well_for(SETTLED_MS, now_ms)
+            for status in statuses
         )
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_word.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_status.py
@@ -4,18 +4,18 @@
 
 from .tier import Tier
 
-__all__ = ["MemberWord"]
+__all__ = ["MemberStatus"]
 
 # Two heartbeats and some; what was said before may not hold any more.
 FRESH_MS = 650.0
 
 
 @define(kw_only=True)
-class MemberWord:
+class MemberStatus:
     """Hold a peer's last heartbeat as far as it bears on who should own cells.
 
     `join_ms` is how long its last join took, 0 if it takes no part; `best_tier` is the
-    best rank that it knows among members that are well; `well_since_ms` is since when
+    best tier that it knows among members that are well; `well_since_ms` is since when
     each heartbeat has said that it can own, else None.
     """
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
@@ -19,8 +19,8 @@
 SMOOTHING_MS = 1_000.0
 # A process that was paused sees one late turn, which says nothing of the next ones.
 LONGEST_SPAN_MS = 200.0
-# Where an owner counts as drowned, and where no more.
-DROWNED_AT, DROWNED_UNTIL = 1.0, 0.5
+# Where an owner counts as overloaded, and where no more.
+OVERLOADED_AT, OVERLOADED_UNTIL = 1.0, 0.5
 
 
 @frozen(kw_only=True)
@@ -52,7 +52,7 @@
         self._append_ms = 0.0
         self.last = Pressure()
         self.value = 0.0
-        self.is_drowned = False
+        self.is_overloaded = False
 
     @property
     def percent(self):
@@ -79,8 +79,8 @@
             weight = 1.0 - math.exp(-min(span_ms, LONGEST_SPAN_MS) / SMOOTHING_MS)
             self.value += weight * (min(self.last.most, 2.0) - self.value)
         self._lag_ms = self._busy_ms = self._append_ms = 0.0
-        until = DROWNED_UNTIL if self.is_drowned else DROWNED_AT
-        self.is_drowned = self.value >= until
+        until = OVERLOADED_UNTIL if self.is_overloaded else OVERLOADED_AT
+        self.is_overloaded = self.value >= until
 
     def reset(self):
         """Begin anew, since nothing is owned any more."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owning_capacity.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owning_capacity.py
@@ -24,7 +24,7 @@
 
     A figure that is 0 is unknown and counts as enough: an operator who tells nothing
     of a link has instances that are told apart by what is told. The cell is as large
-    as cells are cut, not as it is now: workers come and go, and an instance's rank
+    as cells are cut, not as it is now: workers come and go, and an instance's tier
     may not change with them. Units: cores, megabits a second, megabytes.
     """
 
@@ -35,7 +35,7 @@
 
     @property
     def tier(self):
-        """Return the rank.
+        """Return the tier.
 
         The processor alone tells the least from the others: a cell that can't be
         decided in time serves nobody, one whose bytes wait serves late.
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/shedding.py
@@ -22,7 +22,7 @@
 
 
 # The load from which each kind is put off. The first costs nobody anything; the last
-# may cost a step the time of a call, which an owner that drowns costs everybody.
+# may cost a step the time of a call, which an overloaded owner costs everybody.
 FROM_LOAD = {
     Sheddable.LOG_LINES: 0.6,
     Sheddable.IDLE_LOOKS: 0.7,
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/tier.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/tier.py
@@ -1,4 +1,4 @@
-"""The ranks of instances as owners of cells."""
+"""The tiers of instances as owners of cells."""
 
 from enum import IntEnum
 
@@ -6,7 +6,7 @@
 
 
 class Tier(IntEnum):
-    """Rank instances by what they can hold; the numbers are sent to peers."""
+    """Sort instances by what they can hold; the numbers are sent to peers."""
 
     LEAST = 1
     PARTIAL = 2
--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -34,11 +34,11 @@
         return self._rule.rest_until_ms
 
     def best_tier(self):
-        """Return the best rank among members that are well, as far as was heard."""
-        return self._rule.best_tier(steady_ms(), self._words())
+        """Return the best tier among members that are well, as far as was heard."""
+        return self._rule.best_tier(steady_ms(), self._statuses())
 
-    def _words(self):
-        return self._daemon.peers.members_heard.words
+    def _statuses(self):
+        return self._daemon.peers.members_heard.statuses
 
     def _check(self):
         daemon = self._daemon
@@ -50,15 +50,15 @@
             owns=bool(daemon.owners),
             is_well=self._is_well(),
             load=daemon.owner_load.load,
-            words=self._words(),
+            statuses=self._statuses(),
         )
         if reason is not None:
             self._begin(reason)
 
     def _note_tiers(self):
-        """Have the standby know of better ranks that came after this instance."""
-        for word in self._words():
-            for tier in (word.tier if word.can_own else None, word.best_tier):
+        """Have the standby know of better tiers that came after this instance."""
+        for status in self._statuses():
+            for tier in (status.tier if status.can_own else None, status.best_tier):
                 if tier is not None:
                     self._daemon.layout.note_tier(tier)
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -12,7 +12,7 @@
 
 TOPIC = "keyed.layout"
 CELLS_KEY = "cells"
-# Says that instances above the least rank take part; each rank has a key of its own
+# Says that instances above the least tier take part; each tier has a key of its own
 # beside it, so that others know whom to wait for after a loss of all.
 LARGE_KEY = "large"
 TIER_KEYS = {Tier.PARTIAL: "partial", Tier.FULL: "full"}
@@ -28,7 +28,7 @@
 class Layout:
     """Read the number of cells, or be the one instance that writes it.
 
-    `tiers` are the ranks of which an instance has ever been there.
+    `tiers` are those of which an instance has ever been there.
     """
 
     def __init__(self, *, store, timers, most_cells, worker_list, tier, on_known):
@@ -54,11 +54,11 @@
 
     @property
     def best_tier(self):
-        """Return the best rank of which an instance has ever been there."""
+        """Return the best tier of which an instance has ever been there."""
         return max(self.tiers)
 
     def note_tier(self, tier):
-        """Take note of a rank that was heard of, perhaps new since the start."""
+        """Take note of a tier that was heard of, perhaps new since the start."""
         self.tiers.add(tier)
 
     def start(self):
@@ -104,19 +104,19 @@
         self._again()
 
     def _own_keys(self):
-        """Return the keys that say that instances of this one's rank take part."""
+        """Return the keys that say that instances of this one's tier take part."""
         own_key = TIER_KEYS.get(self._tier)
         return [LARGE_KEY, own_key] if own_key else []
 
     def _read_tiers(self, values):
-        """Take the ranks; who wrote before there were any wrote the first key alone."""
+        """Take the tiers; who wrote before there were any wrote the first key alone."""
         told = {tier for tier, key in TIER_KEYS.items() if values.get(key)}
         if values.get(LARGE_KEY) and not told:
             told = {Tier.PARTIAL}
         self.tiers = {Tier.LEAST, self._tier, *told}
 
     def _announce_tier(self):
-        """Write, once for the life of the system, that this rank takes part."""
+        """Write, once for the life of the system, that this tier takes part."""
         self._store.append(
             topic=TOPIC,
             partition=0,
--- a/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
@@ -4,31 +4,31 @@
 
 from thymefork_net import steady_ms
 
-from .capacity import MemberWord, Tier
+from .capacity import MemberStatus, Tier
 
 __all__ = ["MembersHeard"]
 
 
 class MembersHeard:
-    """Keep each peer's last word, by its address."""
+    """Keep each peer's last heartbeat, by its address."""
 
     def __init__(self):
-        self._words = {}
+        self._statuses = {}
 
     @property
-    def words(self):
-        """Return the last word of each peer that has a link to this instance."""
-        return list(self._words.values())
+    def statuses(self):
+        """Return the last heartbeat of each peer that has a link to this instance."""
+        return list(self._statuses.values())
 
     def on_heartbeat(self, address, message):
-        """Take a peer's word; one from before there were ranks tells none."""
+        """Take a peer's heartbeat; one from before there were tiers tells none."""
         if address is None:
             return  # a link whose Hello has not come
         now_ms = steady_ms()
         in_group = bool(message.in_group)
         can_own = in_group and not message.store_lost and not message.leaving
-        before = self._words.get(address)
-        self._words[address] = MemberWord(
+        before = self._statuses.get(address)
+        self._statuses[address] = MemberStatus(
             tier=Tier.read(message.tier),
             best_tier=Tier.read(message.best_tier),
             load_percent=message.load_percent or 0,
@@ -42,7 +42,7 @@
 
     def forget(self, address):
         """Drop a peer whose link broke."""
-        self._words.pop(address, None)
+        self._statuses.pop(address, None)
 
     def join_ms(self):
         """Return how long members' joins take in the middle, None if unknown.
@@ -50,14 +50,20 @@
         What takes longer here than for the others is this instance's own doing.
         """
         now_ms = steady_ms()
-        spans = [w.join_ms for w in self.words if w.join_ms and w.is_fresh(now_ms)]
+        spans = [
+            status.join_ms
+            for status in self.statuses
+            if status.join_ms and status.is_fresh(now_ms)
+        ]
         return median(spans) if spans else None
 
     def owner_tier(self):
-        """Return the best rank among owners that were heard lately, None if unknown."""
+        """Return the best tier among owners that were heard lately, None if unknown."""
         now_ms = steady_ms()
         tiers = [
-            word.tier for word in self.words if word.owns and word.is_fresh(now_ms)
+            status.tier
+            for status in self.statuses
+            if status.owns and status.is_fresh(now_ms)
         ]
         return max(tiers) if tiers and None not in tiers else None
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/standby.py
@@ -10,11 +10,11 @@
 
 __all__ = ["Standby"]
 
-# After a loss of all instances those of the best rank are back within about three
+# After a loss of all instances those of the best tier are back within about three
 # seconds.
 BETTER_RETURN_MS = 4_000.0
-# Each rank between leaves the one above it the time to join and to be listed.
-NEXT_RANK_MS = 1_500.0
+# Each tier between leaves the one above it the time to join and to be listed.
+NEXT_TIER_MS = 1_500.0
 # Where none is better than the least, this many take part: an owner, and two that can
 # judge its silence. More of them would only change the deal more often.
 LEAST_MEMBERS = 3
@@ -29,7 +29,7 @@
 class Standby:
     """Join at once, or in place of better members once those are missing.
 
-    `owner_tier()` is the best rank among the owners that are heard, None if unknown;
+    `owner_tier()` is the best tier among the owners that are heard, None if unknown;
     `rest_until_ms()` is until when an instance that handed over stays out.
     """
 
@@ -56,7 +56,7 @@
         self._has_joined = False
 
     def start(self):
-        """Join if no rank is better; else look for missing members from now on."""
+        """Join if no tier is better; else look for missing members from now on."""
         if self._tier is Tier.FULL:
             self._has_joined = True
             self._membership.start()
@@ -110,7 +110,7 @@
         better = sum(tier > self._tier for tier in self._layout.tiers)
         if not better:
             return self._share_ms
-        between_ms = (better - 1) * NEXT_RANK_MS
+        between_ms = (better - 1) * NEXT_TIER_MS
         return BETTER_RETURN_MS + between_ms + self._share_ms
 
     def _step_in(self, reason):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/group_of_instances.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/group_of_instances.py
@@ -75,7 +75,7 @@
 
 
 class FakeLayout:
-    """Know the ranks that were announced, and those that were heard of."""
+    """Know the tiers that were announced, and those that were heard of."""
 
     cells = 1
 
@@ -154,7 +154,7 @@
 
 
 class Group:
-    """Any number of instances of several ranks, with one cell."""
+    """Any number of instances of several tiers, with one cell."""
 
     def __init__(self, timers, *, full=2, partial=2, least=3, known=None):
         self.timers = timers
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -1,6 +1,6 @@
 """Cells go to members that are better placed, and back no more often than it is worth.
 
-The failure is the loss of all instances of the best rank: others stand in, and leave
+The failure is the loss of all instances of the best tier: others stand in, and leave
 once those are back. The load is an owner that can't follow while another could.
 """
 
@@ -15,7 +15,7 @@
     standby as standby_module,
 )
 from thymefork_daemon.capacity import Tier
-from thymefork_daemon.standby import BETTER_RETURN_MS, NEXT_RANK_MS, SPREAD_MS
+from thymefork_daemon.standby import BETTER_RETURN_MS, NEXT_TIER_MS, SPREAD_MS
 from thymefork_net.peers import Heartbeat
 
 from .group_of_instances import STEP_MS, Group
@@ -35,10 +35,10 @@
     return group
 
 
-def drown(instance):
+def overload(instance):
     """Have an owner that can't follow."""
     load = instance.owner_load.load
-    load.value, load.is_drowned = 1.5, True
+    load.value, load.is_overloaded = 1.5, True
 
 
 def relieve(instance):
@@ -46,13 +46,13 @@
     instance.owner_load.load.reset()
 
 
-def test_only_the_best_rank_takes_part_while_it_is_there(group):
+def test_only_the_best_tier_takes_part_while_it_is_there(group):
     group.run(30_000)
     assert set(group.members) == set(group.of(Tier.FULL))
     assert not group.handovers
 
 
-def test_the_next_rank_stands_in_within_the_standby_s_time(group):
+def test_the_next_tier_stands_in_within_the_standby_s_time(group):
     group.lose(group.of(Tier.FULL))
     group.run(int(BETTER_RETURN_MS) - 100)
     assert not group.members
@@ -64,7 +64,7 @@
 
 def test_the_least_stand_in_where_nobody_else_is_left(group):
     group.lose(group.of(Tier.FULL) + group.of(Tier.PARTIAL))
-    group.run(int(BETTER_RETURN_MS + NEXT_RANK_MS + SPREAD_MS) + 300)
+    group.run(int(BETTER_RETURN_MS + NEXT_TIER_MS + SPREAD_MS) + 300)
     assert group.owner.tier is Tier.LEAST
 
 
@@ -83,7 +83,7 @@
     assert len(group.owners_seen) == seen
 
 
-def test_a_middle_rank_takes_over_from_the_least(group):
+def test_a_middle_tier_takes_over_from_the_least(group):
     group.lose(group.of(Tier.FULL) + group.of(Tier.PARTIAL))
     group.run(9_000)
     assert group.owner.tier is Tier.LEAST
@@ -138,39 +138,39 @@
     assert group.owner is stand_in and not stand_in.told
 
 
-def test_a_drowned_owner_gives_its_cell_to_one_of_its_rank(group):
+def test_an_overloaded_owner_gives_its_cell_to_one_of_its_rank(group):
     group.run(5_000)
     first = group.owner
-    drown(first)
+    overload(first)
     group.run(3_000)
     assert group.owner in group.of(Tier.FULL) and group.owner is not first
     assert group.handovers == ["overload"]
 
 
-def test_a_drowned_owner_without_relief_stays(timers, shares):
+def test_an_overloaded_owner_without_relief_stays(timers, shares):
     group = Group(timers, full=1)
     group.run(8_000)
-    drown(group.owner)
+    overload(group.owner)
     group.run(30_000)
     assert group.owner.tier is Tier.FULL and not group.handovers
 
 
-def test_two_that_drown_in_turn_do_not_pass_the_cell_to_and_fro(group):
-    """A cell that drowns every owner costs no takeover every few seconds as well."""
+def test_two_that_are_overloaded_in_turn_do_not_pass_the_cell_to_and_fro(group):
+    """A cell that overloads every owner costs no takeover every few seconds as well."""
     group.run(5_000)
     for _ in range(600):
         for instance in group.instances:
             relieve(instance)
         if group.owner is not None:
-            drown(group.owner)
+            overload(group.owner)
         group.run(100)
     assert len(group.handovers) <= 8  # in a minute
 
 
-def test_a_drowned_owner_rests_and_takes_part_again(group):
+def test_an_overloaded_owner_rests_and_takes_part_again(group):
     group.run(5_000)
     first = group.owner
-    drown(first)
+    overload(first)
     group.run(3_000)
     relieve(first)
     assert first not in group.members
@@ -178,7 +178,7 @@
     assert first in group.members and group.owner is not first
 
 
-def test_peers_that_know_no_ranks_are_left_alone(group):
+def test_peers_that_know_no_tiers_are_left_alone(group):
     """In a roll old instances tell none; nobody leaves the group for them."""
     stand_in = group.of(Tier.PARTIAL)[0]
     group.lose(group.of(Tier.FULL))
@@ -205,7 +205,7 @@
 
 
 def test_with_a_third_cut_from_the_store_the_best_that_are_left_own(timers, shares):
-    """The owner is among those cut off; no lower rank gets a turn, then or later."""
+    """The owner is among those cut off; no lower tier gets a turn, then or later."""
     group = Group(timers, full=3, partial=3, least=6)
     group.run(3_000)
     first = group.owner
@@ -225,7 +225,7 @@
     group.run(5_000)
     first = group.owner
     first.owners[0].store_is_away = True
-    drown(first)
+    overload(first)
     group.run(5_000)
     assert group.owner is first
     first.owners[0].store_is_away = False
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_layout.py
@@ -124,7 +124,7 @@
     return layout
 
 
-def test_each_rank_says_that_it_takes_part(store, timers):
+def test_each_tier_says_that_it_takes_part(store, timers):
     start_tier(store, timers, Tier.FULL)
     start_tier(store, timers, Tier.PARTIAL)
     least = start_tier(store, timers, Tier.LEAST)
@@ -139,7 +139,7 @@
     assert all(layout.best_tier is Tier.PARTIAL for layout in layouts)
 
 
-def test_a_layout_from_before_there_were_ranks_is_read(store, timers):
+def test_a_layout_from_before_there_were_tiers_is_read(store, timers):
     """The least wait for large ones as before; those above add their own key."""
     store.values = {"large": b"true", "cells": b'{"cells": 1}'}
     assert start_tier(store, timers, Tier.LEAST).best_tier is Tier.PARTIAL
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_members_heard.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_members_heard.py
@@ -33,7 +33,7 @@
 
 
 def is_well(heard, timers):
-    return heard.words[0].is_well_for(900.0, timers.now_ms)
+    return heard.statuses[0].is_well_for(900.0, timers.now_ms)
 
 
 def test_a_member_is_well_once_it_has_said_so_for_a_while(heard, timers):
@@ -61,7 +61,7 @@
     assert not is_well(heard, timers)
 
 
-def test_the_rank_of_an_owner_is_known_only_if_it_tells_one(heard, timers):
+def test_the_tier_of_an_owner_is_known_only_if_it_tells_one(heard, timers):
     assert heard.owner_tier() is None
     say(heard, timers, 1, owns=True, tier=1)
     assert heard.owner_tier() is Tier.LEAST
@@ -80,4 +80,4 @@
 
 def test_a_link_without_a_hello_says_nothing_of_a_member(heard):
     heard.on_heartbeat(None, beat(tier=3))
-    assert not heard.words
+    assert not heard.statuses
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owner_load.py
@@ -42,17 +42,17 @@
 
 def test_a_usual_load_puts_nothing_off(owner):
     assert set(owner.run(10_000, lag_ms=10.0, busy=0.4, append_ms=20.0)) == {()}
-    assert not owner.load.is_drowned
+    assert not owner.load.is_overloaded
 
 
 def test_what_matters_least_is_put_off_first_and_taken_up_last(owner):
     rising = owner.run(5_000, lag_ms=250.0)
     order = list(dict.fromkeys(rising))
     assert order == [(), *(tuple(Sheddable)[:n] for n in (1, 2, 3))]
-    assert owner.load.is_drowned
+    assert owner.load.is_overloaded
     falling = owner.run(5_000)
     assert falling[-1] == ()
-    assert not owner.load.is_drowned
+    assert not owner.load.is_overloaded
     assert [len(kinds) for kinds in falling] == sorted(
         (len(kinds) for kinds in falling), reverse=True
     )
@@ -67,15 +67,15 @@
         {"queued": 150_000},  # 240 ms of the link
     ],
 )
-def test_each_of_lag_processor_appends_and_queues_drowns_an_owner(sight):
+def test_each_of_lag_processor_appends_and_queues_overloads_an_owner(sight):
     owner = Owner(link_mbps=5.0)
     owner.run(8_000, **sight)
-    assert owner.load.is_drowned
+    assert owner.load.is_overloaded
 
 
 def test_a_single_burst_is_no_overload(owner):
     owner.run(200, lag_ms=300.0, busy=1.0)
-    assert not owner.load.is_drowned
+    assert not owner.load.is_overloaded
 
 
 def test_a_store_that_is_slow_for_all_is_not_the_owner_s_doing(owner):
@@ -94,11 +94,11 @@
 def test_where_nothing_is_owned_any_more_the_load_is_gone(owner):
     owner.run(5_000, lag_ms=300.0)
     owner.load.reset()
-    assert not owner.load.percent and not owner.load.is_drowned
+    assert not owner.load.percent and not owner.load.is_overloaded
 
 
 def test_a_pause_of_the_process_alone_is_no_overload(owner):
     owner.now_ms += 4_000.0
     owner.run(100, lag_ms=4_000.0)
-    assert not owner.load.is_drowned
+    assert not owner.load.is_overloaded
     assert owner.run(2_000)[-1] == ()
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owning_capacity.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_owning_capacity.py
@@ -55,5 +55,5 @@
 
 
 @pytest.mark.parametrize("number", [None, 0, 4, -1])
-def test_a_rank_that_is_not_known_is_none(number):
+def test_a_tier_that_is_not_known_is_none(number):
     assert Tier.read(number) is None
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -34,11 +34,11 @@
   4: optional bool in_group
   /* The sender's joins are not answered: its cells should pass to another. */
   5: optional bool store_lost
-  /* How well the sender can own cells, 1 to 3; missing where it knows no ranks. */
+  /* How well the sender can own cells, 1 to 3; missing where it knows no tiers. */
   6: optional i32 tier
   /* The sender's load as an owner, in percent of what is bearable. */
   7: optional i32 load_percent
-  /* The best rank among the members that the sender has heard to be well. */
+  /* The best tier among the members that the sender has heard to be well. */
   8: optional i32 best_tier
   /* How long the sender's last join took; 0 or missing from who is no member. */
   9: optional i32 join_ms
