Members join again after the leave of who gave a cell up

Cause: who hands over says that it owns nothing once it has decided so; a heartbeat in between had the members join before the leave was carried out, and the one after it, which alone brings the cell, hurried nobody. The next regular join is up to 280 ms off.

Ruled out: joins at fixed moments after the first (30 and 90 ms): a leave over a full link takes longer. Who merely was dealt away a cell stays in the group; one join does.

Change: for 600 ms after a peer gave a cell up, each heartbeat by which it is no member hurries a join.

--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_desk.py
@@ -26,6 +26,8 @@
 # While too few members are known, the group is read this often: a newcomer may have
 # read it before the others had joined.
 FIND_NEIGHBOURS_MS = 2_000.0
+# The answer to a leave, over a full link or from a slow store, comes within this.
+LEAVE_MOST_MS = 600.0
 
 
 class PeerDesk:
@@ -36,6 +38,7 @@
         self.members_heard = MembersHeard()
         self._member_links = set()
         self._owned_by_link = {}
+        self._gave_up_ms = {}
         self._without_store = set()
         self._leaving = set()
         self._neighbours_due_ms = 0.0
@@ -165,12 +168,24 @@
         if self._owner_watch is not None:
             self._owner_watch.on_heartbeat(link, message)
         owned = {owned.cell for owned in message.owned}
+        gives_up = bool(self._owned_by_link.get(link, set()) - owned)
+        if gives_up:
+            self._gave_up_ms[link] = steady_ms()
         has_left = message.leaving and not owned
-        if has_left or self._owned_by_link.get(link, set()) - owned:
+        if gives_up or has_left or self._is_leaving_group(link, message):
             # A cell was given up: the next join brings it to its new owner.
             self._daemon.membership.hurry()
         self._owned_by_link[link] = owned
 
+    def _is_leaving_group(self, link, message):
+        """Tell whether this may be who gave a cell up, saying that the store took it.
+
+        It says that it owns nothing once it decided so, and again when the leave was
+        carried out, which alone has the next join bring the cell.
+        """
+        gave_up_ms = self._gave_up_ms.get(link, float("-inf"))
+        return not message.in_group and steady_ms() - gave_up_ms < LEAVE_MOST_MS
+
     def _advise(self, link, message):
         def answer(tickets, valid_ms):
             rows = [
@@ -205,6 +220,7 @@
         self._member_links.discard(link)
         self.members_heard.forget(link.listener_address)
         self._owned_by_link.pop(link, None)
+        self._gave_up_ms.pop(link, None)
         self._daemon.gateway.on_link_broken(link)
         if link.was_refused:
             self._daemon.directory.remove_dead(link.address)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_desk.py
@@ -145,3 +145,39 @@
     daemon.membership.in_group = True
     timers.run(300)
     assert asked
+
+
+@pytest.mark.parametrize("in_group_after, hurries", [(False, 2), (True, 1)])
+def test_members_join_again_after_the_leave_of_who_gave_a_cell_up(
+    timers, in_group_after, hurries
+):
+    """A heartbeat between the decision to leave and the store's answer tells of it.
+
+    The join that follows the first comes too soon, so the one after the leave counts.
+    Who merely was dealt away a cell stays in the group, and one join is enough.
+    """
+    daemon = make_daemon(timers, in_group=True, opened=[])
+    hurried = []
+    daemon.membership.hurry = lambda: hurried.append(timers.now_ms)
+    nothing = lambda *arguments: None
+    daemon.owned_cells = SimpleNamespace(on_peer_owns=nothing)
+    daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
+    daemon.heard_ends = SimpleNamespace(on_owner=nothing)
+    desk = PeerDesk(daemon=daemon)
+    link = FakeLink(daemon.directory.owner_of(0))
+
+    def beat(*cells, in_group):
+        owned = [OwnedCell(cell=cell, epoch=1) for cell in cells]
+        message = Heartbeat(owned=owned, config_version=1, in_group=in_group)
+        desk.on_message(link, message)
+
+    beat(0, in_group=True)
+    beat(in_group=in_group_after)
+    timers.run(50)
+    left_ms = timers.now_ms
+    beat(in_group=in_group_after)
+    assert len(hurried) == hurries
+    assert (hurried[-1] >= left_ms) is not in_group_after
+    timers.run(1_000)
+    beat(in_group=in_group_after)
+    assert len(hurried) == hurries
