One way out of the group; handovers that look again, joins that stop

A handover that waited for the store left though the better member had gone. Two owners overloaded at once left for the same member. A stand-in amid a long takeover never made way. A standby stepped in on a count of members read before a pause or an outage. Who handed over went on reading the list of workers. A join whose hedge was answered was taken for over, and one carried out after the leave had the cell dealt to nobody. An error in telling ends left a handover half done.

Ruled out: that no overloaded owner leaves while another owner of its tier is at 100. The store deals evenly, so where a member is without a cell nobody is dealt two; with this condition two overloaded owners would both stay beside a member that is free. A limit of one second on the age of a count: with a store that takes 0.6 s nobody would step in.

Change: Departure tells, ends and leaves for both Handover and Shutdown, each step though one before it raised. HandoverRule.still_holds is asked while a handover waits; overload hands over one cell at a time, the most loaded owner first, none while a cell is unserved. A leave may be for good, and a standby that stops joins no more. The rule forgets on a leave what it followed before. owner_handovers counts handovers of cells alone (owner_handovers_given_up what came to nothing); an instance without one logs stands_by_again.

--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
@@ -2,6 +2,7 @@
 
 from .handover_rule import HandoverRule
 from .member_status import MemberStatus
+from .own_status import OwnStatus
 from .owner_load import OwnerLoad, Pressure
 from .owning_capacity import OwningCapacity
 from .shedding import Sheddable, Shedding
@@ -10,6 +11,7 @@
 __all__ = [
     "HandoverRule",
     "MemberStatus",
+    "OwnStatus",
     "OwnerLoad",
     "OwningCapacity",
     "Pressure",
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_rule.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_rule.py
@@ -28,8 +28,9 @@
     is owner, and one that comes and goes costs a takeover each time.
     """
 
-    def __init__(self, *, tier):
+    def __init__(self, *, tier, address):
         self._tier = tier
+        self._address = address
         self._pause_ms = 0.0
         self._left_ms = float("-inf")
         self._well_since_ms = None
@@ -48,27 +49,32 @@
             self._pause_ms = 0.0
         self._pause_ms = min(MOST_PAUSE_MS, max(FIRST_PAUSE_MS, 2 * self._pause_ms))
         self._left_ms = now_ms
+        self._well_since_ms = self._better_since_ms = None
+        self._overloaded_since_ms = self._owns_since_ms = None
 
-    def reason(self, now_ms, *, owns, is_well, load, statuses):
-        """Return why to leave the group now, or None; called often by a member.
-
-        `is_well` tells that the store answers and nothing here is half done.
-        """
-        self._follow(now_ms, owns=owns, is_well=is_well, load=load)
-        better = self._better_is_well(now_ms, statuses, owns=owns)
+    def reason(self, now_ms, *, own, statuses):
+        """Return why to leave the group now, or None; called often by a member."""
+        self._follow(now_ms, own)
+        better = self._better_is_well(now_ms, statuses, owns=own.owns)
         self._better_since_ms = _since(self._better_since_ms, better, now_ms)
         if self._well_since_ms is None or now_ms - self._well_since_ms < SETTLED_MS:
             return None
-        if better and self._may_step_back(now_ms, statuses, owns=owns):
+        if better and self._may_step_back(now_ms, statuses, owns=own.owns):
             return "better_tier"
-        if (
-            owns
-            and self._is_overloaded(now_ms)
-            and self._has_relief(now_ms, load, statuses)
-        ):
+        is_overloaded = own.serves and self._is_overloaded(now_ms)
+        if is_overloaded and self._has_relief(now_ms, own, statuses):
             return "overload"
         return None
 
+    def still_holds(self, reason, now_ms, *, own, statuses):
+        """Tell whether the cells are still better given away for this reason."""
+        if not own.may_hand_over:
+            return False
+        if reason == "better_tier":
+            return self._better_is_well(now_ms, statuses, owns=own.owns)
+        is_overloaded = own.owns and own.serves and own.load.is_overloaded
+        return is_overloaded and self._has_relief(now_ms, own, statuses)
+
     def best_tier(self, now_ms, statuses):
         """Return the best tier among members that are well, as far as was heard."""
         tiers = [
@@ -78,10 +84,10 @@
         ]
         return max(tiers, default=None)
 
-    def _follow(self, now_ms, *, owns, is_well, load):
-        self._well_since_ms = _since(self._well_since_ms, is_well, now_ms)
-        self._owns_since_ms = _since(self._owns_since_ms, owns, now_ms)
-        overloaded = owns and load.is_overloaded
+    def _follow(self, now_ms, own):
+        self._well_since_ms = _since(self._well_since_ms, own.may_hand_over, now_ms)
+        self._owns_since_ms = _since(self._owns_since_ms, own.owns, now_ms)
+        overloaded = own.owns and own.load.is_overloaded
         self._overloaded_since_ms = _since(
             self._overloaded_since_ms, overloaded, now_ms
         )
@@ -126,17 +132,40 @@
             return False
         return now_ms - self._overloaded_since_ms >= OVERLOADED_MS
 
-    def _has_relief(self, now_ms, load, statuses):
+    def _has_relief(self, now_ms, own, statuses):
+        """Tell whether a member without a cell could take one, and it is our turn.
+
+        Owners that are overloaded at once leave one after the other: the store deals
+        evenly, so two that leave for one member would burden it with both cells.
+        """
+        fresh = [status for status in statuses if status.is_fresh(now_ms)]
+        if not _all_are_served(own, fresh) or not self._is_first(own.load, fresh):
+            return False
         return any(
             status.tier is not None
             and status.tier >= self._tier
             and not status.owns
-            and status.load_percent <= load.percent * LESS_LOAD
+            and status.load_percent <= own.load.percent * LESS_LOAD
             and status.is_well_for(SETTLED_MS, now_ms)
-            for status in statuses
+            for status in fresh
+        )
+
+    def _is_first(self, load, fresh):
+        """Tell whether no other owner has more to do; one of two equals is first."""
+        own = (-load.percent, self._address)
+        return all(
+            own < (-status.load_percent, status.address)
+            for status in fresh
+            if status.owns
         )
 
 
+def _all_are_served(own, fresh):
+    """Tell whether no cell is on its way to a member that does not say so yet."""
+    served = own.owned.union(*(status.owned for status in fresh))
+    return served.issuperset(range(own.cells))
+
+
 def _since(since_ms, holds, now_ms):
     """Return since when something holds, None if it does not."""
     if not holds:
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_status.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/member_status.py
@@ -14,21 +14,28 @@
 class MemberStatus:
     """Hold a peer's last heartbeat as far as it bears on who should own cells.
 
-    `join_ms` is how long its last join took, 0 if it takes no part; `best_tier` is the
-    best tier that it knows among members that are well; `well_since_ms` is since when
-    each heartbeat has said that it can own, else None.
+    `owned` are the cells that it serves; `join_ms` is how long its last join took, 0 if
+    it takes no part; `best_tier` is the best tier that it knows among members that are
+    well; `well_since_ms` is since when each heartbeat has said that it can own, else
+    None.
     """
 
+    address: str
     tier: Tier | None
     best_tier: Tier | None
     load_percent: int
     in_group: bool
     can_own: bool
-    owns: bool
+    owned: frozenset[int]
     join_ms: float
     heard_ms: float
     well_since_ms: float | None
 
+    @property
+    def owns(self):
+        """Tell whether it serves a cell."""
+        return bool(self.owned)
+
     def is_fresh(self, now_ms):
         """Tell whether it was said a moment ago."""
         return now_ms - self.heard_ms < FRESH_MS
--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owning_capacity.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owning_capacity.py
@@ -6,8 +6,8 @@
 
 __all__ = ["OwningCapacity"]
 
-# What a busy owner uses for each worker of its cell, as measured (docs/CAPACITY.md):
-# 0.4 of a core and 0.75 MB/s, both ways together, at 200 workers.
+# What deciding for one worker uses; docs/CAPACITY.md says how to find it for other
+# hardware. The link carries both ways together.
 CORES_MILLI_PER_WORKER = 2.0
 LINK_MBPS_PER_WORKER = 0.03
 MEMORY_MB_PER_WORKER = 0.15
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -81,7 +81,9 @@
             listener=self.peers,
         )
         self.owner_load = OwnerLoadWatch(daemon=self, link_mbps=settings.link_mbps)
-        self.handover = Handover(daemon=self, tier=self.capacity.tier)
+        self.handover = Handover(
+            daemon=self, tier=self.capacity.tier, address=settings.peer
+        )
         self.readiness = Readiness(daemon=self)
         self.gateway = Gateway(daemon=self)
         self.front = Front(daemon=self)
@@ -161,6 +163,7 @@
             tier=self.capacity.tier,
             owner_tier=lambda: self.peers.members_heard.owner_tier(),
             rest_until_ms=lambda: self.handover.rest_until_ms,
+            is_stopping=lambda: self.is_stopping,
         )
 
     @property
--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -4,15 +4,13 @@
 
 from thymefork_net import steady_ms
 
-from .capacity import HandoverRule
+from .capacity import HandoverRule, OwnStatus
+from .departure import LEAVE_AGAIN_MS, STORE_MOST_MS, Departure
 from .membership import SLOW_JOIN_MS
 
 __all__ = ["Handover"]
 
 CHECK_MS = 100.0
-# Two appends; a busy owner always has something to store, and tells what is left.
-STORE_MOST_MS = 500.0
-LEAVE_AGAIN_MS = 5.0
 # The answer to a join that is under way: carried out after the leave, it would have
 # this instance dealt a cell that it does not look after.
 JOIN_MOST_MS = 200.0
@@ -21,9 +19,10 @@
 class Handover:
     """Leave the group while others own better; the standby comes back when needed."""
 
-    def __init__(self, *, daemon, tier):
+    def __init__(self, *, daemon, tier, address):
         self._daemon = daemon
-        self._rule = HandoverRule(tier=tier)
+        self._departure = Departure(daemon=daemon)
+        self._rule = HandoverRule(tier=tier, address=str(address))
         self._reason = None
         self._began_ms = 0.0
         daemon.timers.every(CHECK_MS, self._check)
@@ -40,21 +39,31 @@
     def _statuses(self):
         return self._daemon.peers.members_heard.statuses
 
+    @property
+    def is_under_way(self):
+        """Tell whether this instance has decided to leave and not left yet."""
+        return self._reason is not None
+
     def _check(self):
-        daemon = self._daemon
         self._note_tiers()
-        if self._reason is not None or not daemon.membership.in_group:
+        if not self._daemon.membership.in_group:
             return
         reason = self._rule.reason(
-            steady_ms(),
-            owns=bool(daemon.owners),
-            is_well=self._is_well(),
-            load=daemon.owner_load.load,
-            statuses=self._statuses(),
+            steady_ms(), own=self._own_status(), statuses=self._statuses()
         )
-        if reason is not None:
+        if reason is not None and not self.is_under_way:
             self._begin(reason)
 
+    def _own_status(self):
+        daemon = self._daemon
+        return OwnStatus(
+            cells=daemon.layout.cells,
+            owned=frozenset(daemon.owners),
+            may_hand_over=self._may_hand_over(),
+            serves=all(owner.is_serving for owner in daemon.owners.values()),
+            load=daemon.owner_load.load,
+        )
+
     def _note_tiers(self):
         """Have the standby know of better tiers that came after this instance."""
         for status in self._statuses():
@@ -62,8 +71,8 @@
                 if tier is not None:
                     self._daemon.layout.note_tier(tier)
 
-    def _is_well(self):
-        """Tell whether the store answers and no takeover is under way.
+    def _may_hand_over(self):
+        """Tell whether the store takes what there is to store, and this goes on.
 
         An owner whose link is full has slow appends, so slow ones don't hold it here.
         """
@@ -72,8 +81,7 @@
             return False
         if self._store_is_slow():
             return False
-        owners = daemon.owners.values()
-        return all(owner.is_serving and not owner.store_is_away for owner in owners)
+        return not any(owner.store_is_away for owner in daemon.owners.values())
 
     def _store_is_slow(self):
         """Tell whether the store is slow for all, not for this instance alone.
@@ -107,37 +115,42 @@
         )
 
     def _go_on(self):
-        """Leave once all is stored; stay where the store went away meanwhile."""
-        if not self._is_well():
-            self._line("handover_given_up").info("the store went away, or this stops")
-            self._reason = None
+        """Leave once all is stored, if the reason to still holds."""
+        if not self._still_holds():
+            self._give_up()
         elif self._has_to_wait():
             self._daemon.timers.after(LEAVE_AGAIN_MS, self._go_on)
         else:
             self._leave()
 
+    def _still_holds(self):
+        return self._rule.still_holds(
+            self._reason, steady_ms(), own=self._own_status(), statuses=self._statuses()
+        )
+
+    def _give_up(self):
+        self._daemon.metrics.count("owner_handovers_given_up", self._reason)
+        why = "nobody is better placed any more"
+        if not self._may_hand_over():
+            why = "the store went away, or this stops"
+        self._line("handover_given_up").info("{}", why)
+        self._reason = None
+
     def _has_to_wait(self):
         spent_ms = steady_ms() - self._began_ms
-        owners = self._daemon.owners.values()
-        if spent_ms < STORE_MOST_MS and any(owner.has_unstored for owner in owners):
+        if spent_ms < STORE_MOST_MS and self._departure.has_unstored:
             return True
         is_asking = self._daemon.membership.is_asking
         return is_asking and spent_ms < STORE_MOST_MS + JOIN_MOST_MS
 
     def _leave(self):
-        daemon = self._daemon
-        reason = self._reason
-        daemon.metrics.count("owner_handovers", reason)
-        self._line("handed_over").info("{}", reason)
+        reason, daemon = self._reason, self._daemon
+        if daemon.owners:
+            daemon.metrics.count("owner_handovers", reason)
+            self._line("handed_over").info("{}", reason)
+        else:
+            self._line("stands_by_again").info("{}", reason)
+        self._reason = None
         self._rule.on_left(steady_ms())
-        for owner in list(daemon.owners.values()):
-            owner.tell_ends()
-            owner.end(f"handed over: {reason}")
-        daemon.owners.clear()
-        daemon.membership.leave(self._on_left)
         daemon.standby.on_left()
-        self._reason = None
-
-    def _on_left(self, answer):
-        self._daemon.peers.send_heartbeats()
-        self._daemon.directory.refresh()
+        self._departure.leave(f"handed over: {reason}", for_good=False)
--- a/packages/thymefork-daemon/src/thymefork_daemon/layout.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/layout.py
@@ -46,8 +46,8 @@
         """Return the partition that a cell is dealt by.
 
         Members are dealt blocks of partitions; spread over all of them, the cells
-        come to different members. A newcomer was seen to be dealt the first ones and
-        the earliest member to keep the last, so cells begin at the end: an owner
+        come to different members. The store deals newcomers the first partitions and
+        leaves the last to the earliest member, so cells begin at the end: an owner
         then keeps its cell while others come and go.
         """
         return self._most_cells - 1 - cell * self._most_cells // max(1, self.cells)
--- a/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/members_heard.py
@@ -29,12 +29,13 @@
         can_own = in_group and not message.store_lost and not message.leaving
         before = self._statuses.get(address)
         self._statuses[address] = MemberStatus(
+            address=str(address),
             tier=Tier.read(message.tier),
             best_tier=Tier.read(message.best_tier),
             load_percent=message.load_percent or 0,
             in_group=in_group,
             can_own=can_own,
-            owns=bool(message.owned),
+            owned=frozenset(owned.cell for owned in message.owned),
             join_ms=float(message.join_ms or 0) if can_own else 0.0,
             heard_ms=now_ms,
             well_since_ms=_well_since(before, now_ms) if can_own else None,
--- a/packages/thymefork-daemon/src/thymefork_daemon/membership.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/membership.py
@@ -42,7 +42,7 @@
 # The store is away for all instances or for some. One whose joins were not answered
 # until a moment ago can't tell which, and judges no owner for this long, within which
 # the others' next joins and the beat that tells of them come: two hedged joins. Judged
-# at once, an owner was taken out after each outage that was over for it as well.
+# sooner, an owner that the outage is over for as well would be taken out.
 SETTLED_MS = 400.0
 
 
@@ -87,10 +87,17 @@
         self._has_to_wait = has_to_wait
         self._news = OwedNews(listener=on_change)
         self._left = False
+        self._left_for_good = False
+        self._under_way = set()
         self._answering = True
 
     def start(self):
-        """Join, and go on joining; after a leave, as a newcomer."""
+        """Join, and go on joining; after a leave, as a newcomer.
+
+        Who left for good does not come back: it serves nothing that is dealt to it.
+        """
+        if self._left_for_good:
+            return
         self._timers.cancel(self._join_timer)
         if self._left:
             self._left = False
@@ -111,9 +118,8 @@
     @property
     def store_lost(self):
         """Tell whether this instance's joins are not granted any more."""
-        patience_ms = (
-            STORE_LOST_MS + 2 * self._round_trip_ms
-        )  # a slow store is not lost
+        # A slow store is not lost.
+        patience_ms = STORE_LOST_MS + 2 * self._round_trip_ms
         return self.in_group and steady_ms() - self.renewed_ms > patience_ms
 
     @property
@@ -147,6 +153,8 @@
         sent_ms = steady_ms()
         self._asked_ms = sent_ms
         self._timers.after(HEDGE_MS, lambda: self._hedge(sent_ms))
+        call = object()
+        self._under_way.add(call)
         self._store.join(
             group=GROUP,
             member_id=self.member_id,
@@ -154,7 +162,7 @@
             ttl_ms=int(self.ttl_ms),
             generation=self.generation,
             repeats=repeats,
-            on_result=lambda result: self._joined(result, sent_ms),
+            on_result=lambda result: self._on_result(call, result, sent_ms),
         )
 
     def _hedge(self, sent_ms):
@@ -163,9 +171,15 @@
             self._timers.cancel(self._join_timer)
             self._join(repeats=True)
 
+    def _on_result(self, call, result, sent_ms):
+        self._under_way.discard(call)
+        if not self._left:
+            self._joined(result, sent_ms)
+        elif result is not None:
+            # The store may have carried it out after the leave.
+            self._send_leave(lambda answer: None)
+
     def _joined(self, result, sent_ms):
-        if self._left:
-            return
         if sent_ms < self._answered_ms or (result is None and sent_ms < self._asked_ms):
             return  # a later call was answered, or is under way
         self._answered_ms = max(self._answered_ms, sent_ms)
@@ -229,9 +243,7 @@
         self._blocked_since_ms = 0.0
         line = logger.bind(event="rejoining", generation=self.generation)
         line.info("partitions {} need a later generation", sorted(blocked))
-        self._store.leave(
-            group=GROUP, member_id=self.member_id, on_done=lambda answer: self.hurry()
-        )
+        self._send_leave(lambda answer: self.hurry())
 
     def _note(self, *, answering):
         if answering == self._answering:
@@ -255,12 +267,16 @@
 
     @property
     def is_asking(self):
-        """Tell whether the newest join has no answer yet."""
-        return self._asked_ms > self._answered_ms
+        """Tell whether a join has no answer yet; the store may still carry it out."""
+        return bool(self._under_way)
 
-    def leave(self, on_done):
+    def leave(self, on_done, *, for_good=False):
         """Give all cells back at once."""
         self._left = True
+        self._left_for_good = self._left_for_good or for_good
         self._refused.update(self.epochs)
         self.epochs = {}
+        self._send_leave(on_done)
+
+    def _send_leave(self, on_done):
         self._store.leave(group=GROUP, member_id=self.member_id, on_done=on_done)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner_directory.py
@@ -11,6 +11,9 @@
 
 # While an owner is missing, the group is read this often.
 PERIOD_MS = 200.0
+# A slow store's answer and the wait for the next reading; a count that is older tells
+# of a time that this process, or the store, slept through.
+COUNT_HOLDS_MS = 1_500.0
 
 
 class OwnerDirectory:
@@ -33,6 +36,7 @@
         self._asking = False
         self._ask_timer = 0
         self._asked_ms = 0.0
+        self._counted_ms = float("-inf")
         self.member_count = None
 
     def owner_of(self, cell):
@@ -70,6 +74,11 @@
         """Return the addresses of the members that were read last."""
         return {address_of_member(member) for member in self._members.values()}
 
+    @property
+    def count_holds(self):
+        """Tell whether the reading that the count is from was sent a moment ago."""
+        return steady_ms() - self._counted_ms < COUNT_HOLDS_MS
+
     def refresh(self):
         """Read the group's members, at most once a period."""
         if self._asking:
@@ -80,13 +89,17 @@
 
     def _ask(self):
         self._asked_ms = steady_ms()
-        self._store.owners(group=GROUP, on_result=self._on_owners)
+        sent_ms = self._asked_ms
+        self._store.owners(
+            group=GROUP, on_result=lambda rows: self._on_owners(rows, sent_ms)
+        )
 
-    def _on_owners(self, rows):
+    def _on_owners(self, rows, sent_ms):
         self._asking = False
         rows = rows and [row for row in rows if is_member_id(row.member_id)]
         self._members = {}
         if rows is not None:
+            self._counted_ms = max(self._counted_ms, sent_ms)
             self.member_count = len({row.member_id for row in rows})
         for row in rows or ():
             if row.topic == CELLS_TOPIC:
--- a/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/shutdown.py
@@ -4,6 +4,8 @@
 
 from thymefork_net import steady_ms
 
+from .departure import LEAVE_AGAIN_MS, STORE_MOST_MS, Departure
+
 __all__ = ["Shutdown"]
 
 # A stopping process ends this long before it would be killed.
@@ -11,15 +13,10 @@
 # A stopping process stays at least this long, so that the balancer, which asks every
 # second and takes two misses, has noticed.
 STOP_AT_LEAST_MS = 2_200.0
-# An owner stores what it has heard before it gives its cells back. Where the store
-# answers, that takes two appends of 10 ms; a busy owner always has something to store.
-STORE_MOST_MS = 500.0
 # While the store is away nobody can take the cells, so an owner keeps them, renews what
 # runs and stores what it heard once the store is back. It gives up this long before it
 # would be killed: time for its last words, and for the answers that are still open.
 GIVE_UP_BEFORE_MS = 1_000.0
-# Whether the cells can be given back is tried this often.
-LEAVE_AGAIN_MS = 5.0
 
 
 class Shutdown:
@@ -27,6 +24,7 @@
 
     def __init__(self, *, daemon):
         self._daemon = daemon
+        self._departure = Departure(daemon=daemon)
         self._began_ms = 0.0
         self._store_away_ms = 0.0
         self._has_left = False
@@ -51,11 +49,7 @@
             self._daemon.timers.after(LEAVE_AGAIN_MS, self._leave)
             return
         self._has_left = True
-        for owner in list(self._daemon.owners.values()):
-            owner.tell_ends()
-            owner.end("this instance stops")
-        self._daemon.owners.clear()
-        self._daemon.membership.leave(self._on_left)
+        self._departure.leave("this instance stops", for_good=True)
 
     def _has_to_stay(self):
         """Tell whether the cells are better kept for now."""
@@ -67,18 +61,13 @@
             self._store_away_ms = now_ms
             return True
         store_by_ms = max(self._began_ms, self._store_away_ms) + STORE_MOST_MS
-        has_unstored = any(owner.has_unstored for owner in owners)
-        return has_unstored and now_ms < store_by_ms
+        return self._departure.has_unstored and now_ms < store_by_ms
 
     def _store_is_away(self):
         if self._daemon.membership.store_lost:
             return True
         return not all(owner.store_answers for owner in self._daemon.owners.values())
 
-    def _on_left(self, answer):
-        self._daemon.peers.send_heartbeats()
-        self._daemon.directory.refresh()
-
     def is_over(self):
         """Tell whether everything is answered, or the time for it has passed."""
         if not self.has_begun:
--- a/packages/thymefork-daemon/src/thymefork_daemon/standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/standby.py
@@ -30,7 +30,8 @@
     """Join at once, or in place of better members once those are missing.
 
     `owner_tier()` is the best tier among the owners that are heard, None if unknown;
-    `rest_until_ms()` is until when an instance that handed over stays out.
+    `rest_until_ms()` is until when an instance that handed over stays out. One that is
+    stopping joins no more.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         tier=Tier.LEAST,
         owner_tier=lambda: None,
         rest_until_ms=lambda: 0.0,
+        is_stopping=lambda: False,
     ):
         self._timers = timers
         self._membership = membership
@@ -51,6 +53,7 @@
         self._tier = tier
         self._owner_tier = owner_tier
         self._rest_until_ms = rest_until_ms
+        self._is_stopping = is_stopping
         self._share_ms = random.uniform(0.0, SPREAD_MS)
         self._missing_since_ms = None
         self._has_joined = False
@@ -69,7 +72,7 @@
 
     def check(self):
         """Join if it is time to."""
-        if self._has_joined or not self._layout.cells:
+        if self._is_stopping() or self._has_joined or not self._layout.cells:
             return
         if self._takes_part() and steady_ms() >= self._rest_until_ms():
             self._step_in("none is better")
@@ -82,7 +85,8 @@
         now_ms = steady_ms()
         if self._missing_since_ms is None:
             self._missing_since_ms = now_ms
-        if now_ms - self._missing_since_ms > self._wait_ms():
+        is_over = now_ms - self._missing_since_ms > self._wait_ms()
+        if is_over and self._directory.count_holds:
             self._step_in("too few instances take part in owning the cells")
         else:
             self._directory.refresh()  # another one may have stepped in
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -26,6 +26,7 @@
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
     "owner_handovers": "Cells given to members that are better placed, by reason.",
+    "owner_handovers_given_up": "Handovers begun and not carried out, by reason.",
     "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
     "log_lines_left_out": "Log lines that were not written, by event.",
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover_rule.py
@@ -0,0 +1,123 @@
+"""Owners that are overloaded by one cause, and one member that could take a cell.
+
+The load is a burst of callers for all cells at once. Each owner reads the same: who
+leaves has its cell dealt evenly, so two that leave for one member burden it with both.
+"""
+
+import pytest
+
+from thymefork_daemon.capacity import (
+    HandoverRule,
+    MemberStatus,
+    OwnerLoad,
+    OwnStatus,
+    Tier,
+)
+
+STEP_MS = 100
+# A heartbeat, and a takeover of the cell by who is dealt it.
+UNTIL_IT_SAYS_SO_MS = 1_000
+
+
+def status(address, *, cell=None, load_percent=0, heard_ms):
+    return MemberStatus(
+        address=address,
+        tier=Tier.FULL,
+        best_tier=Tier.FULL,
+        load_percent=load_percent,
+        in_group=True,
+        can_own=True,
+        owned=frozenset() if cell is None else frozenset({cell}),
+        join_ms=6.0,
+        heard_ms=heard_ms,
+        well_since_ms=0.0,
+    )
+
+
+def own_status(cell, *, value, cells=2):
+    load = OwnerLoad(link_mbps=0.0)
+    load.value, load.is_overloaded = value, True
+    return OwnStatus(
+        cells=cells,
+        owned=frozenset({cell}),
+        may_hand_over=True,
+        serves=True,
+        load=load,
+    )
+
+
+def leaving_moments(loads):
+    """Return when each of two owners leaves; each hears the other's last beat."""
+    rules = [HandoverRule(tier=Tier.FULL, address=name) for name in "ab"]
+    left_ms = [None, None]
+    for now_ms in range(0, 10_000, STEP_MS):
+        beat_ms = float(now_ms // 200 * 200)
+        for n, rule in enumerate(rules):
+            other = 1 - n
+            other_left = left_ms[other] is not None and left_ms[other] < beat_ms
+            statuses = [
+                status("c", heard_ms=beat_ms),  # its takeover goes on and on
+                status(
+                    "ab"[other],
+                    cell=None if other_left else other,
+                    load_percent=0 if other_left else round(100 * loads[other]),
+                    heard_ms=beat_ms,
+                ),
+            ]
+            own = own_status(n, value=loads[n])
+            if left_ms[n] is None and rule.reason(
+                float(now_ms), own=own, statuses=statuses
+            ):
+                left_ms[n] = now_ms
+    return left_ms
+
+
+@pytest.mark.parametrize(
+    "loads, first", [((1.5, 1.5), 0), ((1.2, 1.5), 1), ((1.5, 1.2), 0)]
+)
+def test_only_the_first_of_two_overloaded_owners_leaves_for_one_member(loads, first):
+    left_ms = leaving_moments(loads)
+    assert left_ms[first] is not None
+    assert left_ms[1 - first] is None
+
+
+def reason_after_a_while(own, statuses_at):
+    rule = HandoverRule(tier=Tier.FULL, address="a")
+    for now_ms in range(0, 10_000, STEP_MS):
+        reason = rule.reason(float(now_ms), own=own, statuses=statuses_at(now_ms))
+        if reason is not None:
+            return reason
+    return None
+
+
+def test_nobody_leaves_while_another_cell_is_on_its_way():
+    own = own_status(0, value=1.5)
+    assert reason_after_a_while(own, lambda now: [status("c", heard_ms=now)]) is None
+
+
+def test_a_lone_overloaded_owner_leaves_for_who_owns_nothing():
+    own = own_status(0, value=1.5)
+    assert (
+        reason_after_a_while(
+            own,
+            lambda now: [
+                status("b", cell=1, load_percent=40, heard_ms=now),
+                status("c", heard_ms=now),
+            ],
+        )
+        == "overload"
+    )
+
+
+def test_a_cell_taken_again_after_a_handover_is_held_for_a_while():
+    """The rule was not asked meanwhile, so what it followed before does not hold."""
+    rule = HandoverRule(tier=Tier.FULL, address="a")
+    own = own_status(0, value=1.5, cells=1)
+    now_ms = 0.0
+    while rule.reason(now_ms, own=own, statuses=[status("b", heard_ms=now_ms)]) is None:
+        now_ms += STEP_MS
+    rule.on_left(now_ms)
+    back_ms = now_ms = rule.rest_until_ms + STEP_MS
+    while rule.reason(now_ms, own=own, statuses=[status("b", heard_ms=now_ms)]) is None:
+        now_ms += STEP_MS
+    assert now_ms - back_ms >= 5_000.0
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_standby.py
@@ -103,3 +103,61 @@
     instances.members += [f"other-{n}|10.0.2.{n}|7000|1" for n in range(3)]
     instances.run(20_000)
     assert not instances.joined
+
+
+class OneStandby:
+    """One stand-in beside a group that the test lists, or a store that is away."""
+
+    def __init__(self, timers):
+        self.joined = []
+        self.rows = ()
+        self._timers = timers
+        self._store = store = FakeStore()
+        directory = OwnerDirectory(
+            store=store,
+            timers=timers,
+            own_id="small|10.0.1.1|7000|1",
+            partition_of=lambda cell: 7,
+            on_change=lambda: None,
+            on_removed=lambda: None,
+        )
+        Standby(
+            timers=timers,
+            directory=directory,
+            layout=SimpleNamespace(
+                cells=1, tiers={Tier.LEAST, Tier.FULL}, best_tier=Tier.FULL
+            ),
+            membership=SimpleNamespace(start=lambda: self.joined.append(1)),
+        ).start()
+        directory.refresh()
+
+    def run(self, for_ms, *, rows, answer_ms=0):
+        for _ in range(for_ms // 10):
+            while self._store.owner_calls:
+                on_result = self._store.owner_calls.pop(0)
+                self._timers.after(answer_ms, lambda call=on_result: call(rows))
+            self._timers.run(10)
+
+
+LISTED = (MemberRow(topic=CELLS_TOPIC, partition=7, member_id="large|10.0.1.2|7000|1"),)
+
+
+@pytest.mark.parametrize("why", ["paused", "store_away"])
+def test_a_standby_that_heard_nothing_for_long_reads_again_first(timers, why):
+    """Better members have joined meanwhile; what it read before does not hold."""
+    standby = OneStandby(timers)
+    standby.run(1_000, rows=())
+    if why == "paused":
+        timers.now_ms += 5_000.0
+        timers.run(10)
+    else:
+        standby.run(5_000, rows=None)
+    standby.run(1_000, rows=LISTED)
+    assert not standby.joined
+
+
+@pytest.mark.parametrize("answer_ms", [10, 300, 600])
+def test_a_standby_steps_in_also_where_the_store_answers_late(timers, answer_ms):
+    standby = OneStandby(timers)
+    standby.run(8_000, rows=(), answer_ms=answer_ms)
+    assert standby.joined
