Check that an owner amid its takeover begins no handover for overload

Cause: without the condition in the rule the test passed, since the handover was begun and given up at once; found by taking the condition back on a scratch copy.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover.py
@@ -292,6 +292,7 @@
     overload(first)
     group.run(10_000)
     assert group.owner is first
+    assert not first.metrics.counts  # nothing is begun and given up either
 
 
 def test_an_instance_that_cools_down_and_stops_does_not_join(group):
