--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/__init__.py
@@ -1,7 +1,8 @@
 """How well an instance can own cells, and how much its cells ask of it now."""
 
 from .handover_rule import HandoverRule
-from .member_word import MemberWord
+from .member_status import MemberStatus
+from .own_status import OwnStatus
 from .owner_load import OwnerLoad, Pressure
 from .owning_capacity import OwningCapacity
 from .shedding import Sheddable, Shedding
@@ -9,7 +10,8 @@
 
 __all__ = [
     "HandoverRule",
-    "MemberWord",
+    "MemberStatus",
+    "OwnStatus",
     "OwnerLoad",
     "OwningCapacity",
     "Pressure",
--- a/packages/thymefork-daemon/src/thymefork_daemon/standby.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/standby.py
@@ -10,11 +10,11 @@
 
 __all__ = ["Standby"]
 
-# After a loss of all instances those of the best rank are back within about three
+# After a loss of all instances those of the best tier are back within about three
 # seconds.
 BETTER_RETURN_MS = 4_000.0
-# Each rank between leaves the one above it the time to join and to be listed.
-NEXT_RANK_MS = 1_500.0
+# Each tier between leaves the one above it the time to join and to be listed.
+NEXT_TIER_MS = 1_500.0
 # Where none is better than the least, this many take part: an owner, and two that can
 # judge its silence. More of them would only change the deal more often.
 LEAST_MEMBERS = 3
@@ -29,8 +29,9 @@
 class Standby:
     """Join at once, or in place of better members once those are missing.
 
-    `owner_tier()` is the best rank among the owners that are heard, None if unknown;
-    `rest_until_ms()` is until when an instance that handed over stays out.
+    `owner_tier()` is the best tier among the owners that are heard, None if unknown;
+    `rest_until_ms()` is until when an instance that handed over stays out. One that is
+    stopping joins no more.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         tier=Tier.LEAST,
         owner_tier=lambda: None,
         rest_until_ms=lambda: 0.0,
+        is_stopping=lambda: False,
     ):
         self._timers = timers
         self._membership = membership
@@ -51,12 +53,13 @@
         self._tier = tier
         self._owner_tier = owner_tier
         self._rest_until_ms = rest_until_ms
+        self._is_stopping = is_stopping
         self._share_ms = random.uniform(0.0, SPREAD_MS)
         self._missing_since_ms = None
         self._has_joined = False
 
     def start(self):
-        """Join if no rank is better; else look for missing members from now on."""
+        """Join if no tier is better; else look for missing members from now on."""
         if self._tier is Tier.FULL:
             self._has_joined = True
             self._membership.start()
@@ -69,7 +72,7 @@
 
     def check(self):
         """Join if it is time to."""
-        if self._has_joined or not self._layout.cells:
+        if self._is_stopping() or self._has_joined or not self._layout.cells:
             return
         if self._takes_part() and steady_ms() >= self._rest_until_ms():
             self._step_in("none is better")
@@ -82,7 +85,8 @@
         now_ms = steady_ms()
         if self._missing_since_ms is None:
             self._missing_since_ms = now_ms
-        if now_ms - self._missing_since_ms > self._wait_ms():
+        is_over = now_ms - self._missing_since_ms > self._wait_ms()
+        if is_over and self._directory.count_holds:
             self._step_in("too few instances take part in owning the cells")
         else:
             self._directory.refresh()  # another one may have stepped in
@@ -110,7 +114,7 @@
         better = sum(tier > self._tier for tier in self._layout.tiers)
         if not better:
             return self._share_ms
-        between_ms = (better - 1) * NEXT_RANK_MS
+        between_ms = (better - 1) * NEXT_TIER_MS
         return BETTER_RETURN_MS + between_ms + self._share_ms
 
     def _step_in(self, reason):
