Let a cell have several batches under way

Cause: with one append under way, what is decided while the store is slow waits for one and a half appends.

An effect that waited for nothing new left in a batch without records, numbered zero: put back behind the batch before it, and that too large for one append, it would have been carried out before what it waited for. Such a batch now bears the number of what was taken before it; the test fails without that. Jobs need no change: what is put back is stored as the job is then, so a later state is not overwritten.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -18,7 +18,7 @@
 class Batch:
     """Hold the records of one append and the effects that follow it.
 
-    `last_number` is the number of the last change that is in it.
+    `last_number` is the number of the last change that is in it or before it.
     """
 
     records: list = field(factory=list)
@@ -57,7 +57,10 @@
 
 
 class Journal:
-    """Collect changed jobs until the store can take them: one append at a time.
+    """Collect changed jobs until the store can take them.
+
+    Several batches may be under way; each is taken as stored only after those before
+    it. A job that changes meanwhile waits again, so that a later batch supersedes.
 
     Where more waits than one append carries, an effect leaves with the one that stores
     the last change before it: sent with the first, it told callers of jobs that a power
@@ -72,6 +75,7 @@
         self._dropped_keys = []
         self._held = []
         self._last_number = 0
+        self._taken_number = 0
         self.is_urgent = False
 
     @property
@@ -114,7 +118,10 @@
             self._changes.pop(job_id, None)
 
     def put_back(self, batch):
-        """Let a batch's remaining jobs and effects wait again, before all others."""
+        """Let a batch's remaining jobs and effects wait again, before all others.
+
+        Of several, the last comes first. What is stored of a job then is its newest.
+        """
         self.is_urgent = True
         number = batch.last_number
         again = {job.job_id: _Change(job=job, number=number) for job, _ in batch.shown}
@@ -127,7 +134,7 @@
 
     def take(self, now_ms):
         """Return what waits as one batch."""
-        batch = Batch()
+        batch = Batch(last_number=self._taken_number)
         self.is_urgent = False
         for key in self._dropped_keys:
             batch.add(key, b"")
@@ -137,6 +144,7 @@
             change = self._changes.pop(next(iter(self._changes)))
             batch.last_number = change.number
             self._put(batch, change.job, epoch_ms, now_ms)
+        self._taken_number = batch.last_number
         self._release_effects(batch)
         return batch
 
