Let appends of a cell overlap while the store is slow

Cause: with one append under way a decision waits for that one, then for its own: one and a half long appends. The store numbers the appends of one writer and takes each only after the one before it, so several can be under way in order.

Ruled out: a fixed number.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/turn_loop.py
@@ -1,5 +1,7 @@
 """When a cell decides, and when what it decided is stored."""
 
+import math
+
 from thymefork_net import steady_ms
 
 from ..capacity import Sheddable
@@ -50,7 +52,6 @@
         self._workers_known_ms = workers_known_ms
         self._advice_slots = advice_slots
         self._load_watch = load_watch
-        self._sent_ms = 0.0
         self._ended = False
         self._turn_timer = 0
         self._turn_due_ms = 0.0
@@ -106,8 +107,7 @@
         self._perform_effects()
         if self._lingers(now_ms):
             return min(due_ms, self._lingers_since_ms + LINGER_MS)
-        self._store()
-        return due_ms
+        return min(due_ms, self._store(now_ms))
 
     def _perform_effects(self):
         self._performer.perform(self._cell.take_effects())
@@ -130,18 +130,27 @@
         self._lingers_since_ms = self._lingers_since_ms or now_ms
         return now_ms - self._lingers_since_ms < LINGER_MS
 
-    def _store(self):
-        if self._pump.is_busy or self._cell.journal.is_empty or self._ended:
-            return
-        if self._store_again_timer:
-            return
-        self._sent_ms = steady_ms()
-        batch = self._cell.journal.take(self._sent_ms)
-        self._pump.send(batch, self._on_stored, self._on_not_stored)
-
-    def _on_stored(self, batch):
+    def _store(self, now_ms):
+        """Send what waits if the store takes it now; return when to try next."""
+        if self._cell.journal.is_empty or self._ended or self._store_again_timer:
+            return math.inf
+        open_ms = self._pump.open_ms
+        if open_ms is None:
+            return math.inf
+        if open_ms > now_ms:
+            return open_ms
+        sent_ms = steady_ms()
+        batch = self._cell.journal.take(sent_ms)
+        self._pump.send(
+            batch,
+            lambda batch: self._on_stored(batch, sent_ms),
+            self._on_not_stored,
+        )
+        return math.inf
+
+    def _on_stored(self, batch, sent_ms):
         if self._load_watch is not None and batch.records:
-            self._load_watch.load.on_append(steady_ms() - self._sent_ms)
+            self._load_watch.load.on_append(steady_ms() - sent_ms)
         self._cell.on_stored(batch)
         self._performer.perform(batch.effects)
         self.settle()
@@ -149,7 +158,10 @@
     def _on_not_stored(self, batch):
         self._cell.on_not_stored(batch, now_ms=steady_ms())
         self._perform_effects()
-        self._store_again_timer = self._timers.after(STORE_AGAIN_MS, self._store_again)
+        if not self._store_again_timer:
+            self._store_again_timer = self._timers.after(
+                STORE_AGAIN_MS, self._store_again
+            )
 
     def _store_again(self):
         self._store_again_timer = 0
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -18,6 +18,7 @@
     "worker_losses": "Workers lost with runs on them, and what came of it.",
     "heard_ends": "Ends that their owner could not store, and what came of them.",
     "requests": "Callers' requests, by kind.",
+    "appends": "Batches sent to the store, by how many of the cell are under way.",
     "store_calls": "Calls to the store, by outcome.",
     "ownership": "Changes of a cell's owner seen here, by kind.",
     "advice_workers": "Workers that the advice service was asked about, by queue.",
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/store_in_turn.py
@@ -0,0 +1,110 @@
+"""A store that takes one writer's appends in turn, by number, as the platform's."""
+
+import random
+
+from attrs import define, field
+
+from thymefork_machines.store import AppendOutcome, AppendResult
+
+REMEMBERED_NUMBERS = 5
+# What may become of a call: it never arrives, arrives after its caller gave it up, is
+# answered in vain, or is turned away.
+FAULTS = ("lost_call", "late_call", "lost_answer", "busy")
+
+
+@define(kw_only=True, eq=False)
+class StoreInTurn:
+    """Answer after two ways and a turn; lose, delay and refuse what `draw` says.
+
+    `draw(number)` names a fault of the next call, or nothing. What got no answer is
+    told as unknown after `timeout_ms`; from `fenced_from_ms` on another writes.
+    """
+
+    timers: object
+    way_ms: object = lambda: 3.0
+    turn_ms: object = lambda: 4.0
+    draw: object = lambda number: ""
+    late_ms: object = lambda: 3_000.0
+    timeout_ms: float = 1_000.0
+    fenced_from_ms: float = float("inf")
+    last_number: int = 0
+    free_ms: float = 0.0
+    stored: list = field(factory=list)
+    calls: int = 0
+    open: int = 0
+    most_open: int = 0
+    arrived: set = field(factory=set)
+    repeats_take_turn: bool = True
+
+    def append(self, *, records, sequence, on_result, **_):
+        """Take a call; the answer comes later, once."""
+        self.calls += 1
+        self.open += 1
+        self.most_open = max(self.most_open, self.open)
+        call = _Call(
+            store=self, records=records, sequence=sequence, on_result=on_result
+        )
+        fault = self.draw(sequence)
+        self.timers.after(self.timeout_ms, call.expire)
+        if fault == "lost_call":
+            return
+        way_ms = self.late_ms() if fault == "late_call" else self.way_ms()
+        self.timers.after(way_ms, lambda: call.arrive(fault))
+
+
+@define(kw_only=True, eq=False)
+class _Call:
+    """One call, answered once."""
+
+    store: StoreInTurn
+    records: list
+    sequence: int
+    on_result: object
+    is_answered: bool = False
+
+    def expire(self):
+        """Give the call up."""
+        self._answer(AppendResult(outcome=AppendOutcome.UNKNOWN))
+
+    def arrive(self, fault):
+        """Take the call in its turn."""
+        store = self.store
+        if fault == "busy":
+            result = AppendResult(outcome=AppendOutcome.NOT_STORED, error="503")
+            store.timers.after(store.way_ms(), lambda: self._answer(result))
+            return
+        takes_turn = store.repeats_take_turn or self.sequence not in store.arrived
+        store.arrived.add(self.sequence)
+        turn_ms = store.turn_ms() if takes_turn else 0.0
+        store.free_ms = max(store.timers.now_ms, store.free_ms) + turn_ms
+        store.timers.at(store.free_ms, lambda: self._carry_out(fault))
+
+    def _carry_out(self, fault):
+        result = self._judge()
+        if fault != "lost_answer":
+            way_ms = self.store.way_ms()
+            self.store.timers.after(way_ms, lambda: self._answer(result))
+
+    def _judge(self):
+        store, wanted = self.store, self.store.last_number + 1
+        if store.timers.now_ms >= store.fenced_from_ms:
+            return AppendResult(outcome=AppendOutcome.FENCED)
+        if self.sequence == wanted:
+            store.last_number = wanted
+            store.stored += self.records
+        elif not 0 <= store.last_number - self.sequence < REMEMBERED_NUMBERS:
+            return AppendResult(
+                outcome=AppendOutcome.OUT_OF_SEQUENCE, wanted_sequence=wanted
+            )
+        return AppendResult(outcome=AppendOutcome.STORED)
+
+    def _answer(self, result):
+        if not self.is_answered:
+            self.is_answered = True
+            self.store.open -= 1
+            self.on_result(result)
+
+
+def spread(rng: random.Random, mean_ms, share=0.15):
+    """Return a drawer of times around a mean."""
+    return lambda: mean_ms * rng.uniform(1.0 - share, 1.0 + share)
--- /dev/null
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_at_a_slow_store.py
@@ -0,0 +1,139 @@
+"""A cell, its turns and its appends at a slow store that fails at random.
+
+Whoever was told that a job is accepted or cancelled finds it so in the store; a job
+that was refused is not there; and nothing is forgotten.
+"""
+
+import random
+from types import SimpleNamespace
+
+import pytest
+
+from thymefork_cells import Cell, encode_spec
+from thymefork_cells.effects import Outcome, Reply
+from thymefork_cells.jobs.codec import JOB_KEY, PROGRESS_KEY
+from thymefork_cells.specs import Bounds, Configuration, JobSpec, StepSpec
+from thymefork_cells.state import JobState
+from thymefork_daemon.owner import append_pump, turn_loop
+from thymefork_daemon.owner.append_pump import AppendPump
+from thymefork_daemon.owner.cell_partition import CellPartition
+from thymefork_daemon.owner.turn_loop import TurnLoop
+
+from .fakes import FakeMetrics
+from .store_in_turn import FAULTS, StoreInTurn, spread
+
+CLOCKED = (append_pump, turn_loop)
+CASES = 60
+REQUESTS_MS = 5_000.0
+OUTAGE_MS = 400.0
+QUIET_MS = 10_000.0
+SPEC = encode_spec(JobSpec(steps=(StepSpec(count=1, cpu_milli=500),)))
+
+
+class Owner:
+    """Take requests of callers and check each reply against the store."""
+
+    def __init__(self, timers, seed):
+        self.timers, self.rng = timers, random.Random(seed)
+        self.share = self.rng.choice([0.0, 0.1, 0.4])
+        self.until_ms = timers.now_ms + REQUESTS_MS
+        self.outages_ms = self.rng.choice([(), (1_000.0, 3_000.0)])
+        self.store = StoreInTurn(
+            timers=timers,
+            way_ms=spread(self.rng, 100.0, 0.6),
+            turn_ms=spread(self.rng, 60.0),
+            draw=self.draw,
+            late_ms=lambda: self.rng.uniform(500.0, 4_000.0),
+        )
+        self.cell = Cell(
+            cell=0,
+            epoch=1,
+            cell_count=1,
+            bounds=Bounds(),
+            configuration=Configuration(version=1),
+            membership_ms=1_000.0,
+            now_ms=timers.now_ms,
+        )
+        self.outcomes = {}
+        self.lost = []
+        self.pump = AppendPump(
+            partition=CellPartition(store=self.store, cell=0, partition=7, epoch=1),
+            timers=timers,
+            metrics=FakeMetrics(),
+            last_sequence=0,
+            may_write=lambda: True,
+            on_lost=self.lost.append,
+        )
+        self.loop = TurnLoop(
+            cell=self.cell,
+            ownership=SimpleNamespace(is_renewed=lambda: True),
+            pump=self.pump,
+            performer=SimpleNamespace(perform=self.perform),
+            timers=timers,
+            workers_known_ms=lambda: timers.now_ms,
+        )
+        self.loop.turn()
+        self.ask()
+
+    def draw(self, number):
+        left_ms = self.until_ms - self.timers.now_ms
+        if any(0.0 < left_ms - outage_ms < OUTAGE_MS for outage_ms in self.outages_ms):
+            return "busy"
+        if self.timers.now_ms > self.until_ms or self.rng.random() > self.share:
+            return ""
+        return self.rng.choice(FAULTS)
+
+    def ask(self):
+        """Hand in a job; sometimes cancel one that was handed in."""
+        if self.timers.now_ms > self.until_ms:
+            return
+        now_ms, intake = self.timers.now_ms, self.cell.intake
+        if self.rng.random() < 0.7 or not self.cell.context.jobs:
+            job_id = f"{self.rng.getrandbits(64):016x}"
+            intake.submit(("submit", job_id), job_id, "q", SPEC, now_ms=now_ms)
+        else:
+            job_id = self.rng.choice(list(self.cell.context.jobs))
+            intake.cancel(("cancel", job_id), job_id, now_ms=now_ms)
+        self.loop.settle()
+        self.timers.after(self.rng.expovariate(1 / 20.0), self.ask)
+
+    def perform(self, effects):
+        for effect in effects:
+            if isinstance(effect, Reply):
+                self.check(effect)
+
+    def check(self, reply):
+        """Check that what is told is stored, and note the reply."""
+        _, job_id = reply.request_id
+        self.outcomes.setdefault(reply.request_id, []).append(reply.outcome)
+        if reply.outcome is Outcome.ACCEPTED:
+            assert {JOB_KEY + job_id, PROGRESS_KEY + job_id} & self.written()
+        elif reply.outcome is Outcome.CANCELLED:
+            assert PROGRESS_KEY + job_id in self.written()
+
+    def written(self):
+        """Return the keys that ever had a value; dropping one that had none is idle."""
+        return {key for key, value in self.store.stored if value}
+
+
+@pytest.mark.parametrize("seed", range(CASES))
+def test_whoever_was_told_finds_it_stored(timers, seed):
+    owner = Owner(timers, seed)
+    timers.run(REQUESTS_MS + QUIET_MS)
+    assert not owner.lost and not owner.pump.is_busy
+    assert owner.cell.journal.is_empty
+    accepted = set()
+    for (kind, job_id), outcomes in owner.outcomes.items():
+        if kind != "submit":
+            continue
+        assert len(outcomes) == 1
+        if outcomes == [Outcome.ACCEPTED]:
+            accepted.add(job_id)
+        else:
+            assert JOB_KEY + job_id not in owner.written()
+    assert accepted == set(owner.cell.context.jobs)
+    newest = dict(owner.store.stored)
+    for job_id, job in owner.cell.context.jobs.items():
+        assert job.shown_state is job.state
+        is_described = bool(newest.get(JOB_KEY + job_id))
+        assert is_described == (job.state is JobState.QUEUED)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_turn_loop.py
@@ -56,7 +56,7 @@
 
 
 class FakePump:
-    is_busy = False
+    open_ms = 0.0
     store_is_away = False
 
     def __init__(self):
@@ -143,12 +143,40 @@
 
 def test_one_append_at_a_time(parts, timers):
     parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
-    parts.pump.is_busy = True
+    parts.pump.open_ms = None
     parts.loop.settle()
     timers.run(TURN_MS)
     assert not parts.pump.sent
 
 
+def test_a_batch_leaves_beside_another_as_soon_as_the_pump_takes_it(parts, timers):
+    parts.pump.open_ms = timers.now_ms + 80.0
+    parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a job"], True
+    parts.loop.settle()
+    timers.run(79)
+    assert not parts.pump.sent
+    timers.run(1)
+    assert len(parts.pump.sent) == 1
+
+
+def test_batches_that_come_back_together_are_followed_by_one_after_a_while(
+    parts, timers
+):
+    for effect in ("first", "second"):
+        parts.cell.journal.waiting, parts.cell.journal.is_urgent = [effect], True
+        parts.loop.settle()
+        timers.run(TURN_MS)
+    assert len(parts.pump.sent) == 2
+    for batch, _, on_not_stored in reversed(parts.pump.sent):
+        on_not_stored(batch)
+    assert [batch.effects for batch in parts.cell.not_stored] == [["second"], ["first"]]
+    parts.cell.journal.waiting = ["both"]
+    timers.run(STORE_AGAIN_MS - 1)
+    assert len(parts.pump.sent) == 2
+    timers.run(1 + TURN_MS)
+    assert len(parts.pump.sent) == 3
+
+
 def test_what_follows_an_append_happens_once_it_is_stored(parts, timers):
     parts.cell.journal.waiting, parts.cell.journal.is_urgent = ["a reply"], True
     parts.loop.settle()
