--- a/bench/described_load.py
+++ b/bench/described_load.py
@@ -33,7 +33,11 @@
 
 @frozen(kw_only=True)
 class AccountLoad:
-    """Describe an account: its part of all jobs, and when it sends more."""
+    """Describe an account: its part of all jobs, and when it sends more.
+
+    `kinds` are the kinds of jobs that it sends, all of them where none are named;
+    `width_factor` is how much wider its steps are than those of others.
+    """
 
     name: str
     part: float
@@ -42,6 +46,12 @@
     flood_factor: float = 1.0
     flood_from_s: float = 0.0
     flood_until_s: float = 0.0
+    kinds: tuple[str, ...] = ()
+    width_factor: float = 1.0
+
+    def sends(self, kind):
+        """Tell whether it sends jobs of a kind."""
+        return not self.kinds or kind.name in self.kinds
 
     def part_at(self, now_s):
         """Return the account's part at a moment, by its floods."""
--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -30,6 +30,7 @@
     step_order,
 )
 
+from . import share_orders
 from .described_load import read_load
 from .load_play import LoadPlay
 
@@ -65,6 +66,19 @@
 VARIANTS = {
     "as it is": (),
     "no shares": ((shares.Shares, "admits", lambda *args: True),),
+    "by jobs a second alone": (
+        (step_order.StepOrder, "_by_use", share_orders.jobs_alone),
+    ),
+    "all by use": ((step_order.StepOrder, "_by_use", share_orders.all_by_use),),
+    "by use within a priority": (
+        (step_order.StepOrder, "_by_use", share_orders.by_use_in_a_priority),
+    ),
+    "all by fair queueing": (
+        (step_order.StepOrder, "_by_use", share_orders.fair_queueing),
+    ),
+    "beyond shares by fair queueing": (
+        (step_order.StepOrder, "_by_use", share_orders.fair_queueing_beyond),
+    ),
     "shares of 0.5 s": ((shares, "BURST_MS", 500.0),),
     "shares of 10 s": ((shares, "BURST_MS", 10_000.0),),
     "shortest first": ((step_order.StepOrder, "steps", _shortest_first),),
--- a/bench/load_play.py
+++ b/bench/load_play.py
@@ -150,7 +150,9 @@
         now_s = 0.0
         while True:
             rate = kind.jobs_per_s * sum(
-                account.part_at(now_s) for account in self._load.accounts
+                account.part_at(now_s)
+                for account in self._load.accounts
+                if account.sends(kind)
             )
             now_s += self._random.expovariate(rate)
             if now_s >= self._load.seconds:
@@ -165,7 +167,7 @@
                 worker.cut = True
 
     def _send(self, job_id, kind, now_s):
-        accounts = self._load.accounts
+        accounts = [account for account in self._load.accounts if account.sends(kind)]
         parts = [account.part_at(now_s) for account in accounts]
         account = self._random.choices(accounts, parts)[0]
         image = f"{kind.name}-{self._random.randrange(kind.images)}"
@@ -173,7 +175,8 @@
         work_ms *= self._random.lognormvariate(0.0, JOB_SPREAD)
         steps = []
         for number in range(kind.steps):
-            width = min(WIDEST, 1 + int(self._random.expovariate(1.0 / kind.width)))
+            mean_width = kind.width * account.width_factor
+            width = min(WIDEST, 1 + int(self._random.expovariate(1.0 / mean_width)))
             error = self._random.lognormvariate(0.0, self._load.estimate_error)
             steps.append(
                 {
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/__init__.py
@@ -2,5 +2,6 @@
 
 from .quotas import Quotas
 from .shares import Shares
+from .used_shares import UsedShares
 
-__all__ = ["Quotas", "Shares"]
+__all__ = ["Quotas", "Shares", "UsedShares"]
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -1,7 +1,6 @@
 """One cell: a share of the workers of every hall and a share of the jobs."""
 
-from .accounts.quotas import Quotas
-from .accounts.shares import Shares
+from .accounts import Quotas, Shares
 from .advice.desk import AdviceDesk
 from .context import CellContext
 from .estimates.images import ImageTimes
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from ..accounts import UsedShares
 from ..effects import StartRun
 from ..state import JobState, Run, RunState
 from .gang_choice import workers_for_gang
@@ -44,8 +45,11 @@
         self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
-        self._order = StepOrder(context=context, images=images)
-        self._notes = PlacingNotes(context=context, advice=advice, quotas=quotas)
+        self._used_shares = used_shares = UsedShares(context=context)
+        self._order = StepOrder(context=context, images=images, used_shares=used_shares)
+        self._notes = PlacingNotes(
+            context=context, advice=advice, quotas=quotas, used_shares=used_shares
+        )
         self._advice = advice
         self._by_service = {}
         self._list_due_ms = 0.0
@@ -91,6 +95,9 @@
             if _takes_tasks(worker, now_ms):
                 by_id = services.setdefault(worker.entry.service, {})
                 by_id[worker.worker_id] = worker
+        self._used_shares.learn_room(
+            [worker for by_id in services.values() for worker in by_id.values()]
+        )
         return services
 
     # Placing a step ----------------------------------------------------------
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
@@ -15,6 +15,7 @@
     _context = field()
     _advice = field()
     _quotas = field()
+    _used_shares = field()
 
     def note_starts(self, step, starts, wanted, now_ms):
         """Log one line for all tasks of a step that start together."""
@@ -32,9 +33,14 @@
             left=wanted - len(starts),
             workers=len({worker.worker_id for _, worker in starts}),
             waited_ms=round(waited_ms),
+            account_uses=self._account_uses(step),
             configuration=self._context.configuration.version,
         )
 
+    def _account_uses(self, step):
+        """Return the part of the room that a step's account used lately."""
+        return round(self._used_shares.used(step.job.account_name), 3)
+
     def count_speeds(self, fit, starts, workers):
         """Count starts by whether a step needs fast workers and has got one."""
         if not starts:
@@ -62,6 +68,7 @@
             for_ms=round(now_ms - step.ready_ms),
             account=step.job.account_name,
             beyond_share=step.job.is_beyond_share,
+            account_uses=self._account_uses(step),
             account_allows=self._quotas.tasks_left(step, now_ms),
             **_counts_of(step, workers, with_ticket),
             allowed=-1 if step.allowed is None else len(step.allowed),
--- a/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
@@ -14,16 +14,21 @@
     """Order the steps that have tasks to start.
 
     What is within its account's share goes before what is beyond, then the more urgent
-    queue, then a starved step, then the job that is due first.
+    queue, then a starved step, then the job that is due first. What is beyond goes by
+    what the accounts use: the one that uses the least for its weight goes first. Before
+    all goes the first step of an account that stands still.
     """
 
     _context = field()
     _images = field()
+    _used_shares = field()
 
     def steps(self, now_ms):
         """Return the steps whose turn has come or is still to come, the first first."""
+        jobs = self._context.live_jobs.values()
+        self._used_shares.review(jobs, now_ms)
         ranked = []
-        for job in self._context.live_jobs.values():
+        for job in jobs:
             queue = self._context.queue(job)
             if queue is None:
                 continue
@@ -35,7 +40,30 @@
                 rank = (job.is_beyond_share, queue.priority, *urgency)
                 ranked.append((rank, step))
         ranked.sort(key=itemgetter(0))
-        return [step for _, step in ranked]
+        return self._by_use([step for _, step in ranked], now_ms)
+
+    def _by_use(self, steps, now_ms):
+        """Return the steps with what is beyond the shares by what accounts use."""
+        wanting = {step.job.account_name for step in steps if step.ready}
+        self._used_shares.note_wanting(wanting, now_ms)
+        within = [step for step in steps if not step.job.is_beyond_share]
+        beyond = steps[len(within) :]
+        if beyond:
+            beyond = self._used_shares.in_turns(beyond)
+        return self._standing_first(within + beyond, now_ms)
+
+    def _standing_first(self, steps, now_ms):
+        """Put the first step of each account that stands still before all others."""
+        standing = {}
+        for step in steps:
+            name = step.job.account_name
+            if step.ready and name not in standing:
+                if self._used_shares.stands_still(name, now_ms):
+                    standing[name] = step
+        if not standing:
+            return steps
+        first = list(standing.values())
+        return first + [step for step in steps if step not in first]
 
     def _note_turn(self, step, now_ms):
         """Note from when on a step's tasks may be started."""
