--- a/packages/thymefork-cells/src/thymefork_cells/accounts/used_shares.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/used_shares.py
@@ -49,9 +49,10 @@
         self._memory_mb = 0
 
     def learn_room(self, workers):
-        """Note the workers that may be given tasks."""
-        self._cpu_milli = sum(max(0, worker.entry.cpu_milli) for worker in workers)
-        self._memory_mb = sum(max(0, worker.entry.memory_mb) for worker in workers)
+        """Note the room of all workers that are listed."""
+        entries = [worker.entry for worker in workers if worker.is_listed]
+        self._cpu_milli = sum(max(0, entry.cpu_milli) for entry in entries)
+        self._memory_mb = sum(max(0, entry.memory_mb) for entry in entries)
 
     def review(self, jobs, now_ms):
         """Bring what the accounts of live jobs used up to date."""
@@ -77,9 +78,12 @@
 
     def _part(self, cpu_milli, memory_mb):
         """Return the larger of the parts of the room."""
-        return max(
-            cpu_milli / max(1, self._cpu_milli), memory_mb / max(1, self._memory_mb)
-        )
+        wants = ((cpu_milli, self._cpu_milli), (memory_mb, self._memory_mb))
+        return max((held / room for held, room in wants if room), default=0.0)
+
+    def follows(self, account_name):
+        """Tell whether an account has a weight and live jobs."""
+        return account_name in self._accounts
 
     def used(self, account_name):
         """Return what an account used lately, as a part of the room; 0 if unknown."""
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -95,9 +95,7 @@
             if _takes_tasks(worker, now_ms):
                 by_id = services.setdefault(worker.entry.service, {})
                 by_id[worker.worker_id] = worker
-        self._used_shares.learn_room(
-            [worker for by_id in services.values() for worker in by_id.values()]
-        )
+        self._used_shares.learn_room(self._context.workers.values())
         return services
 
     # Placing a step ----------------------------------------------------------
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placing_notes.py
@@ -33,10 +33,22 @@
             left=wanted - len(starts),
             workers=len({worker.worker_id for _, worker in starts}),
             waited_ms=round(waited_ms),
-            account_uses=self._account_uses(step),
+            account=step.job.account_name,
+            **self._turn(step, len(starts), now_ms),
             configuration=self._context.configuration.version,
         )
 
+    def _turn(self, step, count, now_ms):
+        """Count starts by what gave a step its turn; return that for the log."""
+        name = step.job.account_name
+        if not self._used_shares.follows(name):
+            return {}
+        turn = "beyond_share" if step.job.is_beyond_share else "within_share"
+        if self._used_shares.stands_still(name, now_ms):
+            turn = "stood_still"
+        self._context.count("starts_by_share", turn, count)
+        return {"turn": turn, "account_uses": self._account_uses(step)}
+
     def _account_uses(self, step):
         """Return the part of the room that a step's account used lately."""
         return round(self._used_shares.used(step.job.account_name), 3)
