--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -30,7 +30,7 @@
     step_order,
 )
 
-from . import share_orders
+from . import load_states, share_orders
 from .described_load import read_load
 from .load_play import LoadPlay
 
@@ -79,6 +79,12 @@
     "beyond shares by fair queueing": (
         (step_order.StepOrder, "_by_use", share_orders.fair_queueing_beyond),
     ),
+    "in time first past full load": (
+        (step_order.StepOrder, "_by_use", load_states.order_past_full_load),
+    ),
+    "in time first, over priorities": (
+        (step_order.StepOrder, "_by_use", load_states.order_over_priorities),
+    ),
     "shares of 0.5 s": ((shares, "BURST_MS", 500.0),),
     "shares of 10 s": ((shares, "BURST_MS", 10_000.0),),
     "shortest first": ((step_order.StepOrder, "steps", _shortest_first),),
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/tests/test_used_shares.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/tests/test_used_shares.py
@@ -23,11 +23,10 @@
         taken_over_ms=0.0,
         configuration=Configuration(version=1, queues=(), accounts=accounts),
     )
-    shares = UsedShares(context=context)
     place = {"machine_id": "m", "host": "h", "port": 1, "service": "s", "hall": "h"}
     entry = WorkerEntry(worker_id="w", **place, **ROOM)
-    shares.learn_room([Worker(entry=entry)])
-    return context, shares
+    context.workers["w"] = Worker(entry=entry)
+    return context, UsedShares(context=context)
 
 
 def make_job(context, name, number=0, *, count=1, cpu_milli=10_000, memory_mb=0):
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/used_shares.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/used_shares.py
@@ -15,6 +15,8 @@
 # An account that has wanted room and held none for so long goes first: half of what
 # callers would take for a standstill.
 STANDSTILL_MS = 1_500.0
+# The room changes with workers that come and go, which is seldom beside plans.
+ROOM_MS = 500.0
 
 
 @define(kw_only=True, eq=False)
@@ -47,9 +49,16 @@
         self._accounts = {}
         self._cpu_milli = 0
         self._memory_mb = 0
+        self._room_due_ms = float("-inf")
 
-    def learn_room(self, workers):
+    @property
+    def follows_any(self):
+        """Tell whether any account has a weight and live jobs."""
+        return bool(self._accounts)
+
+    def _learn_room(self):
         """Note the room of all workers that are listed."""
+        workers = self._context.workers.values()
         entries = [worker.entry for worker in workers if worker.is_listed]
         self._cpu_milli = sum(max(0, entry.cpu_milli) for entry in entries)
         self._memory_mb = sum(max(0, entry.memory_mb) for entry in entries)
@@ -67,6 +76,9 @@
         policy = self._context.configuration.account(name)
         if policy is None or not policy.weight:
             return None
+        if now_ms >= self._room_due_ms or not self._cpu_milli:
+            self._room_due_ms = now_ms + ROOM_MS
+            self._learn_room()
         held = self._part(usage.cpu_milli, usage.memory_mb)
         account = self._accounts.get(name)
         if account is None:
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -45,7 +45,7 @@
         self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
-        self._used_shares = used_shares = UsedShares(context=context)
+        used_shares = UsedShares(context=context)
         self._order = StepOrder(context=context, images=images, used_shares=used_shares)
         self._notes = PlacingNotes(
             context=context, advice=advice, quotas=quotas, used_shares=used_shares
@@ -95,7 +95,6 @@
             if _takes_tasks(worker, now_ms):
                 by_id = services.setdefault(worker.entry.service, {})
                 by_id[worker.worker_id] = worker
-        self._used_shares.learn_room(self._context.workers.values())
         return services
 
     # Placing a step ----------------------------------------------------------
--- a/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
@@ -44,6 +44,8 @@
 
     def _by_use(self, steps, now_ms):
         """Return the steps with what is beyond the shares by what accounts use."""
+        if not self._used_shares.follows_any:
+            return steps
         wanting = {step.job.account_name for step in steps if step.ready}
         self._used_shares.note_wanting(wanting, now_ms)
         within = [step for step in steps if not step.job.is_beyond_share]
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -22,6 +22,7 @@
     "ownership": "Changes of a cell's owner seen here, by kind.",
     "advice_workers": "Workers that the advice service was asked about, by queue.",
     "speeds": "What was learned of how fast workers are, by kind.",
+    "starts_by_share": "Tasks started for accounts with a share, by whose turn it was.",
     "placed_by_speed": "Tasks started while workers are uneven, by need and speed.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
