--- a/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/desk.py
@@ -72,11 +72,12 @@
             return True
         return step.ticket_for(worker.worker_id, now_ms) is not None
 
-    def consider(self, step, workers, now_ms, *, may_start):
+    def consider(self, step, workers, now_ms, *, may_start, stands_still=False):
         """Note that a step may want a call, if its tickets may be missing soon.
 
         `workers` are given by id; `may_start` is how many tasks of the step its account
-        may start now.
+        may start now, `stands_still` that the account has wanted room for long and
+        held none.
         """
         policy = self.policy(step)
         if policy is None or step.advice_asked or now_ms < step.advice_not_before_ms:
@@ -88,7 +89,7 @@
         if not self._is_near(step, most_ms, now_ms):
             return
         step.advice_wanted_ms = step.advice_wanted_ms or now_ms
-        steps_later = self._steps_later(step, may_start)
+        steps_later = 0 if stands_still else self._steps_later(step, may_start)
         due_ms = step.advice_wanted_ms + PRIORITY_STEP_MS * steps_later
         self._wanting.append((due_ms, len(self._wanting), step, workers, may_start))
 
--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -86,7 +86,13 @@
             if step.ready:
                 self._place(step, workers, now_ms)
                 self._notes.note_wait(step, workers, now_ms)
-            self._advice.consider(step, workers, now_ms, may_start=may_start[step])
+            self._advice.consider(
+                step,
+                workers,
+                now_ms,
+                may_start=may_start[step],
+                stands_still=self._order.stands_still(step, now_ms),
+            )
         self._advice.ask(now_ms, permits=self._reservations.permits)
 
     def _workers_by_service(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/step_order.py
@@ -54,13 +54,17 @@
             beyond = self._used_shares.in_turns(beyond)
         return self._standing_first(within + beyond, now_ms)
 
+    def stands_still(self, step, now_ms):
+        """Tell whether a step's account has wanted room for long and held none."""
+        return self._used_shares.stands_still(step.job.account_name, now_ms)
+
     def _standing_first(self, steps, now_ms):
         """Put the first step of each account that stands still before all others."""
         standing = {}
         for step in steps:
             name = step.job.account_name
             if step.ready and name not in standing:
-                if self._used_shares.stands_still(name, now_ms):
+                if self.stands_still(step, now_ms):
                     standing[name] = step
         if not standing:
             return steps
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_shares_by_use.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_shares_by_use.py
@@ -23,8 +23,8 @@
 class Site:
     """Send jobs of accounts, and follow what each account holds."""
 
-    def __init__(self, make_harness, weights, workers=WORKERS):
-        self.harness = make_harness(workers=workers, cpu_milli=CORES)
+    def __init__(self, make_harness, weights, workers=WORKERS, **fields):
+        self.harness = make_harness(workers=workers, cpu_milli=CORES, **fields)
         self.room = workers * CORES
         policies = [AccountPolicy(name=name, weight=w) for name, w in weights.items()]
         use_accounts(self.harness, *policies)
@@ -152,14 +152,19 @@
     assert 0.35 < site.mean_held("wide", 50) < 0.65
 
 
-def test_an_account_beyond_its_share_does_not_stand_still(make_harness):
-    """Others fill the room within their shares, with more urgent work."""
+POLICY = {"decision_ms": 60.0, "per_worker_ms": 1.0, "valid_ms": 2_500.0}
+
+
+@pytest.mark.parametrize("fields", [{}, {"advice": POLICY, "advisers": 2}])
+def test_an_account_beyond_its_share_does_not_stand_still(make_harness, fields):
+    """Others fill the room and the calls for advice within their shares."""
     weights = {f"b{number}": 50.0 for number in range(4)} | {"a": 0.1}
-    site = Site(make_harness, weights, workers=4)
+    site = Site(make_harness, weights, workers=4, **fields)
+    queue = "q" if fields else "batch"  # only the urgent queue has a policy
     for _ in range(40):
         for number in range(4):
             site.send(f"b{number}", 4)
-        site.send("a", 2, queue="batch")
+        site.send("a", 2, queue=queue)
         site.run(200)
     assert site.longest_ms["a"] < 3_000
 
