--- a/bench/tests/test_experiments.py
+++ b/bench/tests/test_experiments.py
@@ -7,6 +7,7 @@
 from bench import experiments
 from bench.described_load import read_load
 from bench.load_play import LoadPlay
+from bench.load_states import LoadState
 
 LOAD = {
     "workers": 4,
@@ -60,6 +61,40 @@
     assert sum(one.is_owed for one in sent) <= 2 * (LOAD["seconds"] + 1) < len(sent) + 7
 
 
+@pytest.mark.parametrize(
+    "variant",
+    [
+        "all by use",
+        "by use within a priority",
+        "all by fair queueing",
+        "beyond shares by fair queueing",
+        "in time first past full load",
+    ],
+)
+def test_another_order_earns_something(path, variant):
+    assert experiments.play(path, variant, 1).worth > 0
+
+
+def test_an_account_sends_only_its_kinds(path):
+    kind = {**LOAD["kinds"][0], "name": "merge"}
+    wide = {**LOAD["accounts"][0], "kinds": ["merge"], "width_factor": 3.0}
+    accounts = [wide, LOAD["accounts"][1]]
+    load = {**LOAD, "kinds": [*LOAD["kinds"], kind], "accounts": accounts}
+    path.write_bytes(orjson.dumps(load))
+    load_play = LoadPlay(load=read_load(path), seed=1)
+    load_play.run()
+    sent = load_play._sent.values()
+    assert {one.kind.name for one in sent if one.account == "a"} == {"merge"}
+    assert {one.kind.name for one in sent if one.account == "b"} == {"lookup", "merge"}
+
+
+def test_the_state_of_load_does_not_flap():
+    state = LoadState()
+    ratios = (0.9, 1.1, 0.6, 0.4, 0.9)
+    judged = [state.judge(ratio, 1.0) for ratio in ratios]
+    assert judged == [False, True, True, False, False]
+
+
 def test_a_field_that_is_not_known_is_named(path):
     path.write_bytes(orjson.dumps({**LOAD, "wokers": 4}))
     with pytest.raises(TypeError, match="wokers"):
