--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -2,6 +2,7 @@
 
 from functools import partial
 
+from ..accounts import UsedShares
 from ..effects import StartRun
 from ..state import JobState, Run, RunState
 from .gang_choice import workers_for_gang
@@ -45,8 +46,11 @@
         self._trials = trials
         self._preemptor = preemptor
         self._reservations = reservations
-        self._order = StepOrder(context=context, images=images)
-        self._notes = PlacingNotes(context=context, advice=advice, quotas=quotas)
+        used_shares = UsedShares(context=context)
+        self._order = StepOrder(context=context, images=images, used_shares=used_shares)
+        self._notes = PlacingNotes(
+            context=context, advice=advice, quotas=quotas, used_shares=used_shares
+        )
         self._advice = advice
         self._risk = LateRisk()
         self._by_service = {}
@@ -84,7 +88,13 @@
             if step.ready:
                 self._place(step, workers, now_ms)
                 self._notes.note_wait(step, workers, now_ms)
-            self._advice.consider(step, workers, now_ms, may_start=may_start[step])
+            self._advice.consider(
+                step,
+                workers,
+                now_ms,
+                may_start=may_start[step],
+                stands_still=self._order.stands_still(step, now_ms),
+            )
         self._advice.ask(now_ms, permits=self._reservations.permits)
 
     def _workers_by_service(self, now_ms):
--- a/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telling/metrics.py
@@ -27,6 +27,7 @@
     "advice_withdrawn": "Calls for advice that nobody wanted any more, by how far.",
     "advice_workers": "Workers that the advice service was asked about, by queue.",
     "speeds": "What was learned of how fast workers are, by kind.",
+    "starts_by_share": "Tasks started for accounts with a share, by whose turn it was.",
     "placed_by_speed": "Tasks started while workers are uneven, by need and speed.",
     "reservations": "Workers kept free for a step, by its kind.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
