--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -7,15 +7,9 @@
 from .estimates.room_forecast import RoomForecast
 from .estimates.speed_learner import SpeedLearner
 from .estimates.worker_speeds import WorkerSpeeds
-from .jobs.codec import (
-    JOB_KEY,
-    PROGRESS_KEY,
-    decode_progress,
-    load_ended_job,
-    load_job,
-)
 from .jobs.inherited_ends import InheritedEnds
-from .jobs.intake import Intake, chain_ms
+from .jobs.intake import Intake
+from .jobs.job_loader import JobLoader
 from .jobs.journal import Journal
 from .jobs.lifecycle import Lifecycle
 from .jobs.unstored_ends import UnstoredEnds
@@ -98,6 +92,13 @@
             quotas=self.quotas,
             shares=self.shares,
         )
+        self._loader = JobLoader(
+            context=self.context,
+            lifecycle=self.lifecycle,
+            losses=self.losses,
+            shares=self.shares,
+            worker_of=self.roster.ghost,
+        )
         forecast = RoomForecast(context=self.context, images=self.images)
         self.advice = AdviceDesk(
             context=self.context, images=self.images, speeds=self.speeds
@@ -143,58 +144,11 @@
 
     def load(self, records, *, epoch_ms, now_ms):
         """Bring the cell to the stored state; `records` maps keys to values."""
-        for key, value in records.items():
-            if key.startswith(PROGRESS_KEY):
-                job = load_ended_job(key.removeprefix(PROGRESS_KEY), value)
-                if job is not None:
-                    self._resume(job, now_ms)
-        for key, value in records.items():
-            job_id = key.removeprefix(JOB_KEY)
-            if key.startswith(JOB_KEY) and job_id not in self.context.jobs:
-                progress = records.get(PROGRESS_KEY + job_id)
-                job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
-                self._resume(job, now_ms)
-        self._judge_shares()
+        self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self.long_holds.load(records, self.roster.ghost, now_ms)
         self.parts.load(records)
         self.quorum.inherit(now_ms)
 
-    def _judge_shares(self):
-        """Judge anew which of the jobs that still live are within their share."""
-        by_age = sorted(
-            self.context.live_jobs.values(), key=lambda job: job.accepted_ms
-        )
-        for job in by_age:
-            is_within = self.shares.admits(job.account_name, job.accepted_ms)
-            job.is_beyond_share = not is_within
-
-    def _load_live_job(self, job_id, value, progress, epoch_ms, now_ms):
-        job = load_job(
-            job_id,
-            value,
-            usage_of=self.context.usage_of,
-            epoch_ms=epoch_ms,
-            now_ms=now_ms,
-        )
-        job.shown_state = job.state
-        if progress is not None:
-            decode_progress(job, progress, self.roster.ghost)
-        return job
-
-    def _resume(self, job, now_ms):
-        queue = self.context.queue(job)
-        if queue is not None:
-            objective_ms = queue.stretch * chain_ms(job.spec) + queue.target_latency_ms
-            job.objective_ms = job.accepted_ms + objective_ms
-        if not job.is_live:
-            job.ended_ms = now_ms
-            for run in job.runs:
-                self.lifecycle.stop(run, f"the job is {job.state}", now_ms=now_ms)
-        else:
-            self.context.live_jobs[job.job_id] = job
-            self.losses.adopt(job)
-        self.context.jobs[job.job_id] = job
-
     def on_configuration(self, configuration):
         """Take a newer configuration."""
         self.context.configuration = configuration
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/__init__.py
@@ -13,6 +13,7 @@
 )
 from .inherited_ends import InheritedEnds
 from .intake import STORE_AWAY_RETRY_MS, Intake
+from .job_loader import JobLoader
 from .journal import Batch, Journal
 from .lifecycle import Lifecycle
 from .unstored_ends import TELL_AFTER_MS, UnstoredEnds
@@ -22,6 +23,7 @@
     "InheritedEnds",
     "Intake",
     "JOB_KEY",
+    "JobLoader",
     "Journal",
     "Lifecycle",
     "PROGRESS_KEY",
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
@@ -0,0 +1,73 @@
+"""Bringing a cell's jobs to the state that is stored of them."""
+
+from attrs import field, frozen
+
+from .codec import JOB_KEY, PROGRESS_KEY, decode_progress, load_ended_job, load_job
+from .intake import chain_ms
+
+__all__ = ["JobLoader"]
+
+
+@frozen(kw_only=True)
+class JobLoader:
+    """Load the jobs of a cell that is taken over.
+
+    `worker_of(worker_id)` returns the worker of that id, or a stand-in for it.
+    """
+
+    _context = field()
+    _lifecycle = field()
+    _losses = field()
+    _shares = field()
+    _worker_of = field()
+
+    def load(self, records, *, epoch_ms, now_ms):
+        """Load all jobs; `records` maps keys to values."""
+        for key, value in records.items():
+            if key.startswith(PROGRESS_KEY):
+                job = load_ended_job(key.removeprefix(PROGRESS_KEY), value)
+                if job is not None:
+                    self._resume(job, now_ms)
+        for key, value in records.items():
+            job_id = key.removeprefix(JOB_KEY)
+            if key.startswith(JOB_KEY) and job_id not in self._context.jobs:
+                progress = records.get(PROGRESS_KEY + job_id)
+                job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
+                self._resume(job, now_ms)
+        self._judge_shares()
+
+    def _load_live_job(self, job_id, value, progress, epoch_ms, now_ms):
+        job = load_job(
+            job_id,
+            value,
+            usage_of=self._context.usage_of,
+            epoch_ms=epoch_ms,
+            now_ms=now_ms,
+        )
+        job.shown_state = job.state
+        if progress is not None:
+            decode_progress(job, progress, self._worker_of)
+        return job
+
+    def _resume(self, job, now_ms):
+        queue = self._context.queue(job)
+        if queue is not None:
+            objective_ms = queue.stretch * chain_ms(job.spec) + queue.target_latency_ms
+            job.objective_ms = job.accepted_ms + objective_ms
+        if not job.is_live:
+            job.ended_ms = now_ms
+            for run in job.runs:
+                self._lifecycle.stop(run, f"the job is {job.state}", now_ms=now_ms)
+        else:
+            self._context.live_jobs[job.job_id] = job
+            self._losses.adopt(job)
+        self._context.jobs[job.job_id] = job
+
+    def _judge_shares(self):
+        """Judge anew which of the jobs that still live are within their share."""
+        by_age = sorted(
+            self._context.live_jobs.values(), key=lambda job: job.accepted_ms
+        )
+        for job in by_age:
+            is_within = self._shares.admits(job.account_name, job.accepted_ms)
+            job.is_beyond_share = not is_within
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -65,8 +65,8 @@
     it. A job that changes meanwhile waits again, so that a later batch supersedes.
 
     Where more waits than one append carries, an effect leaves with the one that stores
-    the last change before it: sent with the first, it told callers of jobs that a power
-    cut then lost (155 of 400 jobs of 4 kB handed in at once, on virtual time).
+    the last change before it: sent with the first, it would tell callers of jobs that a
+    power cut may still lose.
     `is_urgent` tells whether somebody waits: a caller, a start or a job that has ended.
     The end of a task beside which others of its step still run hurries nobody.
     """
@@ -192,9 +192,7 @@
     def _drop_description(batch, job, *, was_stored):
         """Drop the description of a job that is over: its progress tells its state.
 
-        After 40 s of full load descriptions were 144 of 155 kB that a successor read,
-        and 142 of 187 jobs had ended (counted as it read them). Over a link of 2 Mbit/s
-        a takeover then took 0.4 s instead of 1.0 s, by its log.
+        Descriptions are most of what a successor reads, and most jobs have ended.
         """
         if was_stored:
             batch.add(JOB_KEY + job.job_id, b"")
--- a/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/reservations.py
@@ -118,9 +118,7 @@
             return waited_ms > GANG_PATIENCE_MS and _all_wait(step)
         if step.spec.long_running or waited_ms <= LARGE_PATIENCE_MS:
             return False
-        # Room kept idle for jobs that are late only makes others late. Where twice the
-        # load came that the workers bear, worth was 0.05 lower without this bound, and
-        # 0.04 with one of twice the objective; under a usual load it costs under 0.007.
+        # Room kept idle for jobs that are late only makes others late.
         return self._images.ends_in_time(step, now_ms)
 
     def _keep(self, step, workers, was, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/placing/trials.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/trials.py
@@ -46,9 +46,8 @@
     def workers_for(step, tasks, workers, now_ms):
         """Return those of the workers that tasks of a step may be tried on.
 
-        Tasks that have to run apart wait a while for a worker to become empty. Keeping
-        one free for them meanwhile spared nobody, and others waited a tenth longer (the
-        cell at 0.9 to 1.1 of its load, on virtual time).
+        Tasks that have to run apart wait a while for a worker to become empty. None is
+        kept free for them meanwhile: that makes others wait and spares nobody.
         """
         if not _has_to_run_apart(tasks, now_ms):
             return workers
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pump.py
@@ -18,9 +18,8 @@
 MOST_CALLS_OPEN = 4
 # An append usually takes 10 ms. Once one has been under way for this long, the store
 # counts as away: new work is refused rather than left in doubt. What is in doubt by
-# then waits on, and its caller is told as soon as the append is answered: callers that
-# were told "unknown" at once came back within 0.2 s, had used up their tries by the
-# time the store or another owner answered, and were lost (0.01 of a day's worth).
+# then waits on, and its caller is told as soon as the append is answered: told
+# "unknown" at once, callers would use up their tries before the store is back.
 AWAY_MS = 1_000.0
 # An append that has been under way for 40 times the usual time says that the store does
 # not answer; an owner that stops keeps its cell then rather than lose what it heard.
--- a/packages/thymefork-net/src/thymefork_net/steady.py
+++ b/packages/thymefork-net/src/thymefork_net/steady.py
@@ -58,9 +58,7 @@
         """Call `action` again and again, at each multiple of `period_ms`.
 
         The multiples are counted from one moment for all, so that one wake-up serves
-        every timer that is due by then: an idle instance's seven wake it 20 times a
-        second, 75 times if each counted from its own start (counted on virtual time).
-        Moments that a pause has missed are passed over.
+        every timer that is due by then. Moments that a pause has missed are passed over.
         """
 
         def again():
