--- a/packages/thymefork-net/src/thymefork_net/steady.py
+++ b/packages/thymefork-net/src/thymefork_net/steady.py
@@ -58,7 +58,8 @@
         """Call `action` again and again, at each multiple of `period_ms`.
 
         The multiples are counted from one moment for all, so that one wake-up serves
-        every timer that is due by then. Moments that a pause has missed are passed over.
+        every timer that is due by then. Moments that a pause has missed are passed
+        over.
         """
 
         def again():
