Rate workers only for steps that find one with room

Whether tasks disturb each other was asked twice for each worker and step, though few steps can.

Ruled out: caching the chance over plans; it changes with the time that is left.

The cells' tests pass.

--- a/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/placer.py
@@ -139,6 +139,8 @@
         """Start tasks under which no worker was lost; return each with its worker."""
         spec = step.spec
         usable = [worker for worker in permitted if worker.has_room(spec)]
+        if not usable:
+            return []
         fit = self._speed_fit(step, now_ms)
         suitable = usable if fit is None else fit.suitable(usable)
         ranking = WorkerRanking(
--- a/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placing/worker_choice.py
@@ -146,9 +146,11 @@
     left_memory = (worker.free_memory_mb - spec.memory_mb) / max(1, entry.memory_mb)
     points = left_cpu + 0.5 * left_memory
     is_remote = bool(spec.preferred_rack) and spec.preferred_rack != entry.rack
+    # Few steps can disturb others at all, and each worker is rated for each step.
+    disturbs = (spec.fills_idle_cpu or spec.target_tail_ms) and _disturbs(spec, worker)
     if speed_fit is not None:
         points += speed_fit.rate(worker, is_remote=is_remote)
-        points += SPEED_SPAN * _outweighs_speed(spec, worker)
+        points += SPEED_SPAN * (_is_likely_bad(worker) + bool(disturbs))
     if spec.accelerators and entry.accelerators:
         # Tasks that want all of a worker's need one that no single task has broken.
         points += (worker.free_accelerators - spec.accelerators) / entry.accelerators
@@ -158,15 +160,14 @@
         points += REMOTE_PENALTY
     if spec.fills_idle_cpu:
         points -= 2 * left_cpu  # idle processors are what it needs
-    if _disturbs(spec, worker):
+    if disturbs:
         points += DISTURBANCE_PENALTY
     return points
 
 
-def _outweighs_speed(spec, worker):
-    """Return how many reasons against a worker weigh more than any speed."""
-    is_likely_bad = worker.health.failures_in_row >= FAILURES_TO_QUARANTINE
-    return is_likely_bad + _disturbs(spec, worker)
+def _is_likely_bad(worker):
+    """Tell whether a worker failed too often in a row for any speed to make up for."""
+    return worker.health.failures_in_row >= FAILURES_TO_QUARANTINE
 
 
 def _disturbs(spec, worker):
