--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/owner_load.py
@@ -46,6 +46,10 @@
 
     def __init__(self, *, link_mbps):
         self._link_mbps = link_mbps
+        self.reset()
+
+    def reset(self):
+        """Begin anew, since nothing is owned any more."""
         self._sampled_ms = None
         self._lag_ms = 0.0
         self._busy_ms = 0.0
@@ -82,10 +86,6 @@
         until = OVERLOADED_UNTIL if self.is_overloaded else OVERLOADED_AT
         self.is_overloaded = self.value >= until
 
-    def reset(self):
-        """Begin anew, since nothing is owned any more."""
-        self.__init__(link_mbps=self._link_mbps)
-
     def _pressure(self, span_ms, join_ms, queued_bytes):
         over_ms = max(0.0, self._append_ms - APPEND_PER_JOIN * join_ms)
         queued_ms = 0.0
