Log why a step waits beside workers with room

Callers saw jobs that ran nothing beside room; step_waits counted workers, room and tickets, so the three hypotheses of the incident looked alike. Cause: the reasons for which a worker is passed over were decided in the placer and told to nobody. Ruled out: debug lines for each plan, which would grow with the load; the lines stay one for each waiting step and 2 s. Change: one enum of exclusions, used to decide whether a worker accepts tasks and to count the service's workers in step_waits; probes are named, and how long a task had no run; two metrics. No decision changes.

--- a/packages/thymefork-cells/src/thymefork_cells/placement/placement_log.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placement_log.py
@@ -2,10 +2,14 @@
 
 from attrs import field, frozen
 
+from .exclusions import DECIDED_HERE
+
 __all__ = ["PlacementLog"]
 
 # How often a waiting step is logged.
 WAIT_LOG_INTERVAL_MS = 2_000.0
+# Bounds the probes named in a log line.
+MAX_LOGGED_PROBES = 5
 
 
 @frozen(kw_only=True)
@@ -16,13 +20,16 @@
     _advice = field()
     _quotas = field()
     _dominant_shares = field()
+    _exclusions = field()
 
     def log_starts(self, step, starts, wanted, now_ms):
         """Log one line for all tasks of a step that start at once."""
         if not starts:
             return
         waited_ms = now_ms - step.ready_ms
+        idle_ms = max(task.idle_ms(now_ms) for task, _ in starts)
         self._context.observe("queue_wait", waited_ms, kind=step.job.queue_name)
+        self._context.observe("task_idle", idle_ms, kind=step.job.queue_name)
         self._context.note(
             "tasks_start",
             job=step.job.job_id,
@@ -33,6 +40,7 @@
             left=wanted - len(starts),
             workers=len({worker.worker_id for _, worker in starts}),
             waited_ms=round(waited_ms),
+            idle_ms=round(idle_ms),
             account=step.job.account_name,
             **self._count_starts_by_share(step, len(starts), now_ms),
             configuration=self._context.configuration.version,
@@ -70,6 +78,9 @@
             return
         step.wait_logged_ms = now_ms
         with_ticket = self._advice.with_ticket(step, workers, now_ms)
+        excluded = self._exclusions.count(step, now_ms)
+        for reason in DECIDED_HERE & excluded.keys():
+            self._context.count("waits_beside_room", str(reason))
         self._context.note(
             "step_waits",
             step=step.name,
@@ -78,16 +89,31 @@
             cpu_milli=step.spec.cpu_milli,
             memory_mb=step.spec.memory_mb,
             for_ms=round(now_ms - step.ready_ms),
+            idle_ms=round(step.longest_wait_ms(now_ms)),
+            job_runs=len(step.job.runs),
             account=step.job.account_name,
             beyond_share=step.job.is_beyond_share,
             account_uses=self._account_uses(step),
             account_allows=self._quotas.tasks_allowed(step, now_ms),
             **_worker_counts(step, workers, with_ticket),
+            excluded={str(reason or "none"): n for reason, n in excluded.items()},
+            probes=self._probes(step),
+            suspects=sum(bool(task.losses) for task in waiting),
             allowed=-1 if step.allowed is None else len(step.allowed),
             denied=len(step.denied),
             advice_asked=step.advice_asked,
         )
 
+    def _probes(self, step):
+        """Return the first probes without a verdict on the step's workers."""
+        service = self._context.service_of(step.job)
+        probes = [
+            worker.health.probe
+            for worker in self._context.workers.values()
+            if worker.entry.service == service and worker.health.awaits_probe
+        ]
+        return [f"{run.task.name}/{run.run_id}" for run in probes[:MAX_LOGGED_PROBES]]
+
 
 def _worker_counts(step, workers, with_ticket):
     """Return log fields with the number of workers by what they offer."""
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -5,6 +5,7 @@
 from ..accounts import DominantShares
 from ..effects import StartRun
 from ..state import JobState, Run, RunState
+from .exclusions import Exclusions, worker_exclusion
 from .exploration_scorer import ExplorationScorer, LatenessRisk
 from .gang_workers import workers_for_gang
 from .placement_log import PlacementLog
@@ -55,6 +56,9 @@
             advice=advice,
             quotas=quotas,
             dominant_shares=dominant_shares,
+            exclusions=Exclusions(
+                context=context, advice=advice, reservations=reservations
+            ),
         )
         self._advice = advice
         self._lateness_risk = LatenessRisk()
@@ -105,7 +109,7 @@
     def _workers_by_service(self, now_ms):
         services = {}
         for worker in self._context.workers.values():
-            if _accepts_tasks(worker, now_ms):
+            if worker_exclusion(worker, now_ms) is None:
                 by_id = services.setdefault(worker.entry.service, {})
                 by_id[worker.worker_id] = worker
         return services
@@ -216,7 +220,7 @@
         return [
             worker
             for worker in self._advice.with_ticket(step, workers, now_ms)
-            if _accepts_tasks(worker, now_ms)
+            if worker_exclusion(worker, now_ms) is None
             and worker.admits(step.job, now_ms)
             and self._reservations.permits(step, worker, now_ms)
         ]
@@ -264,12 +268,3 @@
             job.state = JobState.RUNNING
         self._context.journal.mark_changed(job)
         self._context.journal.after(StartRun(run=run))
-
-
-def _accepts_tasks(worker, now_ms):
-    """Return whether a worker accepts new tasks now."""
-    if not worker.has_reported or not worker.is_listed or worker.entry.draining:
-        return False
-    if worker.entry.is_lapsed or worker.is_suspect or worker.entry.cpu_milli <= 0:
-        return False
-    return worker.slow_pause_until_ms <= now_ms and worker.health.takes_work(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -72,10 +72,7 @@
 
     def longest_wait_ms(self, now_ms):
         """Return the longest wait of a task since it was ready or lost a run."""
-        if not self.ready:
-            return 0.0
-        since_ms = [max(self.ready_ms, task.last_lost_ms) for task in self.waiting]
-        return now_ms - min(since_ms, default=now_ms)
+        return max((task.idle_ms(now_ms) for task in self.waiting), default=0.0)
 
     def invalidate_waiting(self):
         """Clear the cached waiting tasks after a task was started or lost a run."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -42,6 +42,12 @@
         """Return whether the task is not done and no run of it may exist."""
         return not self.done and not self.runs
 
+    def idle_ms(self, now_ms):
+        """Return how long the task has been ready without a run."""
+        if not self.step.ready:
+            return 0.0
+        return now_ms - max(self.step.ready_ms, self.last_lost_ms)
+
     def suspected_crashes(self, now_ms):
         """Return how many workers it may have crashed.
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -1,5 +1,7 @@
 """A worker in virtual time, with leases, fences, run numbers and run ends."""
 
+from collections.abc import Callable
+
 from attrs import define, field
 
 from thymefork_cells import CommandAnswer, EndRow, Refusal, RunRow, WorkerReport
@@ -38,10 +40,11 @@
 
     Once it `is_replaced`, another incarnation answers at its address. With
     `stalls_at_completion` its tasks stay at 100%, like those of a gang with slower
-    members. The next `ignored_stops` stops are answered but not carried out; others
-    take `stop_duration_ms`. Serving tasks have a latency tail of `tail_ms`.
-    `pace_percents` holds the pace of each run. `history` holds the runs of all
-    incarnations, `lease_lapsed_ms` is when the lease last expired.
+    members. Tasks for which `fails_task` returns true fail after `fail_after_ms`, and
+    with `fails_all` all tasks do. The next `ignored_stops` stops are answered but not
+    carried out; others take `stop_duration_ms`. Serving tasks have a latency tail of
+    `tail_ms`. `pace_percents` holds the pace of each run. `history` holds the runs of
+    all incarnations, `lease_lapsed_ms` is when the lease last expired.
     """
 
     worker_id: str
@@ -52,6 +55,8 @@
     is_unreachable: bool = False
     is_replaced: bool = False
     fails_all: bool = False
+    fails_task: Callable[[str], bool] = lambda task: False
+    fail_after_ms: float = 50.0
     is_stalled: bool = False
     stalls_at_completion: bool = False
     ignored_stops: int = 0
@@ -109,6 +114,13 @@
         """End a run for an external reason."""
         self._end(key, how)
 
+    def fail_running(self, now_ms):
+        """Let all present runs fail now."""
+        self.advance(now_ms)
+        for key in list(self.running):
+            self.running[key].ends_ms = now_ms
+            self._end(key, "failed")
+
     def _end(self, key, how):
         run = self.running.pop(key)
         run.how = how
@@ -134,13 +146,13 @@
             self._take_lease(deadline_clock_ms, now_ms)
             work_ms = self.work_ms_of.get(task, self.work_ms)
             span_ms = work_ms * self.slow_factor
-            how = "failed" if self.fails_all else "done"
+            fails = self.fails_all or self.fails_task(task)
             run = VirtualRun(
                 task=task,
                 run_id=run_id,
                 began_ms=now_ms,
-                ends_ms=now_ms + (50.0 if self.fails_all else span_ms),
-                how=how,
+                ends_ms=now_ms + (self.fail_after_ms if fails else span_ms),
+                how="failed" if fails else "done",
             )
             self.running[task, run_id] = run
             self.history.append(run)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -30,6 +30,7 @@
     "starts_by_share": "Tasks started for accounts with a share, by whose turn it was.",
     "placed_by_speed": "Tasks started while workers are uneven, by need and speed.",
     "reservations": "Workers kept free for a step, by its kind.",
+    "waits_beside_room": "Log lines of waiting steps, by what kept workers with room.",
     "owners_taken_out": "Owners replaced before their membership lapsed, by reason.",
     "owner_handovers": "Cells given to members that are better placed, by reason.",
     "owner_handovers_given_up": "Handovers begun and not carried out, by reason.",
@@ -46,6 +47,7 @@
     "advice": "From a step's question to the call, and to the tickets.",
     "job_total": "From a job's acceptance to its end, by queue.",
     "queue_wait": "From a task's turn to its start.",
+    "task_idle": "How long a task was ready without a run, by queue.",
     "start": "From a start's sending to its answer.",
 }
 GAUGES = {
