End a worker's probation once its probe has worked for a second

Callers saw jobs that ran nothing beside nearly empty workers. Cause: after two failures a worker is paused, then takes one task at a time until one succeeds. A lasting task never succeeds, so as a probe it closed its worker for good; pauses doubled to 6 s, twice what a job may stand still. Why it works: the verdict has a time of its own, a second of work, whatever the probe is; the next failure pauses again. Pauses are all 1.5 s; a worker that failed stays the last choice, so more pauses protect only at full load.

--- a/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
@@ -6,9 +6,10 @@
 
 # A single failure may be the task's own fault.
 FAILURES_TO_PAUSE = 2
-# The pause doubles with each further failure.
-INITIAL_PAUSE_MS = 1_500.0
-MAX_PAUSE_MS = 6_000.0
+# Short, since for some steps the policy admits no other worker.
+PAUSE_MS = 1_500.0
+# A probe that works this long admits further tasks; a lasting one never succeeds.
+PROBE_MS = 1_000.0
 
 
 @define(kw_only=True, eq=False)
@@ -16,11 +17,10 @@
     """Track failures of a worker's runs, and pause workers that keep failing.
 
     After a pause the worker is on probation: it gets one new task at a time, the probe,
-    until one succeeds.
+    until one succeeds or works for `PROBE_MS`.
     """
 
     failures_in_row: int = 0
-    pauses_in_row: int = 0
     paused_until_ms: float = 0.0
     on_probation: bool = False
     probe: object = None
@@ -28,9 +28,7 @@
     def succeeded(self):
         """Record a successful run."""
         self.failures_in_row = 0
-        self.pauses_in_row = 0
-        self.on_probation = False
-        self.probe = None
+        self._end_probation()
 
     def failed(self, now_ms):
         """Record a failed run; return whether the worker is paused for it."""
@@ -42,18 +40,12 @@
 
     def pause(self, now_ms):
         """Pause new work on the worker."""
-        pause_ms = min(INITIAL_PAUSE_MS * 2**self.pauses_in_row, MAX_PAUSE_MS)
-        self.paused_until_ms = now_ms + pause_ms
-        self.pauses_in_row += 1
+        self.paused_until_ms = now_ms + PAUSE_MS
         self.on_probation = True
 
-    def takes_work(self, now_ms):
-        """Return whether the worker may get a task."""
-        return now_ms >= self.paused_until_ms and not self.awaits_probe
-
     @property
     def awaits_probe(self):
-        """Return whether the probe is still running."""
+        """Return whether the probe is still running without a verdict."""
         return self.on_probation and self.probe is not None
 
     def started(self, run):
@@ -61,6 +53,21 @@
         if self.on_probation:
             self.probe = run
 
+    def check_probe(self, now_ms):
+        """End the probation once the probe has worked for long enough.
+
+        The next failure pauses the worker again.
+        """
+        run = self.probe
+        if run is None or not run.is_live or not run.began_ms:
+            return
+        if now_ms - run.began_ms >= PROBE_MS:
+            self._end_probation()
+
+    def _end_probation(self):
+        self.on_probation = False
+        self.probe = None
+
     def gone(self, run):
         """Record a run that ended without a verdict on the worker."""
         if self.probe is run:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
@@ -50,10 +50,33 @@
     harness.submit(WAITING, job_spec(SMALL_STEP))
     watch = StandstillWatch(harness=harness)
     watch.run(10_000)
-    assert watch.longest_ms[WAITING] < MAX_JOB_IDLE_MS
+    assert watch.longest_ms.get(WAITING, 0.0) < MAX_JOB_IDLE_MS
     assert harness.job(WAITING).state is JobState.SUCCEEDED
 
 
+@pytest.mark.parametrize("seed", range(10))
+def test_job_runs_after_faulty_workers_got_lasting_probes(make_harness, seed):
+    """Guards against probation behind lasting probes after the workers were faulty."""
+    harness = make_harness(workers=4, max_attempts=50)
+    rng = random.Random(seed)
+    set_lasting(harness)
+    for worker in harness.workers.values():
+        worker.fails_all = True
+    harness.submit(FAILING, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.submit("e" * 16, job_spec({"count": 8, "cpu_milli": 500}))
+    harness.run(rng.uniform(500, 1_500))
+    for worker in harness.workers.values():
+        worker.fails_all = False
+    for health in [w.health for w in harness.cell.context.workers.values()]:
+        health.pause(harness.now)
+    harness.submit(LASTING, job_spec(LASTING_STEP))
+    harness.run(rng.uniform(2_000, 7_000))
+    harness.submit(WAITING, job_spec(SMALL_STEP))
+    watch = StandstillWatch(harness=harness)
+    watch.run(10_000)
+    assert watch.longest_ms.get(WAITING, 0.0) < MAX_JOB_IDLE_MS
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_job_runs_beside_failing_image_on_its_few_workers(make_harness, seed):
     """Guards against one job's failing tasks closing another job's few workers."""
@@ -128,7 +151,7 @@
     worker.fail_running(harness.now)
     watch = StandstillWatch(harness=harness)
     watch.run(10_000)
-    assert watch.longest_ms[WAITING] < MAX_JOB_IDLE_MS
+    assert watch.longest_ms.get(WAITING, 0.0) < MAX_JOB_IDLE_MS
 
 
 @pytest.mark.parametrize("count", [2, 8])
--- a/packages/thymefork-cells/src/thymefork_cells/workers/progress_monitor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/progress_monitor.py
@@ -25,9 +25,10 @@
         self._lifecycle = lifecycle
 
     def check(self, now_ms):
-        """Check all runs."""
+        """Check all runs, those of probes included."""
         for worker in self._context.workers.values():
             self._check_speed(worker, now_ms)
+            worker.health.check_probe(now_ms)
             for run in list(worker.runs.values()):
                 if self._is_stalled(run):
                     self._stop_stalled(run, now_ms)
