Hold failures of a step that fails everywhere against no worker

Callers saw jobs that ran nothing beside room while another job's tasks failed one after the other on many workers, two of them paused at a time. Cause: each failure counted against the worker, also those of an image that fails wherever it starts; who failed where was known and not used. Why it works: once most tasks of a step have failed, on two workers or more, and none has succeeded, its failures are withdrawn from the workers and later ones not counted. Ruled out: evidence by image, as sound and failing jobs may share one. The log line step_fails_everywhere and workers_paused{withdrawn} tell of it.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -94,6 +94,7 @@
 
     def _on_done(self, run, now_ms):
         step = run.task.step
+        step.has_success = True
         run.worker.health.succeeded()
         if step.spec.long_running:
             return
@@ -130,7 +131,9 @@
 
     def _on_failed(self, run, now_ms):
         task, step, worker = run.task, run.task.step, run.worker
-        if worker.health.failed(now_ms):
+        if step.record_failure(task, worker.worker_id):
+            self._withdraw_failures(step)
+        if worker.health.failed(step, now_ms):
             self._context.count("workers_paused", "failures")
             self._context.note(
                 "worker_paused",
@@ -142,6 +145,23 @@
         if not step.spec.long_running:
             self._count_failure(task, run.run_id, now_ms)
 
+    def _withdraw_failures(self, step):
+        """Hold the failures of a step that fails everywhere against no worker."""
+        workers = [
+            worker
+            for worker_id in step.failed_worker_ids
+            if (worker := self._context.workers.get(worker_id)) is not None
+        ]
+        resumed = sum(worker.health.withdraw_failures(step) for worker in workers)
+        self._context.count("workers_paused", "withdrawn", resumed)
+        self._context.note(
+            "step_fails_everywhere",
+            step=step.name,
+            tasks=len(step.failed_tasks),
+            workers=len(step.failed_worker_ids),
+            workers_resumed=resumed,
+        )
+
     def _count_failure(self, task, run_id, now_ms):
         """Count a failed attempt; failures of a gang's members in one run are one."""
         step = task.step
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -4,6 +4,9 @@
 
 __all__ = ["StepState", "Ticket"]
 
+# A step that fails on a single worker may be right, and the worker faulty.
+MIN_FAILED_WORKERS = 2
+
 
 @frozen(kw_only=True)
 class Ticket:
@@ -20,6 +23,9 @@
 class StepState:
     """Track the tasks of a step in one occurrence of its job.
 
+    `failed_tasks` and `failed_worker_ids` tell which tasks have failed and where,
+    `has_success` whether any run has succeeded.
+
     `tickets` maps worker ids to tickets; `allowed` and `denied` are the ids of workers
     whose use the advice service has allowed or denied, `allowed` is None before the
     first answer. `denials_cleared_ms` is when `denied` was last cleared for new calls,
@@ -51,6 +57,9 @@
     advice_asked: bool = False
     advice_wanted_ms: float = 0.0
     denials_in_row: int = 0
+    failed_tasks: set = field(factory=set)
+    failed_worker_ids: set = field(factory=set)
+    has_success: bool = False
     advice_not_before_ms: float = 0.0
 
     @property
@@ -63,6 +72,24 @@
         """Return whether every task has succeeded."""
         return self.tasks_remaining == 0
 
+    @property
+    def fails_everywhere(self):
+        """Return whether most tasks have failed, on several workers, and none is done.
+
+        Such failures say nothing about the workers.
+        """
+        if self.has_success or len(self.failed_worker_ids) < MIN_FAILED_WORKERS:
+            return False
+        return len(self.failed_tasks) > len(self.tasks) / 2
+
+    def record_failure(self, task, worker_id):
+        """Record a failed run; return whether the step turns out to fail everywhere."""
+        if self.fails_everywhere:
+            return False
+        self.failed_tasks.add(task.index)
+        self.failed_worker_ids.add(worker_id)
+        return self.fails_everywhere
+
     @property
     def waiting(self):
         """Return the tasks that have to be started."""
