Let a task return to a worker that it avoids after a second

Callers saw lasting tasks that were not started again beside room. Cause: a worker where a task failed was used again only if the workers handed in were no more than those it avoids; workers that anti-affinity keeps out, that were full or that the policy was never asked about counted as others, so a task whose place it was waited for good.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -141,7 +141,7 @@
                 failures_in_row=worker.health.failures_in_row,
                 until_in_ms=round(worker.health.paused_until_ms - now_ms),
             )
-        task.avoided_workers.add(worker.worker_id)
+        task.avoid(worker.worker_id, now_ms)
         if not step.spec.long_running:
             self._count_failure(task, run.run_id, now_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -160,6 +160,8 @@
             hall=best_hall(spec, suitable, len(tasks)),
             runs_per_worker=step.runs_per_worker() if spec.most_per_worker else None,
             rate=partial(fit_score, spec, speed_scorer=scorer),
+            now_ms=now_ms,
+            alternatives=permitted,
             has_unasked_workers=self._advice.has_unasked_workers(step, workers),
         )
         starts = self._start(tasks, ranking)
@@ -195,6 +197,8 @@
             if step.spec.most_per_worker
             else None,
             rate=partial(self._crash_isolation.rate, step),
+            now_ms=now_ms,
+            alternatives=permitted,
         )
         starts = self._start(ready, ranking)
         for task, worker in starts:
--- a/packages/thymefork-cells/src/thymefork_cells/placement/tests/test_worker_ranking.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/tests/test_worker_ranking.py
@@ -16,16 +16,26 @@
 HALLS = ("a", "b", "c")
 
 
+NOW_MS = 10_000.0
+
+
 def best_by_scan(spec, task, workers, runs_per_worker, hall):
     """Return the best worker by scoring all of them, as a reference."""
+    others = [w for w in workers if w.worker_id not in task.avoided_workers]
+    avoided = [w for w in workers if w.worker_id in task.avoided_workers]
+    found = best_of(spec, task, others, runs_per_worker, hall)
+    may_wait = any(w.fits_when_empty(spec) for w in others)
+    if found is None and (NOW_MS >= task.may_return_ms or not may_wait):
+        found = best_of(spec, task, avoided, runs_per_worker, hall)
+    return found
+
+
+def best_of(spec, task, workers, runs_per_worker, hall):
+    """Return the worker with the best score, or None."""
     best, best_score = None, None
     for worker in workers:
         if not worker.has_capacity(spec) or worker.health.awaits_probe:
             continue
-        if worker.worker_id in task.avoided_workers and len(workers) > len(
-            task.avoided_workers
-        ):
-            continue
         if any(run.worker is worker for run in task.runs):
             continue
         if (
@@ -88,7 +98,8 @@
     tasks = job.steps[0].tasks
     for task in tasks:
         if rng.random() < 0.2:
-            task.avoided_workers.add(rng.choice(workers).worker_id)
+            after_ms = rng.choice((-1_500.0, -500.0))
+            task.avoid(rng.choice(workers).worker_id, NOW_MS + after_ms)
         if rng.random() < 0.2:
             assign(task, rng.choice(workers))
     return tasks
@@ -113,6 +124,8 @@
         spec=spec,
         workers=workers,
         hall=hall,
+        now_ms=NOW_MS,
+        alternatives=workers,
         runs_per_worker=dict(runs_per_worker) if runs_per_worker is not None else None,
     )
     for task in tasks:
--- a/packages/thymefork-cells/src/thymefork_cells/placement/worker_ranking.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/worker_ranking.py
@@ -58,22 +58,34 @@
 class WorkerRanking:
     """Rank workers for the tasks of one step, the best one first.
 
-    A worker that a task avoids is used only if there are no others, neither here nor,
-    with `has_unasked_workers`, among those that the policy was not asked about yet.
+    A worker that a task avoids is used only if no other can be: neither one of the
+    `alternatives`, which may be full now, nor, with `has_unasked_workers`, one that the
+    policy was not asked about yet. The task waits for these until its `may_return_ms`.
+
     `rate` returns a worker's score apart from its hall; the lowest is best. Scores are
     computed once, and again after an assignment, so that a wide step costs one pass
     over the workers.
     """
 
     def __init__(
-        self, *, spec, workers, hall, runs_per_worker, rate, has_unasked_workers=False
+        self,
+        *,
+        spec,
+        workers,
+        hall,
+        runs_per_worker,
+        rate,
+        now_ms,
+        alternatives,
+        has_unasked_workers=False,
     ):
         self._spec = spec
         self._rate_without_hall = rate
         self._has_unasked_workers = has_unasked_workers
         self._hall = hall
         self._tasks_per_worker = runs_per_worker
-        self._size = len(workers)
+        self._now_ms = now_ms
+        self._alternatives = alternatives
         self._last_row = None
         self._rows = [
             (self._rate(worker), position, worker)
@@ -87,15 +99,22 @@
 
         Call `on_assigned` after the assignment to put the worker back.
         """
-        passed_over, found = [], None
+        passed_over, found, avoided = [], None, None
         while self._rows and found is None:
             row = heapq.heappop(self._rows)
-            if not self._accepts_step(row[2]):
+            worker = row[2]
+            if not self._accepts_step(worker):
                 continue
-            if self._accepts_task(row[2], task):
-                found = row
-            else:
+            if any(run.worker is worker for run in task.runs):
+                passed_over.append(row)
+            elif worker.worker_id in task.avoided_workers:
                 passed_over.append(row)
+                avoided = avoided or row
+            else:
+                found = row
+        if found is None and avoided is not None and self._may_return(task):
+            found = avoided
+            passed_over.remove(avoided)
         for row in passed_over:
             heapq.heappush(self._rows, row)
         self._last_row = found
@@ -123,11 +142,17 @@
             self._tasks_per_worker.get(worker.worker_id, 0) < self._spec.most_per_worker
         )
 
-    def _accepts_task(self, worker, task):
-        others = self._has_unasked_workers or self._size > len(task.avoided_workers)
-        if worker.worker_id in task.avoided_workers and others:
+    def _may_return(self, task):
+        """Return whether a task may use a worker that it avoids."""
+        if self._now_ms >= task.may_return_ms:
+            return True
+        if self._has_unasked_workers:
             return False
-        return not any(run.worker is worker for run in task.runs)
+        return not any(
+            worker.worker_id not in task.avoided_workers
+            and worker.fits_when_empty(self._spec)
+            for worker in self._alternatives
+        )
 
 
 def has_required_label(step, worker):
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -6,6 +6,8 @@
 
 __all__ = ["Task"]
 
+# How long a task waits for another worker before it returns to one that it avoids.
+AVOIDANCE_MS = 1_000.0
 # Most runs of one task at a time, speculative copies included.
 MAX_COPIES = 3
 # A task gets no copy once it may have crashed this many workers.
@@ -20,6 +22,8 @@
     the duration of the successful run, normalized to a worker of ordinary speed, 0 if
     another owner started it. `expired_runs` holds the runs presumed dead when their
     leases expired without a reported end; `losses` maps worker incarnations to losses.
+    `avoided_workers` holds the ids of workers that are used only if no other can be,
+    from `may_return_ms` on also if no other has room.
     """
 
     step: object
@@ -34,6 +38,7 @@
     stalls: int = 0
     expired_runs: set = field(factory=set)
     avoided_workers: set = field(factory=set)
+    may_return_ms: float = 0.0
     last_lost_ms: float = 0.0
     losses: dict = field(factory=dict)
 
@@ -42,6 +47,11 @@
         """Return whether the task is not done and no run of it may exist."""
         return not self.done and not self.runs
 
+    def avoid(self, worker_id, now_ms):
+        """Prefer other workers than this one."""
+        self.avoided_workers.add(worker_id)
+        self.may_return_ms = now_ms + AVOIDANCE_MS
+
     def idle_ms(self, now_ms):
         """Return how long the task has been ready without a run."""
         if not self.step.ready:
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -158,7 +158,7 @@
         elif refusal is Refusal.UNWELL:
             worker.health.pause(now_ms)
         elif refusal is Refusal.OLD_RUN:
-            run.task.avoided_workers.add(worker.worker_id)
+            run.task.avoid(worker.worker_id, now_ms)
         self._context.note(
             "start_refused",
             task=run.task.name,
--- a/packages/thymefork-cells/src/thymefork_cells/workers/progress_monitor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/progress_monitor.py
@@ -68,7 +68,7 @@
         return self._durations.late_ms(run, now_ms) > 0
 
     def _move(self, run, now_ms):
-        run.task.avoided_workers.add(run.worker.worker_id)
+        run.task.avoid(run.worker.worker_id, now_ms)
         self._context.count("run_ends", "moved_from_slow_worker")
         self._context.note(
             "run_moves",
@@ -95,7 +95,7 @@
         return run.reported_ms - run.percent_changed_ms > stall_timeout_ms
 
     def _stop_stalled(self, run, now_ms):
-        run.task.avoided_workers.add(run.worker.worker_id)
+        run.task.avoid(run.worker.worker_id, now_ms)
         run.task.stalls += 1
         run.worker.health.pause(now_ms)
         self._context.count("run_ends", "stood_still")
