Let a gang use workers on probation when it fits nowhere else

Cause: gangs skipped workers on probation, which ends with a single task's run there; where none comes, nothing ended it. Why it works: sound workers first, and for a second only these; then those on probation last, where a failure costs one attempt and pauses them again. test_workers_on_probation_are_not_reserved_for_gang asserted that the gang doesn't start, which was the fault; it now asserts that nothing is reserved, that the gang starts and that the other task does, within 3 s instead of 9.

--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -243,7 +243,7 @@
         if scorer is not None and not crash_suspects:
             # A gang is as slow as its slowest member: choose members of similar speed.
             permitted = sorted(permitted, key=scorer.rate)
-        chosen = workers_for_gang(step, permitted)
+        chosen = workers_for_gang(step, permitted, now_ms)
         if chosen is None:
             return
         starts = list(zip(step.tasks, chosen, strict=True))
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_reservations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_reservations.py
@@ -67,12 +67,21 @@
 
 
 def test_workers_on_probation_are_not_reserved_for_gang(make_harness):
-    """Guards against reserving workers that a gang can't use."""
+    """Guards against reserving workers that may be faulty for a gang.
+
+    The gang uses them without a reservation, and other tasks don't starve.
+    """
     harness = make_harness(workers=2, cpu_milli=3_000)
     harness.run(50)
     for worker in harness.cell.context.workers.values():
         worker.health.on_probation = True
-    assert not do_others_starve(harness)
+    wide_gang = {"count": 2, "cpu_milli": 3_000, "estimated_ms": 800, "gang": True}
+    harness.submit(JOB, job_spec(wide_gang))
+    harness.submit("c" * 16, job_spec(SINGLE | {"estimated_ms": 60_000}))
+    harness.run(3_000)
+    assert harness.counts["gang"] == 0
+    assert all(gang_starts(harness))
+    assert harness.starts_of(f"{'c' * 16}.0.0.0")
 
 
 def test_overdue_reservation_is_released(make_harness):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
@@ -170,6 +170,33 @@
     assert watch.longest_ms.get(WAITING, 0.0) < MAX_JOB_IDLE_MS
 
 
+@pytest.mark.parametrize("count", [2, 8])
+def test_gang_runs_on_workers_that_were_faulty(make_harness, count):
+    """Guards against gangs that wait for a probe after their workers were faulty."""
+    harness = make_harness(workers=4, cpu_milli=4_000)
+    for worker in harness.cell.context.workers.values():
+        worker.health.pause(harness.now)
+    harness.submit(
+        WAITING, job_spec({"count": count, "cpu_milli": 2_000, "gang": True})
+    )
+    watch = StandstillWatch(harness=harness)
+    watch.run(10_000)
+    assert watch.longest_ms.get(WAITING, 0.0) < MAX_JOB_IDLE_MS
+
+
+def test_gang_prefers_workers_that_are_not_on_probation(make_harness):
+    """Guards against gangs on faulty workers beside sound ones."""
+    harness = make_harness(workers=4, cpu_milli=4_000)
+    faulty = sorted(harness.workers)[:2]
+    for worker_id in faulty:
+        harness.workers[worker_id].fails_all = True
+        harness.cell.context.workers[worker_id].health.on_probation = True
+    harness.submit(WAITING, job_spec({"count": 4, "cpu_milli": 2_000, "gang": True}))
+    harness.run(3_000)
+    assert harness.job(WAITING).state is JobState.SUCCEEDED
+    assert not any(harness.workers[worker_id].starts for worker_id in faulty)
+
+
 # How long a cut worker's entry stays in the platform's list.
 ENTRY_TTL_MS = 4_500.0
 
