Don't fail jobs for workers that merely fall silent

Callers saw a job shown as failed though none of its tasks had failed often enough; its lasting task's run had lapsed on a worker that lives on. Cause: four losses of a task's workers, certain or not and at any point of their runs, failed its job; a worker that was cut off counted until it answered, and one that had been removed from the registry meanwhile withdrew nothing when it came back. Why it works: what is certain decides alone. A silent worker that the platform still lists is taken for a cut one; five that left the list at a similar point of the run, one without other jobs, make the task wait for news, 15 s at most, so a task on machines that stay dark is still given up and no more machines are lost meanwhile. Tasks that do crash workers: all earlier tests pass unchanged, fewer than three starts after the third crash; new: machines that stay dark for good, 18 cases, same bound (not run on the code before). Given up later than before where machines stay dark: after the fifth loss and 15 s instead of the fourth loss. Not covered: machines that stay dark and are lost at unlike points of the run.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -121,9 +121,10 @@
             reservations=Reservations(
                 context=self.context, durations=self.durations, forecast=forecast
             ),
-            crash_isolation=CrashIsolation(),
+            crash_isolation=CrashIsolation(losses=self.losses),
             quotas=self.quotas,
             speeds=self.speeds,
+            losses=self.losses,
         )
         self.progress_monitor = ProgressMonitor(
             context=self.context, lifecycle=self.lifecycle, durations=self.durations
@@ -166,6 +167,7 @@
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
             self.quorum.check(now_ms)
             self.registry.expire_leases(now_ms)
+            self.losses.review(now_ms)
             self.extended_leases.review(now_ms)
             self.commands.stop_unconfirmed_starts(now_ms)
             self.commands.log_overdue_stops(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
@@ -25,6 +25,9 @@
 class CrashIsolation:
     """Choose workers for crash suspects, and keep other jobs off these workers."""
 
+    def __init__(self, *, losses):
+        self._losses = losses
+
     @staticmethod
     def is_crash_suspect(task, now_ms):
         """Return whether a task may have crashed workers."""
@@ -34,9 +37,10 @@
             task.losses
         )
 
-    @staticmethod
-    def can_start(task, now_ms):
+    def can_start(self, task, now_ms):
         """Return whether a crash suspect may be started now."""
+        if self._losses.awaits_news(task):
+            return False
         if len(task.losses) < MAX_CRASHES or not have_similar_timing(
             task.losses.values()
         ):
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placement_log.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placement_log.py
@@ -21,6 +21,7 @@
     _quotas = field()
     _dominant_shares = field()
     _exclusions = field()
+    _losses = field()
 
     def log_starts(self, step, starts, wanted, now_ms):
         """Log one line for all tasks of a step that start at once."""
@@ -99,6 +100,7 @@
             excluded={str(reason or "none"): n for reason, n in excluded.items()},
             probes=self._probes(step),
             suspects=sum(bool(task.losses) for task in waiting),
+            await_news=sum(self._losses.awaits_news(task) for task in waiting),
             allowed=-1 if step.allowed is None else len(step.allowed),
             denied=len(step.denied),
             advice_asked=step.advice_asked,
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -39,6 +39,7 @@
         crash_isolation,
         quotas,
         speeds,
+        losses,
     ):
         self._context = context
         self._durations = durations
@@ -59,6 +60,7 @@
             exclusions=Exclusions(
                 context=context, advice=advice, reservations=reservations
             ),
+            losses=losses,
         )
         self._advice = advice
         self._lateness_risk = LatenessRisk()
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crashing_tasks.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crashing_tasks.py
@@ -115,3 +115,19 @@
         assert len(harness.starts_after_nth_crash(FIRST_TASK, 3)) < START_LIMIT
         return
     assert_failed_early(harness, CRASHING, FIRST_TASK)
+
+
+@pytest.mark.parametrize("shape", SHAPES)
+@pytest.mark.parametrize("after_ms", [5.0, 400.0, 4_000.0])
+def test_job_of_crashing_task_fails_though_machines_stay_dark(
+    make_harness, shape, after_ms
+):
+    """Guards against jobs that take down one machine after another for good."""
+    harness = make_harness(workers=16)
+    harness.return_delay_ms = 1e9
+    for worker in harness.workers.values():
+        worker.work_ms = 1e9
+    harness.crashes_after_ms = crash_if_task(FIRST_TASK, after_ms=after_ms)
+    harness.submit(CRASHING, job_spec(SHAPES[shape]))
+    harness.run(90_000)
+    assert_failed_early(harness, CRASHING, FIRST_TASK)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -19,8 +19,14 @@
 # A job fails once this many workers have crashed while they ran one of its tasks, each
 # at about the same point of the run and one of them without runs of other jobs.
 MAX_CRASHES = 3
-# A job also fails once this many workers have crashed or fallen silent at any point.
+# A job also fails once this many workers have crashed at any point.
 MAX_LOSSES = 4
+# A task waits for news of its lost workers once this many of them seem to have crashed
+# at about the same point, one of them without runs of other jobs.
+MAX_UNRESOLVED_LOSSES = 5
+# Without news for this long, its job fails. Most workers that are cut off answer again
+# sooner.
+NEWS_TIMEOUT_MS = 15_000.0
 # A run that works this many times as long as the longest run that lost its worker, plus
 # a margin, shows that its task does not crash workers.
 CLEARING_FACTOR = 2.0
@@ -101,6 +107,27 @@
         tasks_by_incarnation = self._tasks_by_worker.setdefault(loss.worker_id, {})
         tasks_by_incarnation.setdefault(loss.incarnation, set()).add(task)
 
+    def review(self, now_ms):
+        """Fail the jobs of tasks that got no news of their lost workers."""
+        for worker_id, tasks_by_incarnation in list(self._tasks_by_worker.items()):
+            for tasks in tasks_by_incarnation.values():
+                tasks -= {task for task in tasks if not task.step.job.is_live}
+            if not any(tasks_by_incarnation.values()):
+                del self._tasks_by_worker[worker_id]
+        for task in self._unresolved_tasks():
+            since_ms = max(task.last_lost_ms, self._context.taken_over_ms)
+            if now_ms - since_ms > NEWS_TIMEOUT_MS and self.awaits_news(task):
+                self._fail(task, now_ms)
+
+    def _unresolved_tasks(self):
+        """Return the tasks with losses that may prove to be no crashes."""
+        return {
+            task
+            for tasks_by_incarnation in self._tasks_by_worker.values()
+            for tasks in tasks_by_incarnation.values()
+            for task in tasks
+        }
+
     def on_incarnation_over(self, worker, *, now_ms):
         """Confirm the losses of a silent worker that has certainly crashed."""
         for incarnation, tasks in self._tasks_by_worker.pop(
@@ -135,10 +162,6 @@
                 self._context.count("worker_losses", "taken_back")
                 self._context.journal.mark_changed(task.step.job)
 
-    def forget(self, worker):
-        """Stop waiting for a worker's outcome; its losses remain recorded."""
-        self._tasks_by_worker.pop(worker.worker_id, None)
-
     # Tasks -------------------------------------------------------------------
 
     def on_run_reported(self, run, now_ms):
@@ -152,11 +175,13 @@
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
+        if _is_certain_cause(task.losses.values()):
+            self._fail(task, now_ms)
+
+    def _fail(self, task, now_ms):
         job, losses = task.step.job, task.losses.values()
         if task.done or not job.is_live:
             return
-        if len(losses) < MAX_LOSSES and not _is_certain_cause(losses):
-            return
         self._context.count("worker_losses", "job_given_up")
         self._context.note(
             "task_crashes_workers",
@@ -168,6 +193,24 @@
         reason = f"{len(losses)} workers were lost under {task.name}"
         self._lifecycle.finish(job, JobState.FAILED, reason, now_ms=now_ms)
 
+    def awaits_news(self, task):
+        """Return whether a task may have crashed too many workers to go on.
+
+        A silent worker that is still listed is taken for one that is cut off.
+        """
+        if len(task.losses) < MAX_UNRESOLVED_LOSSES:
+            return False
+        likely = [
+            loss
+            for loss in task.losses.values()
+            if loss.is_certain or not self._is_listed(loss.worker_id)
+        ]
+        return len(likely) >= MAX_UNRESOLVED_LOSSES and _are_alike(likely)
+
+    def _is_listed(self, worker_id):
+        worker = self._context.workers.get(worker_id)
+        return worker is not None and worker.is_listed
+
     def _log_losses(self, worker, runs, is_certain, now_ms):
         """Log one line for each job, and count the worker."""
         reason = "life_over" if is_certain else "lease_over"
@@ -202,12 +245,18 @@
 def _is_certain_cause(losses):
     """Return whether a task has certainly crashed the workers of these losses.
 
-    A loss at an unknown point of the run proves nothing.
+    A loss at an unknown point of the run proves nothing by itself.
     """
-    certain = [loss for loss in losses if loss.is_certain and loss.after_ms is not None]
-    if len(certain) < MAX_CRASHES:
-        return False
-    return have_similar_timing(certain) and any(loss.was_alone for loss in certain)
+    certain = [loss for loss in losses if loss.is_certain]
+    known = [loss for loss in certain if loss.after_ms is not None]
+    if len(certain) >= MAX_LOSSES:
+        return True
+    return len(known) >= MAX_CRASHES and _are_alike(known)
+
+
+def _are_alike(losses):
+    """Return whether losses came at a similar point of the runs, one of them alone."""
+    return have_similar_timing(losses) and any(loss.was_alone for loss in losses)
 
 
 def _youngest_age_ms(runs, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -175,7 +175,6 @@
             )
             if unlisted and now_ms > last_seen_ms + REMOVE_AFTER_MS:
                 self._context.workers.pop(worker.worker_id, None)
-                self._losses.forget(worker)
 
     def _expire_runs(self, worker, now_ms):
         runs = _sent_runs(worker)
