Check in the soak that lasting tasks don't stand still

Callers saw lasting tasks without a run on machines of their own; the soak's lasting jobs were cancelled within 8 s, none of its jobs always failed, none was bound by anti-affinity and nobody watched the promised 6 s.

--- a/soak/src/thymefork_soak/callers.py
+++ b/soak/src/thymefork_soak/callers.py
@@ -27,6 +27,7 @@
     cancelled: bool = False
     long_running: bool = False
     crashing: bool = False
+    failing: bool = False
     state: str = ""
     answers: list = field(factory=list)
 
--- a/soak/src/thymefork_soak/faults.py
+++ b/soak/src/thymefork_soak/faults.py
@@ -161,5 +161,9 @@
         worker = self._random.randrange(self._workers)
         await self._fleet.control("crash", {"worker": worker})
 
+    async def crash_worker(self):
+        """Crash a random worker."""
+        await self._carry_out(self._worker_crash)
+
     async def _configure(self):
         await self._fleet.configure(self._random.randint(1, 3))
--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -21,6 +21,7 @@
 from .capacity_changes import CapacityChanges
 from .crashing_caller import CrashingCaller
 from .entry_corruption import EntryCorrupter
+from .failing_caller import FailingCaller
 from .faults import FaultInjector
 from .fleet import Fleet
 from .long_running_caller import LongRunningCaller
@@ -35,6 +36,9 @@
 WORKERS = 6
 CALLERS = 4
 LONG_RUNNING_CALLERS = 6
+# Callers of jobs that stay, and of jobs that always fail, for the standstill check.
+STAYING_CALLERS = 3
+FAILING_CALLERS = 3
 # Covers the reconnect, cancel and stop timeouts after the last cancellation.
 MARGIN_S = 6.5
 
@@ -48,8 +52,13 @@
     with_accounts=True,
     with_restarts=False,
     is_heterogeneous=False,
+    calm_s=0.0,
 ):
-    """Run one soak test; return the violations and a summary line."""
+    """Run one soak test; return the violations and a summary line.
+
+    With `calm_s`, jobs that always fail run beside lasting ones that stay. After the
+    faults all is calm for that time, but for a worker that crashes.
+    """
     rng = random.Random(seed)
     fleet = Fleet(
         instances=instances,
@@ -92,6 +101,24 @@
             )
             for number in range(LONG_RUNNING_CALLERS)
         ]
+        staying = [
+            LongRunningCaller(
+                fleet=fleet,
+                random=random.Random(f"{seed} staying {number}"),
+                account=UNLIMITED if with_accounts else "",
+                stays=True,
+            )
+            for number in range(STAYING_CALLERS if calm_s else 0)
+        ]
+        failing = [
+            FailingCaller(
+                fleet=fleet,
+                random=random.Random(f"{seed} failing {number}"),
+                account=UNLIMITED if with_accounts else "",
+            )
+            for number in range(FAILING_CALLERS if calm_s else 0)
+        ]
+        long_running += staying
         crashing = CrashingCaller(
             fleet=fleet,
             random=random.Random(f"{seed} crashing"),
@@ -108,6 +135,10 @@
             asyncio.ensure_future(caller.run()) for caller in long_running
         ]
         until_s = SETTLE_S + seconds
+        failing_tasks = [
+            asyncio.ensure_future(caller.run(until_s + calm_s, now))
+            for caller in failing
+        ]
         await asyncio.gather(
             fault_injector.run(until_s, now),
             fault_injector.run_outages(until_s, now, random.Random(f"{seed} outages")),
@@ -118,7 +149,10 @@
             *(extra.run(until_s, now) for extra in account_callers),
         )
         (folder / "faults.txt").write_text("\n".join([*fault_injector.history, ""]))
-        callers += [*long_running, crashing]
+        if calm_s:
+            await fault_injector.crash_worker()
+            await asyncio.gather(asyncio.sleep(calm_s), *failing_tasks)
+        callers += [*long_running, *failing, crashing]
         violations = await _stop_long_running(long_running, long_running_tasks)
         await asyncio.sleep(MARGIN_S)
         violations += await _check_jobs(fleet, callers, now)
@@ -187,6 +221,8 @@
         expected = ("succeeded", "cancelled") if submitted.cancelled else ("succeeded",)
         if submitted.long_running:
             expected = ("cancelled",)
+        if submitted.failing:
+            expected = ("cancelled", "failed")
         if submitted.crashing:
             expected = ("failed",)
         if submitted.accepted and submitted.state not in expected:
@@ -204,6 +240,9 @@
     uneven: Annotated[
         bool, typer.Option(help="Workers and instances of different sizes.")
     ] = False,
+    calm: Annotated[
+        float, typer.Option(help="Calm seconds after the faults, beside failing jobs.")
+    ] = 0.0,
 ):
     """Run daemons under injected faults and print one verdict line."""
     folder = Path(tempfile.mkdtemp(prefix="thymefork-soak-"))
@@ -215,6 +254,7 @@
             folder,
             with_restarts=rolls,
             is_heterogeneous=uneven,
+            calm_s=calm,
         )
     )
     for line in violations[:20]:
--- a/soak/src/thymefork_soak/standin/advice.py
+++ b/soak/src/thymefork_soak/standin/advice.py
@@ -4,7 +4,7 @@
 
 from .faulty_server import FaultyServer
 
-__all__ = ["Advice"]
+__all__ = ["Advice", "is_allowed"]
 
 DECISION_MS = 20.0
 
@@ -27,12 +27,17 @@
         rows = [
             [worker_id, f"t-{worker_id}"]
             for worker_id in body["workers"]
-            if (_machine_checksum(worker_id) + sum(body["step"].encode())) % 3
+            if is_allowed(body["step"], worker_id)
         ]
         document = {"healthy": rows, "valid_ms": 2_500}
         self._loop.timers.after(DECISION_MS, lambda: answer(200, document))
 
 
+def is_allowed(step, worker_id):
+    """Return whether a step may run on a worker."""
+    return (_machine_checksum(worker_id) + sum(step.encode())) % 3 > 0
+
+
 def _machine_checksum(worker_id):
     machine, _, _ = worker_id.rpartition("-")
     return sum(machine.encode())
--- a/soak/src/thymefork_soak/standin/invariant_checker.py
+++ b/soak/src/thymefork_soak/standin/invariant_checker.py
@@ -33,6 +33,7 @@
     faults: int = 0
     stable_since_ms: float = 0.0
     crashes_after_ms: dict = field(factory=dict)
+    failing_jobs: set = field(factory=set)
     crashes: Counter = field(factory=Counter)
     starts_after_crashes: Counter = field(factory=Counter)
     accounts: dict = field(factory=dict)
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -8,9 +8,10 @@
 from thymefork_net import Address, steady_ms
 from thymefork_net.http import HttpServer
 
-from .advice import Advice
+from .advice import Advice, is_allowed
 from .faulty_server import Faults, Loop
 from .invariant_checker import InvariantChecker
+from .standstill_checker import StandstillChecker
 from .store import Store
 from .worker import Worker
 
@@ -57,11 +58,14 @@
             )
             for number, speed in enumerate(speeds)
         ]
+        self._standstills = StandstillChecker(
+            checker=self._checker, workers=self._workers, is_allowed=is_allowed
+        )
         self._listed_ids = {}
         self._published = {}
         self._unlisted = set()
         loop.timers.every(HEARTBEAT_MS, self._write_heartbeats)
-        loop.timers.every(CHECK_INTERVAL_MS, self._check_cancelled)
+        loop.timers.every(CHECK_INTERVAL_MS, self._check)
 
     def _write_heartbeats(self):
         for worker in self._workers:
@@ -90,8 +94,9 @@
             self.store.put(WORKERS_TOPIC, entry, None)
             del self._listed_ids[worker.name]
 
-    def _check_cancelled(self):
+    def _check(self):
         self._checker.check_cancelled(steady_ms())
+        self._standstills.check(steady_ms())
 
     def _on_control(self, request):
         body = orjson.loads(request.body or b"{}")
@@ -108,6 +113,8 @@
     def _job(self, body):
         self._checker.jobs[body["id"]] = body["job"]
         self._checker.accounts[body["id"]] = body["account"]
+        if body.get("fails"):
+            self._checker.failing_jobs.add(body["id"])
         if "crashing_task" in body:
             after_ms = body["crashes_after_ms"]
             self._checker.crashes_after_ms[body["crashing_task"]] = after_ms
@@ -146,6 +153,12 @@
         )
         return {"calm_since_ms": min(since_ms, NEVER_MS)}
 
+    def _watch(self, body):
+        self._standstills.watch(body["id"], steady_ms())
+
+    def _unwatch(self, body):
+        self._standstills.leave(body["id"])
+
     def _cancelled(self, body):
         self._checker.on_cancelled(body["id"], body["acknowledged_ms"])
 
@@ -172,7 +185,7 @@
         self._workers[body["worker"]].crash()
 
     def _verdict(self, body):
-        self._check_cancelled()
+        self._check()
         return {
             "broken": self._checker.violations,
             "faults": self._checker.faults,
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -18,6 +18,8 @@
 LONG_RUNNING_MAX_FAIL_MS = 8_000.0
 # A reduced capacity is enforced after a reconnect and a heartbeat.
 SHRINK_GRACE_MS = 3_500.0
+# Range from which the duration of a task that always fails is drawn.
+FAILING_MS = (50.0, 1_500.0)
 # Range from which the downtime after a crash is drawn.
 DOWNTIME_MS = (1_000.0, 4_000.0)
 # Fraction of restarts that keep the worker's id.
@@ -230,9 +232,12 @@
         )
         now_ms = steady_ms()
         long_running = step.get("long_running", False)
-        duration_ms, outcome = (
-            self._draw_long_running_end() if long_running else self._draw_end(step)
-        )
+        if task.split(".")[0] in self._checker.failing_jobs:
+            duration_ms, outcome = self._random.uniform(*FAILING_MS), "failed"
+        elif long_running:
+            duration_ms, outcome = self._draw_long_running_end()
+        else:
+            duration_ms, outcome = self._draw_end(step)
         self._running[key] = WorkerRun(
             task=task,
             run_id=run_id,
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -10,6 +10,7 @@
 from thymefork_soak.main import soak
 from thymefork_soak.standin.invariant_checker import InvariantChecker
 from thymefork_soak.standin.log import Group, Partition
+from thymefork_soak.standin.standstill_checker import StandstillChecker
 
 # Includes regressions: two ownerships with one epoch, a worker that shrinks during an
 # outage, and a paused owner that continues with a stale list of workers.
@@ -225,3 +226,54 @@
 
 def test_account_without_a_limit_is_not_checked():
     assert not starts(checker_of_an_account((0.0, 0)), 9, 9_000.0)
+
+
+def test_lasting_jobs_run_on_beside_failing_ones(tmp_path):
+    """Guards against lasting tasks that stand still beside workers with room."""
+    violations, seen = asyncio.run(
+        soak(4601, 6.0, 3, tmp_path, with_restarts=True, calm_s=14.0)
+    )
+    assert not violations, (violations, seen, tmp_path)
+
+
+class RoomyWorker(Worker):
+    """Worker with room for everything."""
+
+    down_since_ms = 0.0
+    draining = False
+    cpu_milli = 8_000
+
+
+@pytest.mark.parametrize(
+    ("idle_ms", "fault_ended_ms", "violations"),
+    [(6_000, 0, 0), (6_100, 0, 1), (9_000, 3_000, 0), (12_200, 3_000, 1)],
+)
+def test_checker_reports_lasting_tasks_that_stand_still(
+    idle_ms, fault_ended_ms, violations
+):
+    checker = checker_of_one_job()
+    checker.stable_since_ms = fault_ended_ms - 3_000.0
+    standstills = StandstillChecker(
+        checker=checker,
+        workers=[RoomyWorker(), RoomyWorker()],
+        is_allowed=lambda step, worker_id: True,
+    )
+    standstills.watch("j", 0.0)
+    for now_ms in range(0, idle_ms + 1, 100):
+        standstills.check(float(now_ms))
+    assert len(checker.violations) == violations
+
+
+def test_checker_ignores_lasting_tasks_without_room_or_with_a_run():
+    checker = checker_of_one_job()
+    checker.on_start(RoomyWorker(), "j.0.0.0", 1, "s", 0.0)
+    standstills = StandstillChecker(
+        checker=checker,
+        workers=[RoomyWorker(), RoomyWorker()],
+        is_allowed=lambda step, worker_id: worker_id != "w",
+    )
+    standstills.watch("j", 0.0)
+    standstills.check(20_000.0)
+    checker.on_end(RoomyWorker(), "j.0.0.0", "failed")
+    standstills.check(40_000.0)
+    assert not checker.violations
