--- a/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker_health.py
@@ -53,9 +53,12 @@
         Return whether that ends a pause or probation.
         """
         kept = [failed for failed in self.failed_steps if failed is not step]
-        self.failures_in_row -= len(self.failed_steps) - len(kept)
+        withdrawn = len(self.failed_steps) - len(kept)
+        self.failures_in_row -= withdrawn
         self.failed_steps = kept
-        if not self.on_probation or self.failures_in_row >= FAILURES_TO_PAUSE:
+        if not withdrawn or self.failures_in_row >= FAILURES_TO_PAUSE:
+            return False
+        if not self.on_probation:
             return False
         self.paused_until_ms = 0.0
         self._end_probation()
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_standstills.py
@@ -258,3 +258,25 @@
     lasting = [watch.longest_ms.get(f"{LASTING}.0.0.{index}", 0) for index in range(4)]
     assert harness.counts["large_task"]
     assert max(lasting) < MAX_LASTING_IDLE_MS
+
+
+@pytest.mark.parametrize("has_advice", [False, True])
+@pytest.mark.parametrize("before_ms", [0, 5, 15, 26, 60])
+def test_lasting_task_runs_on_after_its_end_came_before_a_new_owner(
+    make_harness, before_ms, has_advice
+):
+    """Guards against ends that are lost with the owner that heard them last."""
+    harness = make_harness(workers=4, advice=ADVICE if has_advice else None)
+    set_lasting(harness)
+    harness.submit(LASTING, job_spec(LASTING_STEP))
+    harness.run(2_000)
+    worker = next(worker for worker in harness.workers.values() if worker.running)
+    worker.fail_running(harness.now)
+    watch = StandstillWatch(harness=harness)
+    harness.run(before_ms or 1)
+    harness.is_owner_down = True
+    harness.run(300)
+    harness.take_over()
+    watch.run(10_000)
+    lasting = [watch.longest_ms.get(f"{LASTING}.0.0.{index}", 0) for index in range(4)]
+    assert max(lasting) < MAX_JOB_IDLE_MS
