Clear the losses of a task one by one

Cause: a task was cleared only by a run twice as old as its oldest loss, so one late loss kept all early ones, and four crashes at any points failed the job, though the task had got well beyond most of them. Evidence (test_bystanders.py): workers crash at 20, 1, 8, 3 and 2 s of a task's runs: failed on the code before, runs on now. Why it works: a task that crashes its workers does so at about one point, so no run of it gets twice as far; each loss has its own time, and one at a point that an earlier run has passed is not recorded.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -77,6 +77,10 @@
     def _record(self, run, loss):
         if loss is None:
             return
+        self._drop_outlived(run.task, loss.after_ms or 0)
+        if _is_outlived(loss, run.task.losses.values()):
+            self._context.count("worker_losses", "outlived")
+            return
         run.task.losses[loss.incarnation] = loss
         if not loss.is_certain:
             self._await_outcome(loss, run.task)
@@ -165,12 +169,22 @@
     # Tasks -------------------------------------------------------------------
 
     def on_run_reported(self, run, now_ms):
-        """Clear the losses of a task whose run has worked for long enough."""
-        task = run.task
-        if not run.began_ms or now_ms - run.began_ms < clearing_time_ms(task):
+        """Drop the losses of a task that its run has outlived."""
+        if run.began_ms:
+            self._drop_outlived(run.task, now_ms - run.began_ms)
+
+    def _drop_outlived(self, task, age_ms):
+        """Drop the losses that a run of this age shows not to be the task's doing."""
+        outlived = [
+            incarnation
+            for incarnation, loss in task.losses.items()
+            if age_ms >= _clearing_time_of(loss)
+        ]
+        if not outlived:
             return
-        task.losses.clear()
-        self._context.count("worker_losses", "outlived")
+        for incarnation in outlived:
+            del task.losses[incarnation]
+        self._context.count("worker_losses", "outlived", len(outlived))
         self._context.journal.mark_changed(task.step.job)
 
     def _fail_if_crashing(self, task, now_ms):
@@ -236,12 +250,22 @@
 
 
 def clearing_time_ms(task):
-    """Return how long a run has to work to clear its task of its losses."""
-    ages_ms = [loss.after_ms or 0 for loss in task.losses.values()]
-    required_ms = CLEARING_FACTOR * max(ages_ms, default=0) + CLEARING_MARGIN_MS
+    """Return how long a run has to work to clear its task of all its losses."""
+    times_ms = (_clearing_time_of(loss) for loss in task.losses.values())
+    return max(times_ms, default=MIN_CLEARING_TIME_MS)
+
+
+def _clearing_time_of(loss):
+    """Return the age at which a run has outlived a loss."""
+    required_ms = CLEARING_FACTOR * (loss.after_ms or 0) + CLEARING_MARGIN_MS
     return min(max(required_ms, MIN_CLEARING_TIME_MS), MAX_CLEARING_TIME_MS)
 
 
+def _is_outlived(loss, others):
+    """Return whether an earlier run got well beyond the point of a loss."""
+    return any((other.after_ms or 0) >= _clearing_time_of(loss) for other in others)
+
+
 def _is_certain_cause(losses):
     """Return whether a task has certainly crashed the workers of these losses.
 
