Make a task wait for news from four unresolved losses on

Cause: since silence alone fails no job, losses whose machine came back under another id while the owner changed stayed uncertain, and the wait for news asked for a loss while the task ran alone, which never comes in a full house. Change: from four losses on that are certain or of workers off the list, at a similar point, the task waits for news, 15 s at most, alone or not. Why it works: a crashing task is started once after its third crash and then held until its workers' fate is known.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -19,11 +19,9 @@
 # A job fails once this many workers have crashed while they ran one of its tasks, each
 # at about the same point of the run and one of them without runs of other jobs.
 MAX_CRASHES = 3
-# A job also fails once this many workers have crashed at any point.
+# A job also fails once this many workers have crashed at any point. If some of them are
+# only silent and were lost at about the same point, the task waits for news of them.
 MAX_LOSSES = 4
-# A task waits for news of its lost workers once this many of them seem to have crashed
-# at about the same point, one of them without runs of other jobs.
-MAX_UNRESOLVED_LOSSES = 5
 # Without news for this long, its job fails. Most workers that are cut off answer again
 # sooner.
 NEWS_TIMEOUT_MS = 15_000.0
@@ -212,14 +210,14 @@
 
         A silent worker that is still listed is taken for one that is cut off.
         """
-        if len(task.losses) < MAX_UNRESOLVED_LOSSES:
+        if len(task.losses) < MAX_LOSSES:
             return False
         likely = [
             loss
             for loss in task.losses.values()
             if loss.is_certain or not self._is_listed(loss.worker_id)
         ]
-        return len(likely) >= MAX_UNRESOLVED_LOSSES and _are_alike(likely)
+        return len(likely) >= MAX_LOSSES and have_similar_timing(likely)
 
     def _is_listed(self, worker_id):
         worker = self._context.workers.get(worker_id)
