Record losses at an unknown point beside a late one

Cause: a loss whose point is not known, as after a change of owner, counted as outlived when an earlier run of the task had been lost at 5 s or later, so a task that crashes its workers late could lose its record. Change: only a known point can be outlived by an earlier run.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_bystanders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_bystanders.py
@@ -49,6 +49,20 @@
     assert harness.job(LASTING).state is JobState.RUNNING
 
 
+def test_loss_at_an_unknown_point_is_recorded_beside_a_late_one(make_harness):
+    """Guards against crashing tasks whose losses are dropped after a new owner."""
+    harness = make_harness(workers=8)
+    submit_lasting(harness)
+    harness.run(12_000)
+    crash_under(harness, f"{LASTING}.0.0.0")
+    harness.run(4_000)
+    task = harness.job(LASTING).steps[0].tasks[0]
+    task.runs[0].began_ms = 0.0
+    crash_under(harness, task.name)
+    harness.run(4_000)
+    assert len(task.losses) == 2
+
+
 @pytest.mark.parametrize("seed", range(10))
 def test_lasting_job_outlives_crashes_by_others(make_harness, seed):
     """Guards against lasting jobs that are failed among jobs that crash workers."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -260,7 +260,9 @@
 
 
 def _is_outlived(loss, others):
-    """Return whether an earlier run got well beyond the point of a loss."""
+    """Return whether an earlier run got well beyond the point of a loss, if known."""
+    if loss.after_ms is None:
+        return False
     return any((other.after_ms or 0) >= _clearing_time_of(loss) for other in others)
 
 
