Count crashes of workers as disturbances of the standstill check

Trace: its worker crashed under a task that crashes workers; the next start went to a worker that crashed just then and was not answered; leases of 3 s each and 1 s for an empty worker, the run after was 7 s after the first. The promise holds where 7 s are calm, and the check took the calm phase for calm while crashing tasks still took workers down. The bound of 6 s stays; a crash of a worker counts for 7 s (test_checker_ignores_lasting_tasks_soon_...).

--- a/soak/src/thymefork_soak/standin/invariant_checker.py
+++ b/soak/src/thymefork_soak/standin/invariant_checker.py
@@ -35,6 +35,7 @@
     crashes_after_ms: dict = field(factory=dict)
     failing_jobs: set = field(factory=set)
     crashes: Counter = field(factory=Counter)
+    crashed_ms: float = float("-inf")
     starts_after_crashes: Counter = field(factory=Counter)
     accounts: dict = field(factory=dict)
     limits: list = field(factory=list)
@@ -114,9 +115,10 @@
         if outcome == "done":
             self.done.setdefault(task, None)
 
-    def on_crash(self, tasks):
+    def on_crash(self, tasks, now_ms):
         """Record a worker crash while it ran tasks."""
         self.crashes.update(tasks)
+        self.crashed_ms = now_ms
 
     def _check_start_after_crashes(self, task, where):
         # Applies to tasks that crash their workers, even to disconnected owners.
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -264,6 +264,21 @@
     assert len(checker.violations) == violations
 
 
+def test_checker_ignores_lasting_tasks_soon_after_a_crash():
+    checker = checker_of_one_job()
+    standstills = StandstillChecker(
+        checker=checker,
+        workers=[RoomyWorker(), RoomyWorker()],
+        is_allowed=lambda step, worker_id: True,
+    )
+    standstills.watch("j", 0.0)
+    checker.on_crash(set(), 4_000.0)
+    standstills.check(10_900.0)
+    assert not checker.violations
+    standstills.check(11_000.0)
+    assert len(checker.violations) == 1
+
+
 def test_checker_ignores_lasting_tasks_without_room_or_with_a_run():
     checker = checker_of_one_job()
     checker.on_start(RoomyWorker(), "j.0.0.0", 1, "s", 0.0)
