--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -173,7 +173,7 @@
     for run_id in range(1, 6):
         checker.on_start(Worker(), "j.0.0.0", run_id, "s", 0.0)
         checker.on_end(Worker(), "j.0.0.0", "crashed")
-        checker.on_crash({"j.0.0.0"})
+        checker.on_crash({"j.0.0.0"}, 0.0)
     assert not checker.violations
     checker.on_start(Worker(), "j.0.0.0", 6, "s", 0.0)
     assert [line.split(":")[0] for line in checker.violations] == ["BUDGET"]
@@ -184,7 +184,7 @@
     for run_id in range(1, 9):
         checker.on_start(Worker(), "j.0.0.0", run_id, "s", 0.0)
         checker.on_end(Worker(), "j.0.0.0", "crashed")
-        checker.on_crash({"j.0.0.0"})
+        checker.on_crash({"j.0.0.0"}, 0.0)
     assert not checker.violations
 
 
