--- a/packages/thymefork-cells/src/thymefork_cells/placement/exclusions.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/exclusions.py
@@ -5,7 +5,7 @@
 
 from attrs import field, frozen
 
-__all__ = ["Exclusion", "Exclusions", "worker_exclusion"]
+__all__ = ["DECIDED_HERE", "Exclusion", "Exclusions", "worker_exclusion"]
 
 
 class Exclusion(StrEnum):
