Reserve ports for each test process until it ends

Cause: free_ports bound each port only to try it and counted from a number that depends on the test worker alone, so both runs started servers on the same ports.

Evidence: two processes of one worker name got the same eight ports. Ruled out: load alone (a pair of runs whose first ports differ passed).

Change: a process keeps the first port of its block bound until it ends; other processes take other blocks. It holds for any number of runs up to 40 processes.

Test: test_concurrent_test_runs_get_different_ports failed before with 2 and 5 runs.

--- a/packages/thymefork-standin/src/thymefork_standin/processes.py
+++ b/packages/thymefork-standin/src/thymefork_standin/processes.py
@@ -5,36 +5,72 @@
 import socket
 import subprocess
 import sys
-from itertools import count
+from functools import cache
+from itertools import cycle, islice
 
 __all__ = ["Process", "free_ports"]
 
 END_PATIENCE_S = 5
+HOST = "127.0.0.1"
+# Below the ports of outgoing connections: one of those could take a port before it is
+# listened on.
 FIRST_PORT = 12_000
-PORTS_A_RANGE = 2_000
-RANGES = 10
-_NEXT = count()
+PORTS_PER_BLOCK = 500
+BLOCKS = 40
 
 
-def free_ports(wanted):
-    """Return ports that nothing listens on, below those of outgoing connections.
+class _PortBlock:
+    """Reserve a block of ports for this process until it ends.
 
-    Each process of a test run takes from a range of its own; a port that the system
-    picks could be taken by any outgoing connection before it is listened on.
+    Its first port stays bound, so that other processes of the same machine, of another
+    test run too, take other blocks.
     """
-    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw9").removeprefix("gw")
-    first = FIRST_PORT + int(worker) % RANGES * PORTS_A_RANGE
-    ports = []
-    while len(ports) < wanted:
-        port = first + next(_NEXT) % PORTS_A_RANGE
-        with socket.socket() as sock:
-            sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+
+    def __init__(self):
+        self._guard, self._first = self._reserve()
+        self._offsets = cycle(range(1, PORTS_PER_BLOCK))
+
+    def _reserve(self):
+        """Return the bound guard socket and the number of its port."""
+        for block in range(BLOCKS):
+            port = FIRST_PORT + block * PORTS_PER_BLOCK
+            guard = socket.socket()
             try:
-                sock.bind(("127.0.0.1", port))
+                guard.bind((HOST, port))
             except OSError:
+                guard.close()
                 continue
-        ports.append(port)
-    return ports
+            return guard, port
+        raise RuntimeError(f"reserving ports: all {BLOCKS} blocks are taken on {HOST}")
+
+    def next_free(self):
+        """Return the next port of the block that can be bound."""
+        for offset in islice(self._offsets, PORTS_PER_BLOCK):
+            if _is_free(self._first + offset):
+                return self._first + offset
+        raise RuntimeError(f"no free port in the block from {self._first} on {HOST}")
+
+
+def _is_free(port):
+    """Return whether a server could bind a port now."""
+    with socket.socket() as sock:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+    return True
+
+
+@cache
+def _port_block():
+    """Return the block of this process, reserved when it is first needed."""
+    return _PortBlock()
+
+
+def free_ports(wanted):
+    """Return ports that nothing listens on and that no other process is given."""
+    return [_port_block().next_free() for _ in range(wanted)]
 
 
 class Process:
