Withdraw the losses that a failed crashing job explains

Callers saw sound lasting jobs shown as failed among jobs that crash workers.

Cause: a crash was held against each task on the worker, for good; also after another of these tasks was found to be the one that crashes its workers. Lasting tasks share workers with many crashing jobs and collected their crashes.

Ruled out: that real crashers gain by it.

Change: a job that is failed as crashing takes its workers incarnations off the losses of all other live tasks, also of those recorded later. Of the tasks that were lost with one worker the one with most losses is judged first. What the losses prove moved to a module of its own, unchanged.

--- a/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
@@ -7,7 +7,7 @@
 from functools import partial
 
 from ..state import Isolation, have_similar_timing
-from ..workers.worker_losses import MAX_CRASHES, MAX_LOSSES, clearing_time_ms
+from ..workers.crash_evidence import MAX_CRASHES, MAX_LOSSES, clearing_time_ms
 from .worker_ranking import REMOTE_PENALTY, UNRELIABLE_PENALTY
 
 __all__ = ["ISOLATE_AFTER_LOSSES", "CrashIsolation"]
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_bystanders.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_bystanders.py
@@ -89,3 +89,24 @@
         if up and rng.random() < 0.5:
             harness.crash(rng.choice(up))
     assert harness.job(LASTING).state is JobState.RUNNING
+
+
+# Losses beside a crashing job stayed held against the sound jobs on the same workers.
+def test_failed_crashing_job_explains_losses_of_jobs_beside_it(make_harness):
+    harness = make_harness(workers=2)
+    submit_lasting(harness)
+    harness.run(500)
+    crashing = "c" * 16
+    harness.crashes_after_ms = {f"{crashing}.0.0.0": 10.0}.get
+    harness.submit(crashing, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(25_000)
+    assert harness.job(crashing).state is JobState.FAILED
+    assert harness.counts["explained"] > 0
+    losses = [len(task.losses) for task in harness.job(LASTING).steps[0].tasks]
+    assert losses == [0, 0, 0]
+
+
+# A sound job was failed for crashes of workers that other jobs had caused.
+@pytest.mark.parametrize("seed", range(3_000, 3_012))
+def test_lasting_job_outlives_many_crashing_jobs(make_harness, seed):
+    test_lasting_job_outlives_crashes_by_others(make_harness, seed)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_isolation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_isolation.py
@@ -4,7 +4,7 @@
 
 from thymefork_cells import CommandAnswer, Refusal
 from thymefork_cells.state import JobState, WorkerLoss
-from thymefork_cells.workers.worker_losses import (
+from thymefork_cells.workers.crash_evidence import (
     MAX_CLEARING_TIME_MS,
     MIN_CLEARING_TIME_MS,
 )
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_random_crashes.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_random_crashes.py
@@ -6,7 +6,7 @@
 
 from thymefork_cells.effects import StartRun
 from thymefork_cells.state import JobState
-from thymefork_cells.workers.worker_losses import MAX_LOSSES
+from thymefork_cells.workers.crash_evidence import MAX_LOSSES
 
 from .harness import Harness, job_spec
 from .test_crash_isolation import THREE_HALLS, crash_by, reachable, set_work_ms
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_restarts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_worker_restarts.py
@@ -12,7 +12,7 @@
 
 from thymefork_cells.effects import PollWorker, StartRun, StopRun
 from thymefork_cells.state import JobState
-from thymefork_cells.workers.worker_losses import MAX_CRASHES
+from thymefork_cells.workers.crash_evidence import MAX_CRASHES
 
 from .harness import job_spec
 from .run_invariants import longest_gap_ms, tasks_run_twice
--- a/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
@@ -1,6 +1,12 @@
 """Workers of a cell: registration, polling, commands and failure detection."""
 
 from .commands import CommandAnswer, CommandTracker, Refusal
+from .crash_evidence import (
+    MAX_CLEARING_TIME_MS,
+    MAX_CRASHES,
+    MAX_LOSSES,
+    clearing_time_ms,
+)
 from .gang_monitor import GangMonitor
 from .incarnations import IncarnationMatch, IncarnationTracker
 from .pacing import PaceController
@@ -12,13 +18,7 @@
     max_lease_duration_ms,
 )
 from .run_reconciler import UNANSWERED_START_REASON, RunReconciler
-from .worker_losses import (
-    MAX_CLEARING_TIME_MS,
-    MAX_CRASHES,
-    MAX_LOSSES,
-    WorkerLosses,
-    clearing_time_ms,
-)
+from .worker_losses import WorkerLosses
 from .worker_poller import WorkerPoller
 from .worker_registry import WorkerRegistry
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -7,35 +7,27 @@
 from attrs import evolve
 
 from ..state import JobState, WorkerLoss, have_similar_timing
+from .crash_evidence import (
+    MAX_CLEARING_TIME_MS,
+    MAX_LOSSES,
+    clearing_time_of,
+    is_certain_cause,
+    is_outlived,
+)
+
+__all__ = ["WorkerLosses"]
 
-__all__ = [
-    "MAX_CLEARING_TIME_MS",
-    "MAX_CRASHES",
-    "MAX_LOSSES",
-    "WorkerLosses",
-    "clearing_time_ms",
-]
-
-# A job fails once this many workers have crashed while they ran one of its tasks, each
-# at about the same point of the run and one of them without runs of other jobs.
-MAX_CRASHES = 3
-# A job also fails once this many workers have crashed at any point. If some of them are
-# only silent and were lost at about the same point, the task waits for news of them.
-MAX_LOSSES = 4
 # Without news for this long, its job fails. Most workers that are cut off answer again
 # sooner.
 NEWS_TIMEOUT_MS = 15_000.0
-# A run that works this many times as long as the longest run that lost its worker, plus
-# a margin, shows that its task does not crash workers.
-CLEARING_FACTOR = 2.0
-CLEARING_MARGIN_MS = 1_000.0
-# Bounds of that time. The upper one limits how long a worker is kept for one task.
-MIN_CLEARING_TIME_MS = 5_000.0
-MAX_CLEARING_TIME_MS = 30_000.0
 # Bounds the runs named in a log line: a job may have hundreds on one worker.
 MAX_LOGGED_RUNS = 10
 
 
+# Bounds the remembered incarnations of workers whose crash is explained.
+MAX_EXPLAINED = 1_000
+
+
 class WorkerLosses:
     """Release the runs of lost workers, and fail the jobs that crash workers."""
 
@@ -43,6 +35,7 @@
         self._context = context
         self._lifecycle = lifecycle
         self._tasks_by_worker = {}  # by id and incarnation of silent workers
+        self._explained = {}  # as ordered keys, incarnations that failed jobs crashed
 
     @property
     def unresolved_worker_count(self):
@@ -69,14 +62,18 @@
             self._record(run, self.loss_of(run, now_ms, is_certain=is_certain))
         for run in runs:
             self._lifecycle.release(run, now_ms=now_ms)
-        for run in runs:
+        # The likeliest cause first: its failure explains the losses of the others.
+        for run in sorted(runs, key=lambda run: len(run.task.losses), reverse=True):
             self._fail_if_crashing(run.task, now_ms)
 
     def _record(self, run, loss):
         if loss is None:
             return
+        if loss.incarnation in self._explained:
+            self._context.count("worker_losses", "explained")
+            return
         self._drop_outlived(run.task, loss.after_ms or 0)
-        if _is_outlived(loss, run.task.losses.values()):
+        if is_outlived(loss, run.task.losses.values()):
             self._context.count("worker_losses", "outlived")
             return
         run.task.losses[loss.incarnation] = loss
@@ -176,7 +173,7 @@
         outlived = [
             incarnation
             for incarnation, loss in task.losses.items()
-            if age_ms >= _clearing_time_of(loss)
+            if age_ms >= clearing_time_of(loss)
         ]
         if not outlived:
             return
@@ -187,7 +184,7 @@
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
-        if _is_certain_cause(task.losses.values()):
+        if is_certain_cause(task.losses.values()):
             self._fail(task, now_ms)
 
     def _fail(self, task, now_ms):
@@ -204,6 +201,18 @@
         )
         reason = f"{len(losses)} workers were lost under {task.name}"
         self._lifecycle.finish(job, JobState.FAILED, reason, now_ms=now_ms)
+        self._explain(set(task.losses))
+
+    def _explain(self, incarnations):
+        """Withdraw the losses of other tasks by workers that a failed job crashed."""
+        self._explained |= dict.fromkeys(incarnations)
+        while len(self._explained) > MAX_EXPLAINED:
+            del self._explained[next(iter(self._explained))]
+        for job in self._context.live_jobs.values():
+            withdrawn = _withdraw_losses(job, incarnations)
+            if withdrawn:
+                self._context.count("worker_losses", "explained", withdrawn)
+                self._context.journal.mark_changed(job)
 
     def awaits_news(self, task):
         """Return whether a task may have crashed too many workers to go on.
@@ -247,40 +256,15 @@
             )
 
 
-def clearing_time_ms(task):
-    """Return how long a run has to work to clear its task of all its losses."""
-    times_ms = (_clearing_time_of(loss) for loss in task.losses.values())
-    return max(times_ms, default=MIN_CLEARING_TIME_MS)
-
-
-def _clearing_time_of(loss):
-    """Return the age at which a run has outlived a loss."""
-    required_ms = CLEARING_FACTOR * (loss.after_ms or 0) + CLEARING_MARGIN_MS
-    return min(max(required_ms, MIN_CLEARING_TIME_MS), MAX_CLEARING_TIME_MS)
-
-
-def _is_outlived(loss, others):
-    """Return whether an earlier run got well beyond the point of a loss, if known."""
-    if loss.after_ms is None:
-        return False
-    return any((other.after_ms or 0) >= _clearing_time_of(loss) for other in others)
-
-
-def _is_certain_cause(losses):
-    """Return whether a task has certainly crashed the workers of these losses.
-
-    A loss at an unknown point of the run proves nothing by itself.
-    """
-    certain = [loss for loss in losses if loss.is_certain]
-    known = [loss for loss in certain if loss.after_ms is not None]
-    if len(certain) >= MAX_LOSSES:
-        return True
-    return len(known) >= MAX_CRASHES and _are_alike(known)
-
-
-def _are_alike(losses):
-    """Return whether losses came at a similar point of the runs, one of them alone."""
-    return have_similar_timing(losses) and any(loss.was_alone for loss in losses)
+def _withdraw_losses(job, incarnations):
+    """Remove the losses of these incarnations from a job; return how many it had."""
+    withdrawn = 0
+    for step in job.steps:
+        for task in step.tasks:
+            for incarnation in incarnations & task.losses.keys():
+                del task.losses[incarnation]
+                withdrawn += 1
+    return withdrawn
 
 
 def _youngest_age_ms(runs, now_ms):
