Fail crashing jobs only if chance does not explain their crashes

Callers saw sound jobs shown as failed: by three certain crashes a second apart, by four at any point, by four of which no point was known.

Cause: losses were counted without a rate. Where workers crash often, a sound task that runs long collects three or four crashes by chance.

Change: the owner measures how often workers crash that the task did not run on, and computes the chance of as many crashes, or of as many at points as close together. A job fails below 0.05 %.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
@@ -3,10 +3,13 @@
 Workers also crash by themselves and by other tasks, so a few losses prove nothing.
 """
 
+import math
+
 from ..state import have_similar_timing
 
 __all__ = [
     "MAX_CLEARING_TIME_MS",
+    "CrashRate",
     "MAX_CRASHES",
     "MAX_LOSSES",
     "MIN_CLEARING_TIME_MS",
@@ -22,6 +25,15 @@
 # A job also fails once this many workers have crashed at any point. If some of them are
 # only silent and were lost at about the same point, the task waits for news of them.
 MAX_LOSSES = 4
+# A job does not fail if unrelated crashes would bring its losses more often than this.
+MAX_CHANCE_OF_COINCIDENCE = 0.0005
+# Run ages at the losses are not known more precisely than this.
+MIN_AGE_SPREAD_MS = 200.0
+# Crashes count for the rate of unrelated crashes for this long.
+CRASH_RATE_WINDOW_MS = 60_000.0
+# Crashes that the previous owner has stored with jobs count as if they came in this
+# time before the takeover; most are cleared after about that.
+INHERITED_CRASHES_WINDOW_MS = 15_000.0
 # A run that works this many times as long as the longest run that lost its worker, plus
 # a margin, shows that its task does not crash workers.
 CLEARING_FACTOR = 2.0
@@ -50,18 +62,70 @@
     return any((other.after_ms or 0) >= clearing_time_of(loss) for other in others)
 
 
-def is_certain_cause(losses):
+def is_certain_cause(losses, crash_rate):
     """Return whether a task has certainly crashed the workers of these losses.
 
-    A loss at an unknown point of the run proves nothing by itself.
+    `crash_rate` is that of unrelated crashes, per worker and millisecond.
     """
     certain = [loss for loss in losses if loss.is_certain]
     known = [loss for loss in certain if loss.after_ms is not None]
-    if len(certain) >= MAX_LOSSES:
-        return True
-    return len(known) >= MAX_CRASHES and _are_alike(known)
+    if len(known) >= MAX_CRASHES and _are_alike(known):
+        if _chance_of_same_point(known, crash_rate) <= MAX_CHANCE_OF_COINCIDENCE:
+            return True
+    if len(certain) < MAX_LOSSES:
+        return False
+    return _chance_of_count(certain, crash_rate) <= MAX_CHANCE_OF_COINCIDENCE
 
 
 def _are_alike(losses):
     """Return whether losses came at a similar point of the runs, one of them alone."""
     return have_similar_timing(losses) and any(loss.was_alone for loss in losses)
+
+
+def _chance_of_same_point(losses, crash_rate):
+    """Return the probability that unrelated crashes come as close together."""
+    ages_ms = [loss.after_ms for loss in losses]
+    spread_ms = max(max(ages_ms) - min(ages_ms), MIN_AGE_SPREAD_MS)
+    return (1.0 - math.exp(-crash_rate * spread_ms)) ** (len(losses) - 1)
+
+
+def _chance_of_count(losses, crash_rate):
+    """Return the probability of as many unrelated crashes in the time of these runs."""
+    exposed_ms = sum(
+        MIN_CLEARING_TIME_MS if loss.after_ms is None else loss.after_ms
+        for loss in losses
+    )
+    expected = crash_rate * exposed_ms
+    fewer = sum(expected**n / math.factorial(n) for n in range(len(losses)))
+    return 1.0 - math.exp(-expected) * fewer
+
+
+class CrashRate:
+    """Measure how often workers crash, for whatever cause."""
+
+    def __init__(self, *, since_ms):
+        self._since_ms = since_ms - INHERITED_CRASHES_WINDOW_MS
+        self._crashed_ms = {}  # by incarnation, in the order of the crashes
+
+    def record(self, incarnation, now_ms):
+        """Record the crash of a worker's incarnation."""
+        self._crashed_ms[incarnation] = now_ms
+        self._drop_old(now_ms)
+
+    def beside(self, losses, worker_count, now_ms):
+        """Return the rate of all other crashes than these, one more assumed.
+
+        Units: crashes per worker and millisecond.
+        """
+        self._drop_old(now_ms)
+        unrelated = len(self._crashed_ms.keys() - losses.keys())
+        observed_ms = min(now_ms - self._since_ms, CRASH_RATE_WINDOW_MS)
+        return (unrelated + 1) / (max(1, worker_count) * observed_ms)
+
+    def _drop_old(self, now_ms):
+        oldest_ms = now_ms - CRASH_RATE_WINDOW_MS
+        while self._crashed_ms:
+            incarnation, crashed_ms = next(iter(self._crashed_ms.items()))
+            if crashed_ms >= oldest_ms:
+                return
+            del self._crashed_ms[incarnation]
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -10,6 +10,7 @@
 from .crash_evidence import (
     MAX_CLEARING_TIME_MS,
     MAX_LOSSES,
+    CrashRate,
     clearing_time_of,
     is_certain_cause,
     is_outlived,
@@ -35,6 +36,7 @@
         self._context = context
         self._lifecycle = lifecycle
         self._tasks_by_worker = {}  # by id and incarnation of silent workers
+        self._crash_rate = CrashRate(since_ms=context.taken_over_ms)
         self._explained = {}  # as ordered keys, incarnations that failed jobs crashed
 
     @property
@@ -47,7 +49,11 @@
         for step in job.steps:
             for task in step.tasks:
                 for loss in task.losses.values():
-                    if not loss.is_certain:
+                    if loss.is_certain:
+                        self._crash_rate.record(
+                            loss.incarnation, self._context.taken_over_ms
+                        )
+                    else:
                         self._await_outcome(loss, task)
 
     # Workers -----------------------------------------------------------------
@@ -129,6 +135,8 @@
 
     def on_incarnation_over(self, worker, *, now_ms):
         """Confirm the losses of a silent worker that has certainly crashed."""
+        if not worker.is_leaving:
+            self._crash_rate.record(worker.incarnation, now_ms)
         for incarnation, tasks in self._tasks_by_worker.pop(
             worker.worker_id, {}
         ).items():
@@ -184,7 +192,10 @@
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
-        if is_certain_cause(task.losses.values()):
+        crash_rate = self._crash_rate.beside(
+            task.losses, len(self._context.workers), now_ms
+        )
+        if is_certain_cause(task.losses.values(), crash_rate):
             self._fail(task, now_ms)
 
     def _fail(self, task, now_ms):
