Store the machines of workers with runs for the next owner

Cause: records name the worker of a run, the list of the platform its machine. A crashed worker is no longer listed, so the next owner could not tell that the new worker in the list runs on the same machine, and waited for leases: 4.2 s from its takeover, 10.3 s if an earlier owner had noted a long lease on that worker.

Change: the machine of a worker is stored once, before its first run starts; the next owner completes the workers that it knows from records alone. The rule that a new worker on a machine ends the one before is as it was. A record a worker, not a field a run: progress is written much more often.

Left: a machine that stays dark is still waited for, 4.2 s from the takeover.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -21,6 +21,7 @@
 from .workers.extended_leases import ExtendedLeases
 from .workers.gang_monitor import GangMonitor
 from .workers.incarnations import IncarnationMatch, IncarnationTracker
+from .workers.machine_records import MachineRecords
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
@@ -72,6 +73,7 @@
             unstored_ends=self.unstored_ends,
         )
         self.extended_leases = ExtendedLeases(context=self.context)
+        self._machine_records = MachineRecords(context=self.context)
         self.incarnations = IncarnationTracker(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -126,6 +128,7 @@
             quotas=self.quotas,
             speeds=self.speeds,
             losses=self.losses,
+            machine_records=self._machine_records,
         )
         self.progress_monitor = ProgressMonitor(
             context=self.context, lifecycle=self.lifecycle, durations=self.durations
@@ -151,6 +154,7 @@
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
+        self._machine_records.load(records)
         self.parts.load(records)
         self.quorum.bound_inherited_leases(now_ms)
 
@@ -171,6 +175,7 @@
             self.registry.expire_leases(now_ms)
             self.losses.review(now_ms)
             self.extended_leases.review(now_ms)
+            self._machine_records.review()
             self.commands.stop_unconfirmed_starts(now_ms)
             self.commands.log_overdue_stops(now_ms)
             self.speed_learner.review(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -40,6 +40,7 @@
         quotas,
         speeds,
         losses,
+        machine_records,
     ):
         self._context = context
         self._durations = durations
@@ -62,6 +63,7 @@
             ),
             losses=losses,
         )
+        self._machine_records = machine_records
         self._advice = advice
         self._lateness_risk = LatenessRisk()
         self._by_service = {}
@@ -265,6 +267,7 @@
             gang_slowness=gang_slowness,
         )
         job = task.step.job
+        self._machine_records.add(worker)
         task.run_count = run_id
         task.runs.append(run)
         task.step.invalidate_waiting()
