Start tasks again whose certain losses chance may explain

Callers would have seen a task stand still for good, and a crashing task go on to take workers down: after four certain crashes that chance explains, a task waited for news of its workers, though nothing more could come.

Cause: the wait for news did not ask whether a loss was still uncertain; the next owner learns sooner that workers are gone and then knew no point of their runs.

Change: only tasks with uncertain losses wait. The time of day at which a run was created is stored with it and bounds its age at a loss, so that four crashes soon after the starts are proof. Five certain crashes fail a job in any case. Older records are read; older readers ignore the new field.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -106,9 +106,10 @@
 
     The record of an ended job holds only its state. Otherwise it lists each started
     step with the indices of its finished tasks (-1 for all) and, for other tasks, run
-    and failure counts, the checkpoint, the runs that may exist, the worker losses and
-    the starts of the incarnations of these workers. The starts come last, so that older
-    readers ignore them.
+    and failure counts, the checkpoint, the runs that may exist, the worker losses, the
+    starts of the incarnations of these workers, and when the runs were created and at
+    what age they were lost at most. What was added later comes last, so that older
+    readers ignore it.
     """
     if job.is_over:
         return orjson.dumps([job.state, []])
@@ -141,11 +142,12 @@
     row = [task.index, task.run_count, task.failures, task.checkpoint, runs]
     births_epoch_ms = [run.born_epoch_ms for run in task.runs]
     births_epoch_ms += [loss.born_epoch_ms for loss in losses]
-    if losses or any(births_epoch_ms):
-        row.append([_loss_row(loss) for loss in losses])
-    if any(births_epoch_ms):
-        row.append(births_epoch_ms)
-    return row
+    times_ms = [run.created_epoch_ms for run in task.runs]
+    times_ms += [loss.within_ms for loss in losses]
+    optional = [[_loss_row(loss) for loss in losses], births_epoch_ms, times_ms]
+    while optional and not any(optional[-1]):
+        optional.pop()
+    return row + optional
 
 
 def _loss_row(loss):
@@ -174,27 +176,32 @@
     if task.failures or task.checkpoint:
         task.step.job.has_run = True
     losses = more[0] if more else []
-    births_epoch_ms = iter(
-        more[1] if len(more) > 1 else [0] * (len(runs) + len(losses))
-    )
+    unknown = [0] * (len(runs) + len(losses))
+    births_epoch_ms = iter(more[1] if len(more) > 1 else unknown)
+    times_ms = iter(more[2] if len(more) > 2 else unknown)
     for run_id, worker_id in runs:
-        _add_recovered_run(task, run_id, worker_of(worker_id), next(births_epoch_ms))
+        _add_recovered_run(
+            task, run_id, worker_of(worker_id), next(births_epoch_ms), next(times_ms)
+        )
     for loss in losses:
-        _add_loss(task, *loss, next(births_epoch_ms))
+        _add_loss(task, *loss, next(births_epoch_ms), next(times_ms))
 
 
-def _add_loss(task, worker_id, after_ms, is_certain, was_alone, born_epoch_ms):
+def _add_loss(
+    task, worker_id, after_ms, is_certain, was_alone, born_epoch_ms, within_ms
+):
     loss = WorkerLoss(
         worker_id=worker_id,
         after_ms=after_ms,
         is_certain=is_certain,
         was_alone=was_alone,
         born_epoch_ms=born_epoch_ms,
+        within_ms=within_ms,
     )
     task.losses[loss.incarnation] = loss
 
 
-def _add_recovered_run(task, run_id, worker, born_epoch_ms):
+def _add_recovered_run(task, run_id, worker, born_epoch_ms, created_epoch_ms):
     run = Run(
         task=task,
         run_id=run_id,
@@ -202,6 +209,7 @@
         state=RunState.RECOVERED,
         born_epoch_ms=born_epoch_ms,
         acknowledged_pace_percent=None,
+        created_epoch_ms=created_epoch_ms,
     )
     task.runs.append(run)
     worker.add(run)
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -265,6 +265,7 @@
             worker=worker,
             state=RunState.INTENDED,
             gang_slowness=gang_slowness,
+            created_epoch_ms=round(self._context.epoch_ms()),
         )
         job = task.step.job
         self._machine_records.add(worker)
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -37,6 +37,8 @@
     run, `first_reported_ms` when one first did. `gang_slowness` is that of the gang's
     slowest worker, 0 outside of gangs.
 
+    `created_epoch_ms` is when its start was decided, since 1970, 0 if unknown.
+
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
 
@@ -70,6 +72,7 @@
     is_carried_over: bool = False
     earlier_loss: object = None
     gang_slowness: float = 0.0
+    created_epoch_ms: int = 0
 
     @born_epoch_ms.default
     def _default_incarnation(self):
@@ -115,6 +118,13 @@
             0, round((self.worker.unanswered_since_ms or now_ms) - self.began_ms)
         )
 
+    def max_age_at_silence_ms(self, now_ms, epoch_ms):
+        """Return a bound of that age by the time of day, 0 if unknown."""
+        if not self.created_epoch_ms:
+            return 0
+        silent_ms = now_ms - (self.worker.unanswered_since_ms or now_ms)
+        return max(0, round(epoch_ms - silent_ms) - self.created_epoch_ms)
+
     @property
     def was_absent(self):
         """Return whether its worker, polled after the start, did not report it."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker_loss.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker_loss.py
@@ -12,12 +12,17 @@
 AGE_TOLERANCE_MS = 1_200.0
 
 
+# Age at the loss of a run of which nothing is known.
+UNKNOWN_AGE_MS = 5_000
+
+
 @frozen(kw_only=True)
 class WorkerLoss:
     """Describe the loss of a worker while it may have run a task.
 
     `born_epoch_ms` identifies the worker's incarnation. `after_ms` is the run's maximum
-    age at the loss, None if unknown. `is_certain` is false if the worker is only
+    age at the loss, None if unknown; then `within_ms` is an upper bound of it by the
+    time of day, 0 if that is unknown, too. `is_certain` is false if the worker is only
     silent; `was_alone` is true if it ran no other job's task.
     """
 
@@ -26,6 +31,14 @@
     is_certain: bool
     was_alone: bool = False
     born_epoch_ms: int = 0
+    within_ms: int = 0
+
+    @property
+    def exposed_ms(self):
+        """Return how long the run worked at most, as far as known."""
+        if self.after_ms is not None:
+            return self.after_ms
+        return min(self.within_ms or UNKNOWN_AGE_MS, UNKNOWN_AGE_MS)
 
     @property
     def incarnation(self):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
@@ -6,6 +6,7 @@
 import random
 
 import pytest
+from attrs import evolve
 
 from thymefork_cells.state import JobState, WorkerLoss
 from thymefork_cells.workers.crash_evidence import CrashRate, is_certain_cause
@@ -41,6 +42,13 @@
     assert is_certain_cause(seen, RARE)
 
 
+# Crashes just after a task's starts were taken for crashes at any point.
+def test_four_crashes_soon_after_the_starts_are_proof():
+    seen = [evolve(loss, within_ms=900) for loss in losses(*[(None, True)] * 4)]
+    assert is_certain_cause(seen, FREQUENT)
+    assert not is_certain_cause(seen[:3], FREQUENT)
+
+
 # A task that crashes its workers must not hide behind the crashes of others.
 @pytest.mark.parametrize("after_ms", [5, 400, 4_000])
 @pytest.mark.parametrize("crash_rate", [RARE, FREQUENT])
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_isolation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_isolation.py
@@ -223,6 +223,25 @@
     assert len(harness.starts_of(FIRST_TASK)) == 2
 
 
+# A task with four certain losses that chance may explain waited for news for good.
+def test_task_with_certain_losses_waits_for_no_news(make_harness):
+    harness = make_harness(workers=6, **THREE_HALLS)
+    set_work_ms(harness, 30_000.0)
+    harness.submit(INNOCENT, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(100)
+    (task,) = harness.job(INNOCENT).steps[0].tasks
+    for worker_id in "xyz":
+        task.losses[worker_id] = WorkerLoss(
+            worker_id=worker_id, after_ms=None, is_certain=True
+        )
+    for number in range(200):  # workers crash often
+        harness.cell.losses._crash_rate.record(("other", number), harness.now)
+    crash_where(harness, INNOCENT)
+    harness.run(8_000)
+    assert len(task.losses) == 4
+    assert any(name == task.name for name, _ in harness.running())
+
+
 # Losses that do not count --------------------------------------------------
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_stored_incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_stored_incarnations.py
@@ -39,10 +39,11 @@
 
 def test_record_without_incarnations_can_be_read(harness):
     task = started_task(harness)
-    state, ((step, done, ((*row, starts_epoch_ms),), gang),) = orjson.loads(
-        encode_progress(harness.job(JOB))
+    state, ((step, done, ((*row, starts_epoch_ms, created_epoch_ms),), gang),) = (
+        orjson.loads(encode_progress(harness.job(JOB)))
     )
     assert starts_epoch_ms == [STARTED_EPOCH_MS]
+    assert created_epoch_ms == [STARTED_EPOCH_MS + 50]
     for fields in (row[:5], [*row[:5], [["w", 7, False, False]]]):
         data = orjson.dumps([state, [[step, done, [fields], gang]]])
         runs, losses = decoded(harness, task, data)
@@ -50,6 +51,29 @@
         assert [loss.incarnation for loss in losses] == [("w", 0)] * (len(fields) - 5)
 
 
+# A next owner knew nothing of the point at which a run was lost, and blamed the task.
+def test_stored_runs_and_losses_keep_bounds_of_their_age(harness):
+    task = started_task(harness)
+    lost = WorkerLoss(worker_id="w", after_ms=None, is_certain=True, within_ms=700)
+    task.losses[lost.incarnation] = lost
+    runs, losses = decoded(harness, task, encode_progress(harness.job(JOB)))
+    assert losses == [lost]
+    (run,) = runs
+    age_ms = run.max_age_at_silence_ms(harness.now, START_EPOCH_MS + harness.now)
+    assert age_ms == harness.now - 50
+
+
+def test_record_without_ages_can_be_read(harness):
+    task = started_task(harness)
+    state, ((step, done, ((*row, _),), gang),) = orjson.loads(
+        encode_progress(harness.job(JOB))
+    )
+    data = orjson.dumps([state, [[step, done, [row], gang]]])
+    (run,), _ = decoded(harness, task, data)
+    assert run.born_epoch_ms == STARTED_EPOCH_MS
+    assert run.max_age_at_silence_ms(harness.now, START_EPOCH_MS + harness.now) == 0
+
+
 def test_next_owner_restarts_tasks_of_ended_incarnation(make_harness):
     """Guards against waiting for the lease of an incarnation that has ended."""
     harness = make_harness(workers=2)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
@@ -25,7 +25,10 @@
 # A job also fails once this many workers have crashed at any point. If some of them are
 # only silent and were lost at about the same point, the task waits for news of them.
 MAX_LOSSES = 4
-# A job does not fail if unrelated crashes would bring its losses more often than this.
+# A job fails once this many workers have crashed, whatever the chance of it.
+MAX_CERTAIN_LOSSES = 5
+# With fewer, a job does not fail if unrelated crashes would bring its losses more often
+# than this.
 MAX_CHANCE_OF_COINCIDENCE = 0.0005
 # Run ages at the losses are not known more precisely than this.
 MIN_AGE_SPREAD_MS = 200.0
@@ -68,13 +71,17 @@
     `crash_rate` is that of unrelated crashes, per worker and millisecond.
     """
     certain = [loss for loss in losses if loss.is_certain]
+    if len(certain) >= MAX_CERTAIN_LOSSES:
+        return True
     known = [loss for loss in certain if loss.after_ms is not None]
+    chance = 1.0
     if len(known) >= MAX_CRASHES and _are_alike(known):
-        if _chance_of_same_point(known, crash_rate) <= MAX_CHANCE_OF_COINCIDENCE:
-            return True
-    if len(certain) < MAX_LOSSES:
-        return False
-    return _chance_of_count(certain, crash_rate) <= MAX_CHANCE_OF_COINCIDENCE
+        chance = _chance_of_same_point(known, crash_rate)
+    if len(certain) >= MAX_LOSSES:
+        chance = min(chance, _chance_of_count(certain, crash_rate))
+        if have_similar_timing(certain):
+            chance = min(chance, _chance_of_same_point(certain, crash_rate))
+    return chance <= MAX_CHANCE_OF_COINCIDENCE
 
 
 def _are_alike(losses):
@@ -83,18 +90,22 @@
 
 
 def _chance_of_same_point(losses, crash_rate):
-    """Return the probability that unrelated crashes come as close together."""
-    ages_ms = [loss.after_ms for loss in losses]
-    spread_ms = max(max(ages_ms) - min(ages_ms), MIN_AGE_SPREAD_MS)
-    return (1.0 - math.exp(-crash_rate * spread_ms)) ** (len(losses) - 1)
+    """Return the probability that unrelated crashes come as close together.
+
+    One of them may come at any point, the others within some time of it.
+    """
+    ages_ms = [loss.after_ms for loss in losses if loss.after_ms is not None]
+    windows_ms = [loss.exposed_ms for loss in losses if loss.after_ms is None]
+    if ages_ms:
+        spread_ms = max(max(ages_ms) - min(ages_ms), MIN_AGE_SPREAD_MS)
+        windows_ms += [spread_ms] * len(ages_ms)
+    windows_ms.remove(max(windows_ms))
+    return math.prod(1.0 - math.exp(-crash_rate * ms) for ms in windows_ms)
 
 
 def _chance_of_count(losses, crash_rate):
     """Return the probability of as many unrelated crashes in the time of these runs."""
-    exposed_ms = sum(
-        MIN_CLEARING_TIME_MS if loss.after_ms is None else loss.after_ms
-        for loss in losses
-    )
+    exposed_ms = sum(loss.exposed_ms for loss in losses)
     expected = crash_rate * exposed_ms
     fewer = sum(expected**n / math.factorial(n) for n in range(len(losses)))
     return 1.0 - math.exp(-expected) * fewer
--- a/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
@@ -172,6 +172,7 @@
             is_carried_over=True,
             earlier_loss=loss,
             gang_slowness=run.gang_slowness,
+            created_epoch_ms=run.created_epoch_ms,
         )
         task.runs[task.runs.index(run)] = run.successor
         next_worker.add(run.successor)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -105,6 +105,7 @@
             is_certain=is_certain,
             was_alone=not run.worker.runs_of_others(task.step.job),
             born_epoch_ms=run.born_epoch_ms,
+            within_ms=run.max_age_at_silence_ms(now_ms, self._context.epoch_ms()),
         )
 
     def _await_outcome(self, loss, task):
@@ -237,6 +238,8 @@
             for loss in task.losses.values()
             if loss.is_certain or not self._is_listed(loss.worker_id)
         ]
+        if all(loss.is_certain for loss in likely):
+            return False  # nothing more will be known of them
         return len(likely) >= MAX_LOSSES and have_similar_timing(likely)
 
     def _is_listed(self, worker_id):
