Tell run ends at once while the store is away

Callers saw done tasks run again, and their job stand still for 4.15 s, when the owner of the cell ended in an outage and the workers left meanwhile.

Cause: ends were told to possible next owners only after they had waited 200 ms. An owner that ended sooner took them with it.

Evidence: an end received some 20 ms before the end of its owner, with the store away: its task ran again (test_end_received_just_before_the_owner_ends_is_not_lost, failed before).

Nothing is sent while the store answers.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/unstored_ends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/unstored_ends.py
@@ -60,7 +60,14 @@
         self._log_by_job("ends_stored_late", late, now_ms)
 
     def announce_if_late(self, now_ms):
-        """Announce the pending ends once the first of them has waited too long."""
+        """Announce the pending ends once the first of them has waited too long.
+
+        While the store is unavailable they are announced at once: their owner may end
+        at any time.
+        """
+        if self._context.is_store_unavailable:
+            self.announce(now_ms)
+            return
         first_ms = min(
             (rows[0].received_ms for rows in self._received.values()), default=now_ms
         )
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_run_ends_in_outages.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_run_ends_in_outages.py
@@ -92,6 +92,26 @@
     assert harness.job(JOB).visible_state is JobState.SUCCEEDED
 
 
+# An owner that ended within 200 ms after a run end had told nobody of it.
+def test_end_received_just_before_the_owner_ends_is_not_lost(make_harness):
+    harness = make_harness(workers=6)
+    harness.submit(JOB, job_spec(*TWO_STEPS))
+    harness.run(100)
+    announce_departure(harness, ("w0", "w1"), leaves_in_ms=4_000)
+    begin_outage(harness)
+    tasks = harness.job(JOB).steps[0].tasks
+    while not all(task.done for task in tasks):
+        harness.run(10)
+    harness.run(20)
+    harness.is_owner_down = True
+    harness.run(2_000)
+    end_workers(harness, ("w0", "w1"))
+    replace_owner(harness)
+    harness.run(MAX_STALL_MS)
+    assert starts_of_step(harness, 0, 4) == [1, 1, 1, 1]
+    assert starts_of_step(harness, 1, 2) == [1, 1]
+
+
 def test_received_ends_survive_two_takeovers(make_harness):
     """The second owner is replaced before it can store anything, too."""
     harness = make_harness(workers=6)
