Report stalls of the simulated platform in the soak

It now prints how long its loop stalled and how much processor time it used in that. No check or time-out changes.

Test: test_stalls_of_the_simulated_platform_are_reported.

--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -11,6 +11,7 @@
 from .advice import Advice, is_allowed
 from .faulty_server import Faults, Loop
 from .invariant_checker import InvariantChecker
+from .stall_monitor import StallMonitor
 from .standstill_checker import StandstillChecker
 from .store import Store
 from .worker import Worker
@@ -66,6 +67,7 @@
         self._unlisted = set()
         loop.timers.every(HEARTBEAT_MS, self._write_heartbeats)
         loop.timers.every(CHECK_INTERVAL_MS, self._check)
+        StallMonitor(timers=loop.timers)
 
     def _write_heartbeats(self):
         for worker in self._workers:
--- a/soak/tests/test_soak.py
+++ b/soak/tests/test_soak.py
@@ -1,8 +1,10 @@
 """Short soak tests, and tests of the invariant checker and the simulated store."""
 
 import asyncio
+import io
 import subprocess
 import sys
+from types import SimpleNamespace
 
 import pytest
 
@@ -10,6 +12,7 @@
 from thymefork_soak.main import soak
 from thymefork_soak.standin.invariant_checker import InvariantChecker
 from thymefork_soak.standin.log import Group, Partition
+from thymefork_soak.standin.stall_monitor import StallMonitor
 from thymefork_soak.standin.standstill_checker import StandstillChecker
 
 # Includes regressions: two ownerships with one epoch, a worker that shrinks during an
@@ -292,3 +295,15 @@
     checker.on_end(RoomyWorker(), "j.0.0.0", "failed")
     standstills.check(40_000.0)
     assert not checker.violations
+
+
+# Time-outs of the soak's own calls could not be told from a machine that was too busy.
+@pytest.mark.parametrize(("gap_ms", "stalls"), [(150.0, 0), (2_000.0, 1)])
+def test_stalls_of_the_simulated_platform_are_reported(gap_ms, stalls):
+    times_ms, out = iter([0.0, 100.0, 100.0 + gap_ms]), io.StringIO()
+    timers = SimpleNamespace(every=lambda period_ms, action: None)
+    monitor = StallMonitor(timers=timers, clock_ms=lambda: next(times_ms), out=out)
+    monitor.check()
+    monitor.check()
+    assert monitor.stalls == stalls
+    assert ("stalled for 2000 ms" in out.getvalue()) == bool(stalls)
