Hand an overloaded cell over to an equal instance only once

Cause: a member that owns nothing has no load, so it always looked like a relief of an overloaded owner. The load was that of the cell, and the next owner did not know that the one before had left because of it; each instance keeps a backoff of its own.

Ruled out: a longer backoff; it would hold back the first handover, which does pay where one instance is slow.

Change: instances remember for two minutes which cells overloaded an owner on another instance, from its heartbeats; such a cell moves to a better tier only.

Test: test_cell_that_overloads_every_owner_is_handed_over_once failed before.

--- a/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_policy.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/capacity/handover_policy.py
@@ -1,5 +1,6 @@
 """Rules for handing an instance's cells over to a more suitable member."""
 
+from .owner_load import OVERLOAD_ENTER
 from .tier import Tier
 
 __all__ = ["HandoverPolicy"]
@@ -20,6 +21,8 @@
 MAX_BACKOFF_MS = 60_000.0
 # The backoff starts over if the last handover is longer ago than this.
 BACKOFF_RESET_MS = 120_000.0
+# A cell that overloaded an owner this recently would overload an equal one, too.
+OVERLOADED_CELL_MS = 120_000.0
 
 
 class HandoverPolicy:
@@ -39,6 +42,7 @@
         self._better_tier_since_ms = None
         self._overloaded_since_ms = None
         self._owns_since_ms = None
+        self._overloaded_owner_ms = {}  # by cell, when another owner last had too much
 
     @property
     def cooldown_until_ms(self):
@@ -56,6 +60,13 @@
         self._healthy_since_ms = self._better_tier_since_ms = None
         self._overloaded_since_ms = self._owns_since_ms = None
 
+    def observe(self, now_ms, statuses):
+        """Remember the cells that overload their owners on other instances."""
+        for status in statuses:
+            if status.is_fresh(now_ms) and status.load_percent >= 100 * OVERLOAD_ENTER:
+                for cell in status.owned:
+                    self._overloaded_owner_ms[cell] = now_ms
+
     def reason(self, now_ms, *, local, statuses):
         """Return why this member should leave the group now, or None."""
         self._track_state(now_ms, local)
@@ -164,15 +175,29 @@
             local.load, fresh
         ):
             return False
+        is_overloaded_anywhere = self._has_overloaded_another(local, now_ms)
         return any(
             status.tier is not None
             and status.tier >= self._tier
+            and not (is_overloaded_anywhere and status.tier == self._tier)
             and not status.owns
             and status.load_percent <= local.load.percent * MAX_TARGET_LOAD_RATIO
             and status.is_healthy_for(MIN_HEALTHY_MS, now_ms)
             for status in fresh
         )
 
+    def _has_overloaded_another(self, local, now_ms):
+        """Return whether a cell owned here has lately overloaded another instance.
+
+        The load is then that of the cell: another takeover would only interrupt its
+        callers again.
+        """
+        oldest_ms = now_ms - OVERLOADED_CELL_MS
+        return any(
+            self._overloaded_owner_ms.get(cell, float("-inf")) > oldest_ms
+            for cell in local.owned
+        )
+
     def _is_most_loaded(self, load, fresh):
         """Return whether no other owner has more load; ties go to the lower address."""
         local = (-load.percent, self._address)
--- a/packages/thymefork-daemon/src/thymefork_daemon/handover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/handover.py
@@ -49,6 +49,7 @@
 
     def _check(self):
         self._record_known_tiers()
+        self._policy.observe(steady_ms(), self._statuses())
         if not self._daemon.membership.in_group:
             return
         reason = self._policy.reason(
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover_policy.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_handover_policy.py
@@ -5,6 +5,7 @@
 """
 
 import pytest
+from attrs import evolve
 
 from thymefork_daemon.capacity import (
     HandoverPolicy,
@@ -127,3 +128,44 @@
     ):
         now_ms += STEP_MS
     assert now_ms - regained_ms >= 5_000.0
+
+
+def handovers_of_overloaded_cell(for_ms, *, tiers):
+    """Return how often instances hand a cell over that overloads each of them."""
+    policies = [
+        HandoverPolicy(tier=tier, address=name)
+        for tier, name in zip(tiers, "abc", strict=True)
+    ]
+    owner, count, taken_ms = 0, 0, 0.0
+    for now_ms in range(0, for_ms, STEP_MS):
+        has_taken_over = now_ms - taken_ms > OWNERSHIP_REPORT_DELAY_MS
+        statuses = [
+            evolve(
+                status("abc"[n], received_ms=float(now_ms)),
+                tier=tiers[n],
+                best_tier=max(tiers),
+                owned=frozenset({0}) if n == owner else frozenset(),
+                load_percent=150 if n == owner and has_taken_over else 0,
+            )
+            for n in range(3)
+        ]
+        for n, policy in enumerate(policies):
+            policy.observe(float(now_ms), statuses[:n] + statuses[n + 1 :])
+        others = statuses[:owner] + statuses[owner + 1 :]
+        local = local_status(0, value=1.5, cells=1)
+        if has_taken_over and policies[owner].reason(
+            float(now_ms), local=local, statuses=others
+        ):
+            policies[owner].on_left(float(now_ms))
+            owner, count, taken_ms = (owner + 1) % 3, count + 1, now_ms
+    return count
+
+
+# A cell that overloads any owner was handed over every few seconds between equals.
+def test_cell_that_overloads_every_owner_is_handed_over_once():
+    assert handovers_of_overloaded_cell(100_000, tiers=[Tier.FULL] * 3) == 1
+
+
+def test_overloaded_cell_still_moves_to_a_better_tier():
+    tiers = [Tier.LEAST, Tier.LEAST, Tier.FULL]
+    assert handovers_of_overloaded_cell(100_000, tiers=tiers) >= 2
