Wait for a file's base that another instance has just accepted

Operators saw a file refused with 'the base is not in force any more', though the base had just been accepted at another instance; with it a scenario failed once beside load (version 3 everywhere was not seen within 2.0 s).

Cause: an instance that had not read the base yet took it for one that is over.

Evidence: test_file_over_a_base_accepted_elsewhere_waits_for_it failed before, from the log and from a peer. Ruled out: nothing else was looked at.

Change: such a file waits for its base, 1 s at most, and is then refused with a reason that is true. Older bases are refused at once, as before.

--- a/packages/thymefork-core/src/thymefork_core/node/configurator.py
+++ b/packages/thymefork-core/src/thymefork_core/node/configurator.py
@@ -11,6 +11,8 @@
 __all__ = ["Configurator"]
 
 APPLY_PATIENCE_MS = 5000
+# A version that another instance has accepted is read here within this time.
+BASE_PATIENCE_MS = 1000
 
 
 @define(kw_only=True)
@@ -25,24 +27,39 @@
     until_mono_ms: int
 
 
+@define(kw_only=True)
+class _Waiting:
+    """An operator's request whose base was not read here yet.
+
+    Units: `until_mono_ms` is on the monotonic clock.
+    """
+
+    message: object
+    until_mono_ms: int
+
+
 class Configurator:
     """Apply a file over its base; the log's order says who wins."""
 
     def __init__(self, *, context):
         self.ctx = context
         self.applying = {}
+        self._waiting = []
         self._count = 0
         self._checkpoint_due_mono_ms = 0
         self._logged_version = 0
 
     def __len__(self):
-        return len(self.applying)
+        return len(self.applying) + len(self._waiting)
 
     def apply(self, message):
-        """Take an operator's file, or refuse it at once."""
+        """Take an operator's file, refuse it, or wait until its base is read here."""
         ctx = self.ctx
         if ctx.log_is_down or not ctx.caught_up.get(Stream.CONFIG):
             self._reply(message.request_id, False, "the log can't be reached")
+        elif ctx.config.version < message.base:
+            until_mono_ms = ctx.now.mono_ms + BASE_PATIENCE_MS
+            self._waiting.append(_Waiting(message=message, until_mono_ms=until_mono_ms))
         elif ctx.config.version != message.base:
             self._reply(message.request_id, False, "the base is not in force any more")
         else:
@@ -78,6 +95,15 @@
                 )
             in_force = ctx.config.current
             self._settle(version, in_force.record_id == version.record_id)
+        self._resume()
+
+    def _resume(self):
+        """Apply the files whose base has come into force here."""
+        version = self.ctx.config.version
+        ready = [row for row in self._waiting if row.message.base <= version]
+        self._waiting = [row for row in self._waiting if row.message.base > version]
+        for row in ready:
+            self.apply(row.message)
 
     def _settle(self, version, won):
         applying = self.applying.pop(version.record_id, None)
@@ -93,6 +119,7 @@
                 step="config",
                 subject=str(version.version),
             )
+            self._resume()
 
     def on_heartbeat(self, name, version):
         """Pull a version that a peer has and this instance has not."""
@@ -109,8 +136,18 @@
                 self._withdraw(record_id)
                 reason = "unknown: the log has not answered; read the report"
                 self._reply(applying.request_id, False, reason)
+        self._refuse_unknown_bases()
         self._checkpoint()
 
+    def _refuse_unknown_bases(self):
+        """Refuse the files whose base did not come into force here in time."""
+        now_mono_ms = self.ctx.now.mono_ms
+        expired = [row for row in self._waiting if now_mono_ms > row.until_mono_ms]
+        for row in expired:
+            self._waiting.remove(row)
+            reason = "the base is not in force here"
+            self._reply(row.message.request_id, False, reason)
+
     def _withdraw(self, record_id):
         queue = self.ctx.queues[Stream.CONFIG]
         queue.withdraw(lambda entry: entry.record_id == record_id)
