Keep losses that fit another of the same task when one is explained

Cause: a job that was failed as crashing took all its workers off the losses of other tasks, also of another task that crashes its workers by itself. That one then seemed to have crashed fewer, and hid behind the first.

Change: a loss stays if it may have come at the same point as another of its task.

Test: test_losses_at_the_point_of_another_are_not_explained_away.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
@@ -9,7 +9,11 @@
 from attrs import evolve
 
 from thymefork_cells.state import JobState, WorkerLoss
-from thymefork_cells.workers.crash_evidence import CrashRate, is_certain_cause
+from thymefork_cells.workers.crash_evidence import (
+    CrashRate,
+    fits_another,
+    is_certain_cause,
+)
 
 from .harness import job_spec
 from .test_bystanders import CRASH_AFTER_MS, LASTING, submit_lasting
@@ -49,6 +53,16 @@
     assert not is_certain_cause(seen[:3], FREQUENT)
 
 
+# A crashing task went on, as its own crashes were taken for those of another such task.
+@pytest.mark.parametrize(
+    ("ages_ms", "fits"),
+    [((310, 340), True), ((310, None), True), ((310, 2_000), False), ((310,), False)],
+)
+def test_losses_at_the_point_of_another_are_not_explained_away(ages_ms, fits):
+    own = losses(*[(age_ms, False) for age_ms in ages_ms])
+    assert fits_another(own[0], own) is fits
+
+
 # A task that crashes its workers must not hide behind the crashes of others.
 @pytest.mark.parametrize("after_ms", [5, 400, 4_000])
 @pytest.mark.parametrize("crash_rate", [RARE, FREQUENT])
--- a/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
@@ -15,6 +15,7 @@
     "MIN_CLEARING_TIME_MS",
     "clearing_time_ms",
     "clearing_time_of",
+    "fits_another",
     "is_certain_cause",
     "is_outlived",
 ]
@@ -111,6 +112,20 @@
     return 1.0 - math.exp(-expected) * fewer
 
 
+def fits_another(loss, losses):
+    """Return whether a loss may have come at the same point as another of a task.
+
+    Such a loss may be the task's own doing, though another task was found guilty.
+    """
+    return any(
+        loss.after_ms is None
+        or other.after_ms is None
+        or abs(loss.after_ms - other.after_ms) <= MIN_AGE_SPREAD_MS
+        for other in losses
+        if other is not loss
+    )
+
+
 class CrashRate:
     """Measure how often workers crash, for whatever cause."""
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -12,6 +12,7 @@
     MAX_LOSSES,
     CrashRate,
     clearing_time_of,
+    fits_another,
     is_certain_cause,
     is_outlived,
 )
@@ -275,9 +276,12 @@
     withdrawn = 0
     for step in job.steps:
         for task in step.tasks:
-            for incarnation in incarnations & task.losses.keys():
-                del task.losses[incarnation]
-                withdrawn += 1
+            losses = list(task.losses.values())
+            for loss in losses:
+                is_explained = loss.incarnation in incarnations
+                if is_explained and not fits_another(loss, losses):
+                    del task.losses[loss.incarnation]
+                    withdrawn += 1
     return withdrawn
 
 
