--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_evidence.py
@@ -9,11 +9,8 @@
 from attrs import evolve
 
 from thymefork_cells.state import JobState, WorkerLoss
-from thymefork_cells.workers.crash_evidence import (
-    CrashRate,
-    fits_another,
-    is_certain_cause,
-)
+from thymefork_cells.workers.crash_evidence import fits_another, is_certain_cause
+from thymefork_cells.workers.crash_rate import CrashRate
 
 from .harness import job_spec
 from .test_bystanders import CRASH_AFTER_MS, LASTING, submit_lasting
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -10,12 +10,12 @@
 from .crash_evidence import (
     MAX_CLEARING_TIME_MS,
     MAX_LOSSES,
-    CrashRate,
     clearing_time_of,
     fits_another,
     is_certain_cause,
     is_outlived,
 )
+from .crash_rate import CrashRate
 
 __all__ = ["WorkerLosses"]
 
