--- a/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/gateway.py
@@ -20,11 +20,9 @@
 FIND_OWNER_MS = 350.0
 RETRY_PERIOD_MS = 50.0
 # A request whose outcome is unknown must not be reported as refused, so it waits
-# longer: until the next owner serves, at most 1.5 s after a loss of power, where the
-# membership has to lapse first.
+# longer: until the next owner serves, also where the membership has to lapse first.
 FIND_NEXT_OWNER_MS = 1_600.0
 # Poll period for pending requests of cells that have since come to this instance.
-# Other owners report every 100 to 250 ms.
 OWN_CELLS_CHECK_MS = 100.0
 # Typical duration of a takeover.
 NO_OWNER_RETRY_MS = 1_000
