Log what became of the runs that a new owner found in the store

Change: one line a takeover, takeover_settled, with counts: ends heard from the owner before, runs lost since another life is on the worker's machine, runs lost by lease at workers known to leave and at others, and when the last of each was. It is not among the routine lines, so it is not left out with them.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -25,6 +25,7 @@
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
+from .workers.takeover_report import TakeoverReport
 from .workers.worker_losses import WorkerLosses
 from .workers.worker_poller import WorkerPoller
 from .workers.worker_registry import WorkerRegistry
@@ -61,10 +62,17 @@
             context=self.context, durations=self.durations, speeds=self.speeds
         )
         self.lifecycle = Lifecycle(context=self.context)
-        self.losses = WorkerLosses(context=self.context, lifecycle=self.lifecycle)
+        self._takeover_report = TakeoverReport(context=self.context)
+        self.losses = WorkerLosses(
+            context=self.context,
+            lifecycle=self.lifecycle,
+            takeover_report=self._takeover_report,
+        )
         self.unstored_ends = UnstoredEnds(context=self.context)
         self.inherited_ends = InheritedEnds(
-            context=self.context, lifecycle=self.lifecycle
+            context=self.context,
+            lifecycle=self.lifecycle,
+            takeover_report=self._takeover_report,
         )
         self.poller = WorkerPoller(
             context=self.context,
@@ -157,6 +165,7 @@
         self._machine_records.load(records)
         self.parts.load(records)
         self.quorum.bound_inherited_leases(now_ms)
+        self._takeover_report.begin()
 
     def on_configuration(self, configuration):
         """Apply a newer configuration."""
@@ -174,6 +183,7 @@
             self.quorum.check(now_ms)
             self.registry.expire_leases(now_ms)
             self.losses.review(now_ms)
+            self._takeover_report.review(now_ms)
             self.extended_leases.review(now_ms)
             self._machine_records.review()
             self.commands.stop_unconfirmed_starts(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/inherited_ends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/inherited_ends.py
@@ -13,9 +13,10 @@
     again, without effect.
     """
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, takeover_report):
         self._context = context
         self._lifecycle = lifecycle
+        self._takeover_report = takeover_report
 
     def apply(self, ends, *, now_ms):
         """End the recovered runs, and log one line for each job."""
@@ -23,6 +24,7 @@
         for end in ends:
             run = self._recovered_run(end)
             if run is not None:
+                self._takeover_report.on_end_inherited()
                 self._lifecycle.end(run, end.how, end.checkpoint, now_ms=now_ms)
                 counts[end.job_id] = counts.get(end.job_id, 0) + 1
         for job_id, count in counts.items():
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -33,9 +33,10 @@
 class WorkerLosses:
     """Release the runs of lost workers, and fail the jobs that crash workers."""
 
-    def __init__(self, *, context, lifecycle):
+    def __init__(self, *, context, lifecycle, takeover_report):
         self._context = context
         self._lifecycle = lifecycle
+        self._takeover_report = takeover_report
         self._tasks_by_worker = {}  # by id and incarnation of silent workers
         self._crash_rate = CrashRate(since_ms=context.taken_over_ms)
         self._explained = {}  # as ordered keys, incarnations that failed jobs crashed
@@ -65,6 +66,9 @@
         No loss is recorded for a worker that leaves as planned.
         """
         self._log_losses(worker, runs, is_certain, now_ms)
+        self._takeover_report.on_lost(
+            worker, runs, is_certain=is_certain, now_ms=now_ms
+        )
         for run in runs:
             self._record(run, self.loss_of(run, now_ms, is_certain=is_certain))
         for run in runs:
