Tell possible next owners which workers leave, and give these short leases

Cause: a next owner waits for the leases at a worker that it can't ask, and only two things bounded them: its own quorum or membership (1.0 s), then the longest lease (3.1 s). The owner before it knew that the worker leaves (it said so before the outage), but that knowledge died with the owner.

Change: an owner gives a worker that leaves only short leases, of 1.2 s, from when it knows, and polls it every 0.3 s. It announces that in heartbeats to the members, with the time until all longer leases there are over. At its own end it announces that it renews none any more. The next owner takes the tighter of these bounds. An announcement holds for one epoch, so each owner stores its epoch before it gives leases, and the next one sees whether another came between; one that never served says so and does not count. Losses at announced workers are no crashes, so their tasks are no suspects. Older instances pass over the new field of the heartbeat. During an upgrade an owner of an older release that comes between two newer ones is not seen.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -21,6 +21,8 @@
 from .workers.extended_leases import ExtendedLeases
 from .workers.gang_monitor import GangMonitor
 from .workers.incarnations import IncarnationMatch, IncarnationTracker
+from .workers.inherited_leases import InheritedLeases
+from .workers.leaving_workers import LeavingWorkers
 from .workers.machine_records import MachineRecords
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
@@ -54,7 +56,13 @@
             configuration=configuration,
         )
         self.context.journal = Journal()
-        self.quorum = Quorum(context=self.context, membership_ms=membership_ms)
+        self.quorum = Quorum(context=self.context)
+        self.inherited_leases = InheritedLeases(
+            context=self.context, quorum=self.quorum, membership_ms=membership_ms
+        )
+        self.leaving_workers = LeavingWorkers(
+            context=self.context, inherited_leases=self.inherited_leases
+        )
         self._review_due_ms = now_ms
         self.durations = ImageDurations()
         self.speeds = WorkerSpeeds()
@@ -62,7 +70,9 @@
             context=self.context, durations=self.durations, speeds=self.speeds
         )
         self.lifecycle = Lifecycle(context=self.context)
-        self._takeover_report = TakeoverReport(context=self.context)
+        self._takeover_report = TakeoverReport(
+            context=self.context, inherited_leases=self.inherited_leases
+        )
         self.losses = WorkerLosses(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -164,7 +174,7 @@
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
         self._machine_records.load(records)
         self.parts.load(records)
-        self.quorum.bound_inherited_leases(now_ms)
+        self.inherited_leases.load(records)
         self._takeover_report.begin()
 
     def on_configuration(self, configuration):
@@ -180,7 +190,8 @@
         self.unstored_ends.announce_if_late(now_ms)
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
-            self.quorum.check(now_ms)
+            self.inherited_leases.check(now_ms)
+            self.leaving_workers.review(now_ms)
             self.registry.expire_leases(now_ms)
             self.losses.review(now_ms)
             self._takeover_report.review(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/__init__.py
@@ -3,12 +3,20 @@
 from .advice import RequestAdvice
 from .commands import PaceRun, StartRun, StopRun
 from .parts import GrantParts, ReportHeldParts, RequestParts
-from .polls import AnnounceEnds, AnnounceSpeeds, EndsStored, OrphanedRun, PollWorker
+from .polls import (
+    AnnounceEnds,
+    AnnounceLeases,
+    AnnounceSpeeds,
+    EndsStored,
+    OrphanedRun,
+    PollWorker,
+)
 from .replies import Outcome, Reply
 from .telemetry import Count, Note, Observe
 
 __all__ = [
     "AnnounceEnds",
+    "AnnounceLeases",
     "AnnounceSpeeds",
     "Count",
     "EndsStored",
--- a/packages/thymefork-cells/src/thymefork_cells/effects/polls.py
+++ b/packages/thymefork-cells/src/thymefork_cells/effects/polls.py
@@ -2,9 +2,17 @@
 
 from attrs import frozen
 
+from ..lease_notice import LeaseNotice
 from ..reports import HeardEnd
 
-__all__ = ["AnnounceEnds", "AnnounceSpeeds", "EndsStored", "OrphanedRun", "PollWorker"]
+__all__ = [
+    "AnnounceEnds",
+    "AnnounceLeases",
+    "AnnounceSpeeds",
+    "EndsStored",
+    "OrphanedRun",
+    "PollWorker",
+]
 
 
 @frozen(kw_only=True, eq=False)
@@ -39,6 +47,13 @@
     ends: tuple[HeardEnd, ...]
 
 
+@frozen(kw_only=True, eq=False)
+class AnnounceLeases:
+    """Announce what is promised about leases to possible next owners."""
+
+    notice: LeaseNotice
+
+
 @frozen(kw_only=True, eq=False)
 class AnnounceSpeeds:
     """Announce learned machine speeds to possible next owners."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -26,7 +26,9 @@
     `may_run_until_ms` bounds the leases of this owner, `inherited_until_ms` those of
     the previous one, `extended_lease_until_ms` any lease sent to an earlier
     incarnation. `lease_sent_ms` is when a lease was last sent, `leases_expired_ms` when
-    all leases were last presumed expired.
+    all leases were last presumed expired. With `has_short_leases`, possible next owners
+    were told that this owner gives only short ones; `is_announced_leaving` is set if
+    the previous owner told so.
 
     `answered_poll_ms` is when the latest answered poll was sent: a paused process may
     read the answer much later. `unanswered_since_ms` is when the first of the latest
@@ -57,6 +59,8 @@
     leaves_at_ms: float = 0.0
     clock_offset_ms: float | None = None
     last_clock_ms: int = 0
+    has_short_leases: bool = False
+    is_announced_leaving: bool = False
     may_run_until_ms: float = 0.0
     inherited_until_ms: float = 0.0
     last_answer_ms: float = 0.0
@@ -210,7 +214,7 @@
 
         The entry of a crashed worker disappears only after it has stopped answering.
         """
-        if self.entry.draining:
+        if self.entry.draining or (self.is_announced_leaving and not self.is_listed):
             return True
         if self.entry.born_epoch_ms not in (0, self.born_epoch_ms):
             return False
--- a/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
@@ -3,7 +3,7 @@
 from collections import Counter
 
 from thymefork_cells import CommandAnswer, Refusal, effects as fx
-from thymefork_cells.workers.worker_poller import LEASE_MS
+from thymefork_cells.workers.lease_duration import lease_ms_for
 
 __all__ = ["CommandTransport"]
 
@@ -29,7 +29,8 @@
     def start(self, cell, effect):
         run = effect.run
         worker = self._harness.workers[run.worker.worker_id]
-        deadline_ms = run.worker.clock_ms(self._harness.now) + LEASE_MS
+        lease_ms = lease_ms_for(run.worker)
+        deadline_ms = run.worker.clock_ms(self._harness.now) + lease_ms
         fence = run.worker.fence(cell.context.epoch)
         start = (run.task.name, run.run_id, fence, deadline_ms)
         if worker.is_replaced:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -5,10 +5,10 @@
 import simpy
 from attrs import evolve
 
-from thymefork_cells import Cell, effects as fx, encode_spec
+from thymefork_cells import EPOCH_KEY, Cell, effects as fx, encode_spec
 from thymefork_cells.specs import Bounds
 from thymefork_cells.state.advice_slots import AdviceSlots
-from thymefork_cells.workers.worker_poller import LEASE_MS
+from thymefork_cells.workers.lease_duration import lease_ms_for
 
 from .command_transport import COMMAND_LATENCY_MS, CommandTransport
 from .harness_defaults import QUEUE, configuration, job_spec, worker_entries, worker_ids
@@ -117,6 +117,7 @@
         self.cell = None
         self.epoch = 0
         self.announced_ends = []
+        self.lease_notices = []
         self.announced_speeds = {}
 
     @property
@@ -126,6 +127,7 @@
     def take_over(self):
         """Start a new owner from the stored state."""
         self.epoch += 1
+        self.store[f"{EPOCH_KEY}{self.epoch}"] = b"owner"
         self.is_owner_down = False
         self.transport.forget_connections()
         self.appending = False
@@ -144,12 +146,23 @@
         )
         self.cell.registry.update(self.entries, now_ms=self.now)
         self.cell.inherited_ends.apply(self.announced_ends, now_ms=self.now)
+        for notice in self.lease_notices:
+            self.cell.inherited_leases.apply(notice)
         self.cell.speed_learner.inherit(
             list(self.announced_speeds.values()), now_ms=self.now
         )
         self.owners.on_taken_over()
         self.env.process(self._run_cycles(self.cell))
 
+    def stop_owner(self):
+        """End the owner as a planned stop does: it announces what is not stored."""
+        self.cell.unstored_ends.announce(self.now)
+        for effect in self.cell.take_effects():
+            if isinstance(effect, fx.AnnounceEnds):
+                self.announced_ends += effect.ends
+        self.is_owner_down = True
+        self.lease_notices.append(self.cell.leaving_workers.end_notice(self.now))
+
     def simulate_gangs(self, *, bounds):
         """Simulate gang semantics; to be called before the first gang starts."""
         self.bounds = self.cell.context.bounds = bounds
@@ -302,11 +315,15 @@
             cell.poller.on_ends_stored(effect.worker, effect.last_end, now_ms=self.now)
         elif isinstance(effect, fx.AnnounceEnds):
             self.announced_ends += effect.ends
+        elif isinstance(effect, fx.AnnounceLeases):
+            self.lease_notices.append(effect.notice)
         elif isinstance(effect, fx.AnnounceSpeeds):
             self.announced_speeds |= {speed.machine: speed for speed in effect.speeds}
         elif isinstance(effect, fx.StartRun):
             if cell.commands.may_start(effect.run, self.now):
-                cell.poller.record_lease(effect.run.worker, LEASE_MS, now_ms=self.now)
+                worker = effect.run.worker
+                lease_ms = lease_ms_for(worker)
+                cell.poller.record_lease(worker, lease_ms, now_ms=self.now)
                 self.env.process(self.transport.start(cell, effect))
         elif isinstance(effect, fx.StopRun):
             if effect.run.worker.entry.host and not self.is_stop_dropped(effect):
--- a/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/__init__.py
@@ -9,20 +9,19 @@
 )
 from .gang_monitor import GangMonitor
 from .incarnations import IncarnationMatch, IncarnationTracker
+from .inherited_leases import EPOCH_KEY, InheritedLeases
+from .lease_duration import lease_ms_for, max_lease_duration_ms
+from .leaving_workers import LeavingWorkers
 from .pacing import PaceController
 from .progress_monitor import ProgressMonitor
-from .quorum import (
-    OUTAGE_GRACE_MS,
-    QUORUM_ANSWER_MAX_AGE_MS,
-    Quorum,
-    max_lease_duration_ms,
-)
+from .quorum import OUTAGE_GRACE_MS, QUORUM_ANSWER_MAX_AGE_MS, Quorum
 from .run_reconciler import UNANSWERED_START_REASON, RunReconciler
 from .worker_losses import WorkerLosses
 from .worker_poller import WorkerPoller
 from .worker_registry import WorkerRegistry
 
 __all__ = [
+    "EPOCH_KEY",
     "MAX_CLEARING_TIME_MS",
     "MAX_CRASHES",
     "MAX_LOSSES",
@@ -34,6 +33,8 @@
     "GangMonitor",
     "IncarnationMatch",
     "IncarnationTracker",
+    "InheritedLeases",
+    "LeavingWorkers",
     "PaceController",
     "ProgressMonitor",
     "Quorum",
@@ -43,5 +44,6 @@
     "WorkerPoller",
     "WorkerRegistry",
     "clearing_time_ms",
+    "lease_ms_for",
     "max_lease_duration_ms",
 ]
--- a/packages/thymefork-cells/src/thymefork_cells/workers/extended_leases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/extended_leases.py
@@ -7,7 +7,7 @@
 
 import orjson
 
-from .quorum import max_lease_duration_ms
+from .lease_duration import max_lease_duration_ms
 
 __all__ = ["EXTENDED_LEASE_KEY", "ExtendedLeases"]
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
@@ -141,6 +141,7 @@
             tracked_since_ms=now_ms,
             is_listed=worker.is_listed,
             unlisted_since_ms=worker.unlisted_since_ms,
+            has_short_leases=worker.has_short_leases,
             inherited_until_ms=worker.inherited_until_ms,
             poll_due_ms=now_ms,
             slowness=worker.slowness,
--- a/packages/thymefork-cells/src/thymefork_cells/workers/takeover_report.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/takeover_report.py
@@ -32,8 +32,9 @@
 class TakeoverReport:
     """Write one log line with the outcome of all runs that an owner has inherited."""
 
-    def __init__(self, *, context):
+    def __init__(self, *, context, inherited_leases):
         self._context = context
+        self._inherited_leases = inherited_leases
         self._runs = []
         self._losses = {kind: _Losses() for kind in LossKind}
         self._heard_ends = 0
@@ -85,6 +86,9 @@
             runs=len(self._runs),
             ends_inherited=self._heard_ends,
             unknown=unknown_count,
+            quorum_after_ms=self._inherited_leases.quorum_after_ms,
+            announced_leaving=self._inherited_leases.leaving_count,
+            owner_end_known=self._inherited_leases.is_end_known,
             **fields,
         )
         self._is_written = True
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -1,6 +1,7 @@
 """Poll workers for their runs, and process their reports or missing answers."""
 
 from ..effects import EndsStored, PollWorker
+from .lease_duration import lease_ms_for, max_lease_duration_ms
 from .run_reconciler import RunReconciler
 
 __all__ = ["WorkerPoller"]
@@ -8,11 +9,8 @@
 # A worker holds its answer this long unless something changes (long polling). Each poll
 # renews the leases there, so `LEASE_MS` has to outlast two unanswered ones.
 POLL_WAIT_MS = 700
-# Runs may continue this long after the last poll was sent. It covers a takeover; tasks
-# of a silent worker have to wait for its end.
-LEASE_MS = 3_000.0
-# A worker's steady clock may be 2% slow, so that its lease ends later.
-CLOCK_DRIFT_FACTOR = 1.025
+# The same for a worker with short leases, which have to outlast one unanswered poll.
+SHORT_LEASE_POLL_WAIT_MS = 300
 # Delay between polls while stops or orphaned runs are unresolved.
 SETTLING_POLL_DELAY_MS = 40.0
 # Minimum time between quick polls while an acknowledged stop is unresolved.
@@ -22,7 +20,6 @@
 OUTAGE_POLL_WAIT_MS = 300
 # A worker that answered within this time does not become suspect with its hall.
 RECENT_ANSWER_MS = 40.0
-LEASE_MARGIN_MS = 60.0
 # Bounds of the backoff after unanswered polls; it keeps the polls to a hall that is cut
 # off few.
 MIN_POLL_RETRY_DELAY_MS = 150.0
@@ -113,7 +110,7 @@
         """
         if not worker.is_storing_ends:
             return worker.poll_due_ms
-        return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms())
+        return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms(worker))
 
     def _is_needed(self, worker):
         if not worker.has_reported or worker.runs or worker.orphaned_runs:
@@ -164,8 +161,8 @@
         self._context.emit(
             PollWorker(
                 worker=worker,
-                wait_ms=self._poll_wait_ms() if can_wait else 0,
-                lease_ms=LEASE_MS if renews_leases else 0.0,
+                wait_ms=self._poll_wait_ms(worker) if can_wait else 0,
+                lease_ms=lease_ms_for(worker) if renews_leases else 0.0,
                 last_end=worker.stored_end,
             )
         )
@@ -180,14 +177,14 @@
             return False
         return any(run.may_continue for run in worker.runs.values())
 
-    def _poll_wait_ms(self):
-        return (
-            OUTAGE_POLL_WAIT_MS if self._context.is_store_unavailable else POLL_WAIT_MS
-        )
+    def _poll_wait_ms(self, worker):
+        if self._context.is_store_unavailable:
+            return OUTAGE_POLL_WAIT_MS
+        return SHORT_LEASE_POLL_WAIT_MS if worker.has_short_leases else POLL_WAIT_MS
 
     def record_lease(self, worker, lease_ms, *, now_ms):
         """Record a lease before it is sent: it may take effect without an answer."""
-        until_ms = now_ms + lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
+        until_ms = now_ms + max_lease_duration_ms(lease_ms)
         worker.may_run_until_ms = max(worker.may_run_until_ms, until_ms)
         worker.lease_sent_ms = now_ms
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -22,6 +22,7 @@
 from .join_deferral import JoinDeferral
 from .layout import WORKERS_PER_CELL, Layout
 from .learned_speeds import LearnedSpeeds
+from .lease_notice_buffer import LeaseNoticeBuffer
 from .limit_part_router import LimitPartRouter
 from .membership import Membership
 from .operator_server import OperatorServer
@@ -72,6 +73,7 @@
         self._build_clients()
         self._build_watches()
         self.heard_end_buffer = HeardEndBuffer(daemon=self)
+        self.lease_notices = LeaseNoticeBuffer(daemon=self)
         self.learned_speeds = LearnedSpeeds(daemon=self)
         self.limit_part_router = LimitPartRouter(daemon=self)
         self.peers = PeerDispatcher(daemon=self)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -15,6 +15,7 @@
 from .ownership import Ownership
 from .request_handler import RequestHandler
 from .scheduling_loop import SchedulingLoop
+from .succession import Succession
 from .takeover import Takeover
 
 __all__ = ["CellOwner"]
@@ -45,6 +46,7 @@
         self._partition = CellPartition(
             store=daemon.store, cell=cell_index, partition=partition, epoch=epoch
         )
+        self._succession = Succession(cell_index=cell_index, epoch=epoch, daemon=daemon)
         self._takeover = self._build_takeover()
         self._pipeline = self._build_pipeline()
         self._advice_dispatcher = self._build_advice_dispatcher()
@@ -54,9 +56,10 @@
             advice_dispatcher=self._advice_dispatcher,
             command_sender=CommandSender(owner=self, client=daemon.workers),
             on_ends_stored=self._on_ends_stored,
-            announce_ends=self._announce_ends,
+            announce_ends=self._succession.announce_run_ends,
+            announce_leases=self._succession.announce_leases,
             sheds=daemon.owner_load.load_shedder.sheds,
-            announce_speeds=self._announce_speeds,
+            announce_speeds=self._succession.announce_speeds,
             send_limit_part_message=lambda message: daemon.limit_part_router.send(
                 message
             ),
@@ -144,6 +147,7 @@
         if self._loop is not None:
             self._loop.end()
             self._request_handler.reject_unsent()
+        self._succession.announce_end(self.cell)
         self._daemon.metrics.count("ownership", "lost")
         self._event_logger("ownership_lost").info("ownership lost: {}", reason)
 
@@ -218,10 +222,7 @@
             load_monitor=self._daemon.owner_load,
         )
         cell.registry.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
-        heard = self._daemon.heard_end_buffer.ends_before(self.cell_index, self.epoch)
-        cell.inherited_ends.apply(heard, now_ms=now_ms)
-        speeds = self._daemon.learned_speeds.of_cell(self.cell_index)
-        cell.speed_learner.inherit(speeds, now_ms=now_ms)
+        self._succession.inherit(cell, now_ms)
         self._daemon.metrics.count("ownership", "gained")
         self._daemon.metrics.observe("takeover", now_ms - self._started_ms)
         self._event_logger("ownership_gained").bind(
@@ -286,12 +287,6 @@
     def _on_ends_stored(self, worker, last_end, *, now_ms):
         self.cell.poller.on_ends_stored(worker, last_end, now_ms=now_ms)
 
-    def _announce_ends(self, ends):
-        self._daemon.heard_end_buffer.announce(self.cell_index, self.epoch, ends)
-
-    def _announce_speeds(self, speeds):
-        self._daemon.learned_speeds.announce(self.cell_index, self.epoch, speeds)
-
     def announce_ends(self):
         """Announce all run ends that are not stored to possible next owners."""
         if self._is_active:
@@ -304,6 +299,11 @@
             self.cell.inherited_ends.apply(ends, now_ms=steady_ms())
             self.apply_effects()
 
+    def take_lease_notice(self, notice):
+        """Apply what a previous owner has promised about its leases."""
+        if self._is_active:
+            self.cell.inherited_leases.apply(notice)
+
     def on_limit_part_message(self, message):
         """Apply a message of another cell's owner about parts of account limits."""
         if self._is_active:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/command_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/command_sender.py
@@ -3,7 +3,7 @@
 from functools import singledispatchmethod
 
 from thymefork_cells import Refusal, effects as fx
-from thymefork_cells.workers.worker_poller import LEASE_MS
+from thymefork_cells.workers import lease_ms_for
 from thymefork_net import steady_ms
 
 __all__ = ["CommandSender"]
@@ -31,12 +31,13 @@
         if not self._cell.commands.may_start(run, now_ms):
             return
         worker, step = run.worker, run.task.step
-        self._cell.poller.record_lease(worker, LEASE_MS, now_ms=now_ms)
+        lease_ms = lease_ms_for(worker)
+        self._cell.poller.record_lease(worker, lease_ms, now_ms=now_ms)
         self._client.start(
             run=run,
             payload=step.job.spec.payload,
             fence=worker.fence(self._owner.epoch),
-            deadline_clock_ms=worker.clock_ms(now_ms) + LEASE_MS,
+            deadline_clock_ms=worker.clock_ms(now_ms) + lease_ms,
             ticket=step.ticket_for(worker.worker_id, now_ms) or "",
             wanted=lambda: run.may_continue and self._owner.may_start_runs(),
             done=lambda answer: self._on_start(run, worker, answer, now_ms),
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_executor.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/effect_executor.py
@@ -25,6 +25,7 @@
         command_sender,
         on_ends_stored,
         announce_ends,
+        announce_leases,
         announce_speeds,
         sheds=lambda kind: False,
         send_limit_part_message=None,
@@ -35,6 +36,7 @@
         self._command_sender = command_sender
         self._on_ends_stored = on_ends_stored
         self._announce_ends = announce_ends
+        self._announce_leases = announce_leases
         self._sheds = sheds
         self._announce_speeds = announce_speeds
         self._send_limit_part_message = send_limit_part_message
@@ -86,6 +88,10 @@
     def _on_announce_ends(self, effect: fx.AnnounceEnds):
         self._announce_ends(effect.ends)
 
+    @_execute.register
+    def _on_announce_leases(self, effect: fx.AnnounceLeases):
+        self._announce_leases(effect.notice)
+
     @_execute.register
     def _on_announce_speeds(self, effect: fx.AnnounceSpeeds):
         self._announce_speeds(effect.speeds)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/takeover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/takeover.py
@@ -5,6 +5,7 @@
 import orjson
 from loguru import logger
 
+from thymefork_cells import EPOCH_KEY
 from thymefork_machines.store import AppendOutcome
 
 __all__ = ["Takeover"]
@@ -38,8 +39,10 @@
         if self._ended:
             return
         epoch = self._partition.epoch
+        owner = orjson.dumps([self._owner, epoch])
+        # The second key remains when the next owner replaces the first record.
         self._partition.append(
-            records=[(OWNER_KEY, orjson.dumps([self._owner, epoch]))],
+            records=[(OWNER_KEY, owner), (f"{EPOCH_KEY}{epoch}", owner)],
             sequence=self.sequence,
             on_result=self._on_fence,
         )
--- a/packages/thymefork-daemon/src/thymefork_daemon/peer_dispatcher.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/peer_dispatcher.py
@@ -75,17 +75,29 @@
         new_member_links, self._new_member_links = self._new_member_links, set()
         for link in list(self._member_links):  # a link that breaks is removed
             link.send(
-                self._heartbeat_with_all_speeds()
+                self._first_heartbeat_to_member()
                 if link in new_member_links
                 else message
             )
 
-    def _heartbeat_with_all_speeds(self):
-        """Return the first heartbeat to a member, with all learned speeds."""
+    def _first_heartbeat_to_member(self):
+        """Return the first heartbeat to a member, with all that others were told."""
         message = self._heartbeat()
         message.speeds = self._daemon.learned_speeds.of_owned_cells()
+        message.lease_notices = self._daemon.lease_notices.messages_of_owned_cells()
         return message
 
+    def send_to_members(self, lease_notices):
+        """Send notices about leases to the group members, which may take over."""
+        for link in self.member_links:
+            self.send_lease_notices(link, lease_notices)
+
+    def send_lease_notices(self, link, lease_notices):
+        """Send notices about leases to a peer, in a heartbeat of their own."""
+        message = self._heartbeat()
+        message.lease_notices = lease_notices
+        link.send(message)
+
     def _heartbeat(self):
         owned = [
             OwnedCell(cell=cell, epoch=owner.epoch)
@@ -191,10 +203,12 @@
             self._open_advice_calls.discard((link, call_id))
         for learned in message.speeds or ():
             self._daemon.learned_speeds.on_message(learned)
+        for notice in message.lease_notices or ():
+            self._daemon.lease_notices.on_message(notice)
         for owned in message.owned:
-            self._daemon.heard_end_buffer.forward_to_owner(
-                link, owned.cell, owned.epoch
-            )
+            cell, epoch = owned.cell, owned.epoch
+            self._daemon.heard_end_buffer.forward_to_owner(link, cell, epoch)
+            self._daemon.lease_notices.forward_to_owner(link, cell, epoch)
         if self._owner_watch is not None:
             self._owner_watch.on_heartbeat(link, message)
         owned = {owned.cell for owned in message.owned}
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -20,6 +20,7 @@
     "long_holds": "Workers that may hold runs beyond a usual lease, by what is known.",
     "worker_losses": "Workers lost with runs on them, and what came of it.",
     "heard_ends": "Ends that their owner could not store, and what came of them.",
+    "lease_notices": "Promises of owners about their leases, by what became of them.",
     "requests": "Callers' requests, by kind.",
     "appends": "Batches sent to the store, by how many of the cell are under way.",
     "store_calls": "Calls to the store, by outcome.",
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -19,6 +19,7 @@
 from thymefork_cells.state import AccountUsage, Job, JobState, Run, RunState, Worker
 from thymefork_daemon.heard_end_buffer import HeardEndBuffer
 from thymefork_daemon.learned_speeds import LearnedSpeeds
+from thymefork_daemon.lease_notice_buffer import LeaseNoticeBuffer
 from thymefork_daemon.owned_cells import OwnedCells
 from thymefork_daemon.owner import (
     cell_owner as cell_owner_module,
@@ -58,7 +59,9 @@
             is_complete=True, entries={}, set_wanted=lambda wanted: None, as_of_ms=1e9
         ),
         links=SimpleNamespace(incoming=[]),
-        peers=SimpleNamespace(send_heartbeats=lambda: None),
+        peers=SimpleNamespace(
+            send_heartbeats=lambda: None, send_to_members=lambda messages: None
+        ),
         store=PooledStore(),
         workers=None,
         advice=None,
@@ -68,6 +71,7 @@
         **capacity_attributes(),
     )
     daemon.heard_end_buffer = HeardEndBuffer(daemon=daemon)
+    daemon.lease_notices = LeaseNoticeBuffer(daemon=daemon)
     daemon.learned_speeds = LearnedSpeeds(daemon=daemon)
     daemon.owned_cells = OwnedCells(daemon=daemon)
     daemon.owners = daemon.owned_cells.owners
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_ended_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_ended_owner.py
@@ -23,6 +23,7 @@
         workers=None,
         membership=None,
         settings=SimpleNamespace(instance="edge-9"),
+        lease_notices=SimpleNamespace(announce=lambda cell, notice: None),
         layout=SimpleNamespace(cells=1, partition_of=lambda cell: cell),
     )
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_dispatcher.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_peer_dispatcher.py
@@ -133,6 +133,9 @@
     daemon.owned_cells = SimpleNamespace(on_peer_ownership=nothing)
     daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
     daemon.heard_end_buffer = SimpleNamespace(forward_to_owner=nothing)
+    daemon.lease_notices = SimpleNamespace(
+        forward_to_owner=nothing, messages_of_owned_cells=lambda: None
+    )
     dispatcher = daemon.peers = PeerDispatcher(daemon=daemon)
     owner = daemon.directory.owner_of(0)
     receive_heartbeat(dispatcher, owner, leaving=True, store_lost=True)
@@ -238,6 +241,9 @@
     daemon.owned_cells = SimpleNamespace(on_peer_ownership=nothing)
     daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
     daemon.heard_end_buffer = SimpleNamespace(forward_to_owner=nothing)
+    daemon.lease_notices = SimpleNamespace(
+        forward_to_owner=nothing, messages_of_owned_cells=lambda: None
+    )
     daemon.learned_speeds = SimpleNamespace(
         take_unannounced=lambda: None, of_owned_cells=lambda: ["all"]
     )
@@ -269,6 +275,9 @@
     daemon.owned_cells = SimpleNamespace(on_peer_ownership=nothing)
     daemon.gateway = SimpleNamespace(on_heartbeat=nothing)
     daemon.heard_end_buffer = SimpleNamespace(forward_to_owner=nothing)
+    daemon.lease_notices = SimpleNamespace(
+        forward_to_owner=nothing, messages_of_owned_cells=lambda: None
+    )
     dispatcher = PeerDispatcher(daemon=daemon)
     link = FakeLink(daemon.directory.owner_of(0))
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telemetry.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telemetry.py
@@ -127,6 +127,7 @@
         command_sender=None,
         on_ends_stored=None,
         announce_ends=None,
+        announce_leases=None,
         announce_speeds=None,
     )
     replies = []
@@ -159,6 +160,7 @@
         command_sender=None,
         on_ends_stored=None,
         announce_ends=None,
+        announce_leases=None,
         announce_speeds=None,
         sheds=lambda kind: kind is SheddableWork.LOG_LINES,
     )
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -26,6 +26,32 @@
   3: required list<MachineSpeed> speeds
 }
 
+/* A worker that is about to leave: its owner gives only short leases there. */
+struct LeavingWorker {
+  1: required string worker_id
+  /* Identifies the worker's incarnation; 0 if unknown. */
+  2: required i64 born_epoch_ms
+  /* The time until all longer leases are over. */
+  3: required i64 long_leases_end_in_ms
+}
+
+/* The end of an ownership, after which its owner renews no lease. */
+struct OwnerEnd {
+  1: required i64 ended_ago_ms
+  /* False if it gave no lease at all. */
+  2: required bool has_served
+  /* The time until the leases of all earlier owners are over. */
+  3: required i64 earlier_leases_end_in_ms
+}
+
+/* What the owner of a cell under an epoch promises about its leases. */
+struct LeaseNotice {
+  1: required i32 cell
+  2: required i64 epoch
+  3: required list<LeavingWorker> leaving
+  4: optional OwnerEnd end
+}
+
 struct Heartbeat {
   1: required list<OwnedCell> owned
   2: required i64 config_version
@@ -49,6 +75,8 @@
   10: optional bool moves_parts
   /* Ids of the sender's advice requests that it has withdrawn. */
   24: optional list<i64> withdrawn_calls
+  /* For the next owners, as the speeds. */
+  25: optional list<LeaseNotice> lease_notices
 }
 
 /* A caller's request, forwarded by an entry instance to the owner of a cell. */
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -403,6 +403,322 @@
         return not (self == other)
 
 
+class LeavingWorker(object):
+    """
+    Attributes:
+     - worker_id
+     - born_epoch_ms
+     - long_leases_end_in_ms
+
+    """
+
+    __slots__ = (
+        'worker_id',
+        'born_epoch_ms',
+        'long_leases_end_in_ms',
+    )
+
+
+    def __init__(self, worker_id=None, born_epoch_ms=None, long_leases_end_in_ms=None,):
+        self.worker_id = worker_id
+        self.born_epoch_ms = born_epoch_ms
+        self.long_leases_end_in_ms = long_leases_end_in_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.worker_id = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.born_epoch_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.long_leases_end_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingWorker')
+        if self.worker_id is not None:
+            oprot.writeFieldBegin('worker_id', TType.STRING, 1)
+            oprot.writeString(self.worker_id.encode('utf-8') if sys.version_info[0] == 2 else self.worker_id)
+            oprot.writeFieldEnd()
+        if self.born_epoch_ms is not None:
+            oprot.writeFieldBegin('born_epoch_ms', TType.I64, 2)
+            oprot.writeI64(self.born_epoch_ms)
+            oprot.writeFieldEnd()
+        if self.long_leases_end_in_ms is not None:
+            oprot.writeFieldBegin('long_leases_end_in_ms', TType.I64, 3)
+            oprot.writeI64(self.long_leases_end_in_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.worker_id is None:
+            raise TProtocolException(message='Required field worker_id is unset!')
+        if self.born_epoch_ms is None:
+            raise TProtocolException(message='Required field born_epoch_ms is unset!')
+        if self.long_leases_end_in_ms is None:
+            raise TProtocolException(message='Required field long_leases_end_in_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class OwnerEnd(object):
+    """
+    Attributes:
+     - ended_ago_ms
+     - has_served
+     - earlier_leases_end_in_ms
+
+    """
+
+    __slots__ = (
+        'ended_ago_ms',
+        'has_served',
+        'earlier_leases_end_in_ms',
+    )
+
+
+    def __init__(self, ended_ago_ms=None, has_served=None, earlier_leases_end_in_ms=None,):
+        self.ended_ago_ms = ended_ago_ms
+        self.has_served = has_served
+        self.earlier_leases_end_in_ms = earlier_leases_end_in_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.ended_ago_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.BOOL:
+                    self.has_served = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.earlier_leases_end_in_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('OwnerEnd')
+        if self.ended_ago_ms is not None:
+            oprot.writeFieldBegin('ended_ago_ms', TType.I64, 1)
+            oprot.writeI64(self.ended_ago_ms)
+            oprot.writeFieldEnd()
+        if self.has_served is not None:
+            oprot.writeFieldBegin('has_served', TType.BOOL, 2)
+            oprot.writeBool(self.has_served)
+            oprot.writeFieldEnd()
+        if self.earlier_leases_end_in_ms is not None:
+            oprot.writeFieldBegin('earlier_leases_end_in_ms', TType.I64, 3)
+            oprot.writeI64(self.earlier_leases_end_in_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.ended_ago_ms is None:
+            raise TProtocolException(message='Required field ended_ago_ms is unset!')
+        if self.has_served is None:
+            raise TProtocolException(message='Required field has_served is unset!')
+        if self.earlier_leases_end_in_ms is None:
+            raise TProtocolException(message='Required field earlier_leases_end_in_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LeaseNotice(object):
+    """
+    Attributes:
+     - cell
+     - epoch
+     - leaving
+     - end
+
+    """
+
+    __slots__ = (
+        'cell',
+        'epoch',
+        'leaving',
+        'end',
+    )
+
+
+    def __init__(self, cell=None, epoch=None, leaving=None, end=None,):
+        self.cell = cell
+        self.epoch = epoch
+        self.leaving = leaving
+        self.end = end
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.cell = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.epoch = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype10, _size7) = iprot.readListBegin()
+                    for _i11 in range(_size7):
+                        _elem12 = LeavingWorker()
+                        _elem12.read(iprot)
+                        self.leaving.append(_elem12)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRUCT:
+                    self.end = OwnerEnd()
+                    self.end.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeaseNotice')
+        if self.cell is not None:
+            oprot.writeFieldBegin('cell', TType.I32, 1)
+            oprot.writeI32(self.cell)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I64, 2)
+            oprot.writeI64(self.epoch)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter13 in self.leaving:
+                iter13.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.end is not None:
+            oprot.writeFieldBegin('end', TType.STRUCT, 4)
+            self.end.write(oprot)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.cell is None:
+            raise TProtocolException(message='Required field cell is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -418,6 +734,7 @@
      - speeds
      - moves_parts
      - withdrawn_calls
+     - lease_notices
 
     """
 
@@ -434,10 +751,11 @@
         'moves_parts',
         'speeds',
         'withdrawn_calls',
+        'lease_notices',
     )
 
 
-    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None, moves_parts=None, withdrawn_calls=None,):
+    def __init__(self, owned=None, config_version=None, leaving=None, in_group=None, store_lost=None, tier=None, load_percent=None, best_tier=None, join_ms=None, speeds=None, moves_parts=None, withdrawn_calls=None, lease_notices=None,):
         self.owned = owned
         self.config_version = config_version
         self.leaving = leaving
@@ -450,6 +768,7 @@
         self.speeds = speeds
         self.moves_parts = moves_parts
         self.withdrawn_calls = withdrawn_calls
+        self.lease_notices = lease_notices
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -463,11 +782,11 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.owned = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = OwnedCell()
-                        _elem12.read(iprot)
-                        self.owned.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = OwnedCell()
+                        _elem19.read(iprot)
+                        self.owned.append(_elem19)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -514,11 +833,11 @@
             elif fid == 16:
                 if ftype == TType.LIST:
                     self.speeds = []
-                    (_etype16, _size13) = iprot.readListBegin()
-                    for _i17 in range(_size13):
-                        _elem18 = SpeedsLearned()
-                        _elem18.read(iprot)
-                        self.speeds.append(_elem18)
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = SpeedsLearned()
+                        _elem25.read(iprot)
+                        self.speeds.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -530,10 +849,21 @@
             elif fid == 24:
                 if ftype == TType.LIST:
                     self.withdrawn_calls = []
-                    (_etype22, _size19) = iprot.readListBegin()
-                    for _i23 in range(_size19):
-                        _elem24 = iprot.readI64()
-                        self.withdrawn_calls.append(_elem24)
+                    (_etype29, _size26) = iprot.readListBegin()
+                    for _i30 in range(_size26):
+                        _elem31 = iprot.readI64()
+                        self.withdrawn_calls.append(_elem31)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 25:
+                if ftype == TType.LIST:
+                    self.lease_notices = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = LeaseNotice()
+                        _elem37.read(iprot)
+                        self.lease_notices.append(_elem37)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -550,8 +880,8 @@
         if self.owned is not None:
             oprot.writeFieldBegin('owned', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.owned))
-            for iter25 in self.owned:
-                iter25.write(oprot)
+            for iter38 in self.owned:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.config_version is not None:
@@ -593,15 +923,22 @@
         if self.speeds is not None:
             oprot.writeFieldBegin('speeds', TType.LIST, 16)
             oprot.writeListBegin(TType.STRUCT, len(self.speeds))
-            for iter26 in self.speeds:
-                iter26.write(oprot)
+            for iter39 in self.speeds:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.withdrawn_calls is not None:
             oprot.writeFieldBegin('withdrawn_calls', TType.LIST, 24)
             oprot.writeListBegin(TType.I64, len(self.withdrawn_calls))
-            for iter27 in self.withdrawn_calls:
-                oprot.writeI64(iter27)
+            for iter40 in self.withdrawn_calls:
+                oprot.writeI64(iter40)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.lease_notices is not None:
+            oprot.writeFieldBegin('lease_notices', TType.LIST, 25)
+            oprot.writeListBegin(TType.STRUCT, len(self.lease_notices))
+            for iter41 in self.lease_notices:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -971,10 +1308,10 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.workers = []
-                    (_etype31, _size28) = iprot.readListBegin()
-                    for _i32 in range(_size28):
-                        _elem33 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.workers.append(_elem33)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.workers.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1004,8 +1341,8 @@
         if self.workers is not None:
             oprot.writeFieldBegin('workers', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.workers))
-            for iter34 in self.workers:
-                oprot.writeString(iter34.encode('utf-8') if sys.version_info[0] == 2 else iter34)
+            for iter48 in self.workers:
+                oprot.writeString(iter48.encode('utf-8') if sys.version_info[0] == 2 else iter48)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.patience_ms is not None:
@@ -1175,11 +1512,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.tickets = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = WorkerTicket()
-                        _elem40.read(iprot)
-                        self.tickets.append(_elem40)
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = WorkerTicket()
+                        _elem54.read(iprot)
+                        self.tickets.append(_elem54)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1209,8 +1546,8 @@
         if self.tickets is not None:
             oprot.writeFieldBegin('tickets', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.tickets))
-            for iter41 in self.tickets:
-                iter41.write(oprot)
+            for iter55 in self.tickets:
+                iter55.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.valid_ms is not None:
@@ -1419,11 +1756,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.ends = []
-                    (_etype45, _size42) = iprot.readListBegin()
-                    for _i46 in range(_size42):
-                        _elem47 = HeardEnd()
-                        _elem47.read(iprot)
-                        self.ends.append(_elem47)
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = HeardEnd()
+                        _elem61.read(iprot)
+                        self.ends.append(_elem61)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1448,8 +1785,8 @@
         if self.ends is not None:
             oprot.writeFieldBegin('ends', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.ends))
-            for iter48 in self.ends:
-                iter48.write(oprot)
+            for iter62 in self.ends:
+                iter62.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2287,6 +2624,28 @@
     (2, TType.I64, 'epoch', None, None, ),  # 2
     (3, TType.LIST, 'speeds', (TType.STRUCT, [MachineSpeed, None], False), None, ),  # 3
 )
+all_structs.append(LeavingWorker)
+LeavingWorker.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'born_epoch_ms', None, None, ),  # 2
+    (3, TType.I64, 'long_leases_end_in_ms', None, None, ),  # 3
+)
+all_structs.append(OwnerEnd)
+OwnerEnd.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'ended_ago_ms', None, None, ),  # 1
+    (2, TType.BOOL, 'has_served', None, None, ),  # 2
+    (3, TType.I64, 'earlier_leases_end_in_ms', None, None, ),  # 3
+)
+all_structs.append(LeaseNotice)
+LeaseNotice.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'cell', None, None, ),  # 1
+    (2, TType.I64, 'epoch', None, None, ),  # 2
+    (3, TType.LIST, 'leaving', (TType.STRUCT, [LeavingWorker, None], False), None, ),  # 3
+    (4, TType.STRUCT, 'end', [OwnerEnd, None], None, ),  # 4
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2314,6 +2673,7 @@
     None,  # 22
     None,  # 23
     (24, TType.LIST, 'withdrawn_calls', (TType.I64, None, False), None, ),  # 24
+    (25, TType.LIST, 'lease_notices', (TType.STRUCT, [LeaseNotice, None], False), None, ),  # 25
 )
 all_structs.append(CallerRequest)
 CallerRequest.thrift_spec = (
