Ask workers at their stored addresses after a takeover

Callers saw work stand still for 0.8 s longer after a store outage with a change of owner than the leases explain.

Cause: the entries of live workers lapse in an outage. The next owner knows no address of them until their heartbeats are back (0.4 to 1.2 s), and its quorum needs 60% of all workers that it knows. Only then do the inherited leases begin to run out.

Change: the record of a worker's machine also holds its address, hall and incarnation; the next owner asks there at once. Such a worker gets no new work until its own entry is read. Another worker that answers at the address shows that the one before is gone.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -172,7 +172,7 @@
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
-        self._machine_records.load(records)
+        self._machine_records.load(records, self.registry)
         self.parts.load(records)
         self.inherited_leases.load(records)
         self._takeover_report.begin()
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -212,12 +212,18 @@
     def is_leaving(self):
         """Return whether it is draining, or was removed from the list while alive.
 
-        The entry of a crashed worker disappears only after it has stopped answering.
+        The entry of a crashed worker disappears only after it has stopped answering. An
+        entry that lapsed in an outage tells nothing.
         """
         if self.entry.draining or (self.is_announced_leaving and not self.is_listed):
             return True
         if self.entry.born_epoch_ms not in (0, self.born_epoch_ms):
             return False
+        return not self.entry.is_lapsed and self.answers_unlisted
+
+    @property
+    def answers_unlisted(self):
+        """Return whether it has answered since it was missing from the list."""
         return not self.is_listed and self.last_answer_ms > self.unlisted_since_ms
 
     def heard_ms_ago(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
@@ -75,4 +75,4 @@
     if worker.entry.draining:
         return True
     missing_ms = now_ms - worker.unlisted_since_ms
-    return worker.is_leaving and missing_ms > ENTRY_RETURN_TIMEOUT_MS
+    return worker.answers_unlisted and missing_ms > ENTRY_RETURN_TIMEOUT_MS
--- a/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
@@ -1,44 +1,101 @@
-"""Store on which machines the workers of runs are, for the next owners of the cell.
+"""Store where the workers of runs are, for the next owners of the cell.
 
-A machine runs one worker at a time. A next owner that finds another worker on the
-machine knows that the runs of the one before are over, without waiting for its leases.
+A next owner asks a worker at its stored address, also while its entry in the platform's
+list has lapsed in a store outage. A machine runs one worker at a time: a next owner
+that finds another one on the machine knows that the runs of the one before are over.
 """
 
-from attrs import evolve
+import orjson
+from attrs import frozen
+
+from ..specs import WorkerEntry
 
 __all__ = ["MACHINE_KEY", "MachineRecords"]
 
 MACHINE_KEY = "m"
 
 
+@frozen(kw_only=True)
+class _Location:
+    """Hold where a worker is, and the incarnation that was there."""
+
+    machine_id: str
+    host: str
+    port: int
+    hall: str
+    born_epoch_ms: int
+
+    @classmethod
+    def of(cls, entry):
+        return cls(
+            machine_id=entry.machine_id,
+            host=entry.host,
+            port=entry.port,
+            hall=entry.hall,
+            born_epoch_ms=entry.born_epoch_ms,
+        )
+
+    def encode(self):
+        row = [self.machine_id, self.host, self.port, self.hall, self.born_epoch_ms]
+        return orjson.dumps(row)
+
+    @classmethod
+    def decode(cls, value):
+        """Decode a record; those of earlier releases hold only the machine's id."""
+        if not value.startswith(b"["):
+            return cls(
+                machine_id=value.decode(), host="", port=0, hall="", born_epoch_ms=0
+            )
+        machine_id, host, port, hall, born_epoch_ms = orjson.loads(value)
+        return cls(
+            machine_id=machine_id,
+            host=host,
+            port=port,
+            hall=hall,
+            born_epoch_ms=born_epoch_ms,
+        )
+
+    def as_entry(self, worker_id):
+        """Return the last known entry of a worker, whose capacity is not known."""
+        return WorkerEntry(
+            worker_id=worker_id,
+            machine_id=self.machine_id,
+            host=self.host,
+            port=self.port,
+            service="",
+            hall=self.hall,
+            born_epoch_ms=self.born_epoch_ms,
+            is_lapsed=True,
+        )
+
+
 class MachineRecords:
-    """Keep and store the machine of each worker that was given a run."""
+    """Keep and store the location of each worker that was given a run."""
 
     def __init__(self, *, context):
         self._context = context
-        self._stored_worker_ids = set()
+        self._stored = {}  # by worker id
 
     def add(self, worker):
-        """Store a worker's machine before its first run starts."""
-        machine_id = worker.entry.machine_id
-        if not machine_id or worker.worker_id in self._stored_worker_ids:
+        """Store a worker's location before a run starts there, if it is new."""
+        location = _Location.of(worker.entry)
+        if self._stored.get(worker.worker_id) == location:
             return
-        self._stored_worker_ids.add(worker.worker_id)
-        self._context.journal.put(MACHINE_KEY + worker.worker_id, machine_id.encode())
+        self._stored[worker.worker_id] = location
+        key = MACHINE_KEY + worker.worker_id
+        self._context.journal.put(key, location.encode())
 
-    def load(self, records):
-        """Complete the placeholders of workers that have runs by their machines."""
+    def load(self, records, registry):
+        """Complete the placeholders of workers that have runs by their locations."""
         for key, value in records.items():
             if not key.startswith(MACHINE_KEY):
                 continue
             worker_id = key.removeprefix(MACHINE_KEY)
-            self._stored_worker_ids.add(worker_id)
-            worker = self._context.workers.get(worker_id)
-            if worker is not None and not worker.entry.machine_id:
-                worker.entry = evolve(worker.entry, machine_id=value.decode())
+            location = self._stored[worker_id] = _Location.decode(value)
+            registry.complete_placeholder(worker_id, location.as_entry(worker_id))
 
     def review(self):
         """Drop the records of workers that are gone."""
-        for worker_id in self._stored_worker_ids - self._context.workers.keys():
-            self._stored_worker_ids.discard(worker_id)
+        for worker_id in self._stored.keys() - self._context.workers.keys():
+            del self._stored[worker_id]
             self._context.journal.put(MACHINE_KEY + worker_id, b"")
