Ask for advice before the leases of a silent worker are over

Callers saw work stand still for 0.6 to 0.8 s longer after a lost worker than its leases last, on queues with advice.

Cause: the advice service was asked about a task only once its run had been given up, and an answer takes that long.

Change: a step whose runs are on workers without contact is asked about when the leases there last no longer than the call. A step that holds tickets for workers with room asks nothing; an overloaded owner puts such calls off like other early ones. The queue of calls moves to a module of its own.

--- a/packages/thymefork-cells/src/thymefork_cells/advice/requester.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/requester.py
@@ -1,15 +1,13 @@
 """Request advice for steps, in time and about suitable workers."""
 
-from operator import itemgetter
-
 from ..effects import RequestAdvice
 from ..state import Ticket
+from .call_queue import MAX_WORKERS_PER_CALL, CallQueue
+from .expected_losses import expected_losses
 from .worker_selection import ApprovalRates, choose_workers, has_enough_tickets
 
 __all__ = ["AdviceRequester"]
 
-# Limit of the service for one call.
-MAX_WORKERS_PER_CALL = 100
 # Remaining validity that a ticket needs: a start is stored (10 ms) and sent first.
 TICKET_MARGIN_MS = 120.0
 # Delay before a failed call is retried.
@@ -21,17 +19,6 @@
 # Delay before a step is checked again that has no use for a call; in overload a hundred
 # steps wait so.
 RECHECK_MS = 25.0
-# A call is delayed by this much for each level of its queue's priority. A bounded delay
-# keeps urgent calls from starving those of the last queue under overload.
-PRIORITY_LEVEL_MS = 1_000.0
-# Extra levels for steps beyond their account's job rate share.
-BEYOND_SHARE_LEVELS = 3
-# Extra levels for steps held back by their account's limit. Their calls ask for as many
-# tasks as may start, or at least these few: tickets for all would expire.
-HELD_BACK_LEVELS = 3
-MIN_TASKS_PER_CALL = 3
-# A step's call is made this long, and its expected duration, before the step is due.
-LEAD_TIME_MS = 250.0
 
 
 class AdviceRequester:
@@ -42,7 +29,7 @@
         self._durations = durations
         self._speeds = speeds
         self._approval_rates = ApprovalRates()
-        self._queued = []
+        self._queue = CallQueue(context=context, durations=durations)
 
     def policy(self, step):
         """Return the advice policy of a step's queue, or None."""
@@ -75,24 +62,22 @@
         account's limits allow to start, and `is_starved` refers to the account.
         """
         policy = self.policy(step)
-        if policy is None or step.advice_asked or now_ms < step.advice_not_before_ms:
-            return
-        if not any(not task.done and not task.runs for task in step.tasks):
-            return
-        worker_count = min(MAX_WORKERS_PER_CALL, len(workers))
-        max_cost_ms = policy.decision_ms + policy.per_worker_ms * worker_count
-        if not self._is_near(step, max_cost_ms, now_ms):
-            return
-        step.advice_wanted_ms = step.advice_wanted_ms or now_ms
-        delay_levels = 0 if is_starved else self._delay_levels(step, may_start)
-        due_ms = step.advice_wanted_ms + PRIORITY_LEVEL_MS * delay_levels
-        self._queued.append((due_ms, len(self._queued), step, workers, may_start))
+        if policy is not None:
+            levels = 0 if is_starved else None
+            self._queue.add(
+                step, policy, workers, now_ms, may_start=may_start, levels=levels
+            )
 
-    def _delay_levels(self, step, may_start):
-        """Return by how many priority levels a step's call is delayed."""
-        levels = self._context.queue(step.job).priority
-        levels += BEYOND_SHARE_LEVELS * step.job.is_beyond_share
-        return levels + HELD_BACK_LEVELS * (not may_start)
+    def queue_early_requests(self, workers_of, now_ms):
+        """Queue calls for steps that will soon lose runs on silent workers.
+
+        With the tickets their tasks start as soon as the leases there are over.
+        `workers_of(step)` maps the ids of the workers of a step's service to them.
+        """
+        for step, loss in expected_losses(self._context.workers.values()).items():
+            policy = self.policy(step)
+            if policy is not None:
+                self._queue.add_early(step, policy, workers_of(step), loss, now_ms)
 
     def send_requests(self, now_ms, *, permits):
         """Make the queued calls, as many as there are advice instances for.
@@ -101,18 +86,17 @@
         `permits(step, worker, now_ms)` returns whether a worker is not reserved for
         another step.
         """
-        queued, self._queued = sorted(self._queued, key=itemgetter(0, 1)), []
-        for _, _, step, workers, may_start in queued:
+        for call in self._queue.take():
+            step = call.step
             policy = self.policy(step)
             if not self._may_have_instance(policy.decision_ms):
                 continue
-            if self._context.defers_early_advice and not step.ready:
+            is_early = call.is_early or not step.ready
+            if self._context.defers_early_advice and is_early:
                 self._context.count("owner_shed", "early_advice")
                 continue
             self._forget_denials(step, now_ms)
-            wanted = sum(1 for task in step.tasks if not task.done and not task.runs)
-            wanted = min(wanted, max(may_start, MIN_TASKS_PER_CALL))
-            candidates = self._candidates(step, workers, wanted, now_ms, permits)
+            candidates = self._candidates(call, now_ms, permits)
             if candidates:
                 self._request(step, policy, candidates)
                 continue
@@ -159,14 +143,17 @@
             step.denial_reset_count += 1
             step.denied.clear()
 
-    def _candidates(self, step, workers, wanted, now_ms, permits):
+    def _candidates(self, call, now_ms, permits):
         """Return the workers to ask about, none while the tickets suffice.
 
         Tasks of a ready step that still wait could not be placed with its tickets.
         """
-        held = self.with_ticket(step, workers, now_ms)
+        step, workers, wanted = call.step, call.workers, call.wanted
+        held = self.with_ticket(step, workers, max(now_ms, call.needed_ms))
         if held and not step.ready:
             return []
+        if call.is_early and any(worker.has_capacity(step.spec) for worker in held):
+            return []
         known = step.denied | {worker.worker_id for worker in held}
         is_usable = self._usability_check(step)
         with_capacity, others = [], []
@@ -243,30 +230,6 @@
             return []
         return allowed[:MAX_WORKERS_PER_CALL]
 
-    def _is_near(self, step, cost_ms, now_ms):
-        if step.ready:
-            return True
-        job = step.job
-        if job.due_ms(step.occurrence) - now_ms > cost_ms + LEAD_TIME_MS:
-            return False
-        return self._predecessors_left_ms(step, now_ms) <= cost_ms + LEAD_TIME_MS
-
-    def _predecessors_left_ms(self, step, now_ms):
-        """Return the expected time until the preceding steps are done."""
-        longest_ms = 0.0
-        for index in step.spec.after:
-            earlier = step.job.step(step.occurrence, index)
-            for task in earlier.tasks:
-                if task.done:
-                    continue
-                run = task.active_run
-                if run is None:
-                    left_ms = self._durations.expected_ms(earlier.spec) + LEAD_TIME_MS
-                else:
-                    left_ms = self._durations.left_ms(run, now_ms)
-                longest_ms = max(longest_ms, left_ms)
-        return longest_ms
-
     def on_answer(self, step, worker_ids, tickets, valid_ms, *, now_ms):
         """Store the tickets of an answer; `tickets` is None if there was none."""
         step.advice_asked = False
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -108,6 +108,7 @@
                 may_start=may_start[step],
                 is_starved=self._order.is_starved(step, now_ms),
             )
+        self._advice.queue_early_requests(workers_of, now_ms)
         self._advice.send_requests(now_ms, permits=self._reservations.permits)
 
     def _workers_by_service(self, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -8,6 +8,10 @@
 
 # Fences reserved for the incarnations of a worker under one owner.
 FENCES_PER_EPOCH = 1 << 20
+# A worker has no contact after this many unanswered polls in a row. Leases are renewed
+# only by polls that follow an answered one, so that the tasks of a worker that falls
+# silent can soon start elsewhere.
+MAX_UNANSWERED_POLLS = 2
 # A suspect worker that does not answer a poll for this long is unresponsive.
 UNRESPONSIVE_AFTER_MS = 100.0
 # A worker this many times slower than the average counts as faulty.
@@ -236,6 +240,11 @@
             return None
         return now_ms + self.clock_offset_ms
 
+    @property
+    def has_no_contact(self):
+        """Return whether it can't be asked, or several polls in a row got no answer."""
+        return self.unanswered_in_row >= MAX_UNANSWERED_POLLS or not self.entry.host
+
     @property
     def is_suspect(self):
         """Return whether it has not answered since it, or its hall, became suspect."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -1,6 +1,7 @@
 """Poll workers for their runs, and process their reports or missing answers."""
 
 from ..effects import EndsStored, PollWorker
+from ..state.worker import MAX_UNANSWERED_POLLS
 from .lease_duration import lease_ms_for, max_lease_duration_ms
 from .run_reconciler import RunReconciler
 
@@ -24,10 +25,6 @@
 # off few.
 MIN_POLL_RETRY_DELAY_MS = 150.0
 MAX_POLL_RETRY_DELAY_MS = 400.0
-# A worker has no contact after this many unanswered polls in a row. Leases are renewed
-# only by polls that follow an answered one, so that the tasks of a worker that falls
-# silent can soon start elsewhere.
-MAX_UNANSWERED_POLLS = 2
 # Checking all workers for due polls is expensive, so it is done this often. Workers
 # with changes are checked in the next cycle.
 FULL_SCAN_INTERVAL_MS = 20.0
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -4,7 +4,6 @@
 from ..specs import WorkerEntry
 from ..state import Worker
 from .incarnations import IncarnationMatch
-from .worker_poller import MAX_UNANSWERED_POLLS
 
 __all__ = ["WorkerRegistry"]
 
@@ -176,11 +175,7 @@
     def expire_leases(self, now_ms):
         """Release the runs of workers without contact whose leases have expired."""
         for worker in list(self._context.workers.values()):
-            has_no_contact = (
-                worker.unanswered_in_row >= MAX_UNANSWERED_POLLS
-                or not worker.entry.host
-            )
-            if worker.runs and has_no_contact and now_ms > worker.runs_until_ms:
+            if worker.runs and worker.has_no_contact and now_ms > worker.runs_until_ms:
                 self._expire_runs(worker, now_ms)
             unlisted = not worker.is_listed and not worker.runs
             last_seen_ms = max(
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/advice_dispatcher.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/advice_dispatcher.py
@@ -5,7 +5,7 @@
 from itertools import count
 
 from thymefork_cells import LONG_CALL_MS, AdviceSlots
-from thymefork_cells.advice.requester import PRIORITY_LEVEL_MS
+from thymefork_cells.advice.call_queue import PRIORITY_LEVEL_MS
 from thymefork_net import steady_ms
 from thymefork_net.peers import AdviceRequest
 
