Reach the quorum of a new owner by the workers that have accepted its fence

Cause: the quorum of a new owner was never reached, so the longest bound stood (12.1 s: membership 1.0, grace 8.0, lease 3.1). It asked for 60% of all workers that it knows, those that had left and a cut hall's included, and for all answers within 0.8 s, while workers that run nothing are asked once.

Change: an answer counts for good, since a worker keeps the highest fence. What counts are the workers that the owner before knew: each owner stores the locations of all its workers, not only of those with runs, so later ones neither help nor hinder. Workers announced as leaving don't count, for either owner, as long as half of all do; the notice says so for each. A worker without runs that is not listed is asked for the quorum only. With records of an earlier release all known workers have to do.

Ruled out: a smaller fraction (two quorums have to overlap).

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -58,7 +58,7 @@
         self.context.journal = Journal()
         self.quorum = Quorum(context=self.context)
         self.inherited_leases = InheritedLeases(
-            context=self.context, quorum=self.quorum, membership_ms=membership_ms
+            context=self.context, membership_ms=membership_ms
         )
         self.leaving_workers = LeavingWorkers(
             context=self.context, inherited_leases=self.inherited_leases
@@ -172,9 +172,9 @@
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
-        self._machine_records.load(records, self.registry)
-        self.parts.load(records)
+        self._machine_records.load(records, self.registry, now_ms)
         self.inherited_leases.load(records)
+        self.parts.load(records)
         self._takeover_report.begin()
 
     def on_configuration(self, configuration):
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -24,7 +24,8 @@
     keys, the runs whose stop the worker has not acknowledged. `advice_slots` is the
     number of advice calls that may be made now, None if unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
-    current. `defers_*` are set while the owner is overloaded.
+    current. `has_quorum` is set once a quorum of workers has accepted this owner's
+    fence, `defers_*` while the owner is overloaded.
 
     Units: `*_ms` on the steady clock; `epoch_ms()` is the time since 1970.
     """
@@ -44,6 +45,7 @@
     journal: object = None
     needs_plan: bool = True
     is_store_unavailable: bool = False
+    has_quorum: bool = False
     advice_slots: AdviceSlots | None = None
     worker_list_as_of_ms: float = float("inf")
     defers_idle_polls: bool = False
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -31,8 +31,9 @@
     the previous one, `extended_lease_until_ms` any lease sent to an earlier
     incarnation. `lease_sent_ms` is when a lease was last sent, `leases_expired_ms` when
     all leases were last presumed expired. With `has_short_leases`, possible next owners
-    were told that this owner gives only short ones; `is_announced_leaving` is set if
-    the previous owner told so.
+    were told that this owner gives only short ones, and without `counts_for_quorum`,
+    that it does not need the worker's answer for its quorum; `is_announced_leaving` is
+    set if the previous owner told so.
 
     `answered_poll_ms` is when the latest answered poll was sent: a paused process may
     read the answer much later. `unanswered_since_ms` is when the first of the latest
@@ -64,6 +65,7 @@
     clock_offset_ms: float | None = None
     last_clock_ms: int = 0
     has_short_leases: bool = False
+    counts_for_quorum: bool = True
     is_announced_leaving: bool = False
     may_run_until_ms: float = 0.0
     inherited_until_ms: float = 0.0
@@ -225,6 +227,11 @@
             return False
         return not self.entry.is_lapsed and self.answers_unlisted
 
+    @property
+    def has_answered(self):
+        """Return whether it has answered a poll, and so accepted this owner's fence."""
+        return self.clock_offset_ms is not None
+
     @property
     def answers_unlisted(self):
         """Return whether it has answered since it was missing from the list."""
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
@@ -0,0 +1,122 @@
+"""When a new owner knows that no owner before it can renew a lease."""
+
+import pytest
+from attrs import evolve
+
+from thymefork_cells import EPOCH_KEY
+from thymefork_cells.workers.machine_records import MACHINE_KEY
+
+from .harness import job_spec
+
+JOB = "00000000000000aa"
+WORKERS = 20
+REVIEW_MS = 100.0
+
+
+@pytest.fixture
+def harness(make_harness):
+    """Return a harness with a job on few of its workers."""
+    harness = make_harness(workers=WORKERS)
+    for worker in harness.workers.values():
+        worker.work_ms = 60_000.0
+    harness.submit(JOB, job_spec({"count": 4, "cpu_milli": 8_000}))
+    harness.run(500)
+    return harness
+
+
+def announce_leave(harness, worker_ids):
+    harness.publish_worker_list(
+        [
+            evolve(entry, draining=True) if entry.worker_id in worker_ids else entry
+            for entry in harness.entries
+        ]
+    )
+    harness.run(2 * REVIEW_MS)
+
+
+def take_over_without(harness, worker_ids, *, entries=()):
+    """Replace the owner after an outage in which workers became unreachable."""
+    harness.is_owner_down = True
+    for worker_id in worker_ids:
+        harness.workers[worker_id].is_unreachable = True
+    harness.entries = list(entries)
+    harness.run(3_500)
+    harness.take_over()
+
+
+def test_records_name_all_workers_of_the_owner(harness):
+    names = [key for key in harness.store if key.startswith(MACHINE_KEY)]
+    assert len(names) == WORKERS
+
+
+# Idle workers are polled once; their answers had aged before the others came.
+def test_answers_of_idle_workers_count_until_the_last_one_came(harness):
+    ids = sorted(harness.workers)
+    slow = ids[8:]
+    take_over_without(harness, slow)
+    harness.run(2_000)
+    assert not harness.cell.inherited_leases.has_quorum
+    for worker_id in slow:
+        harness.workers[worker_id].is_unreachable = False
+    harness.run(1_000)
+    assert harness.cell.inherited_leases.has_quorum
+
+
+# The new owner waited 12.1 s: two fifths were gone and a hall was cut off.
+def test_workers_announced_as_leaving_do_not_count(harness):
+    ids = sorted(harness.workers)
+    leaving, cut = ids[:7], ids[7:11]
+    announce_leave(harness, leaving)
+    take_over_without(harness, leaving + cut)
+    harness.run(1_000)
+    assert harness.cell.inherited_leases.has_quorum
+
+
+def test_unannounced_workers_count_though_they_are_not_listed(harness):
+    gone = sorted(harness.workers)[:9]
+    listed = [entry for entry in harness.entries if entry.worker_id not in gone]
+    take_over_without(harness, gone, entries=listed)
+    harness.run(4_000)
+    assert not harness.cell.inherited_leases.has_quorum
+
+
+# Answers of workers that the previous owner never knew say nothing about its quorum.
+def test_workers_that_came_later_do_not_count(harness):
+    gone = sorted(harness.workers)[:9]
+    entries = [entry for entry in harness.entries if entry.worker_id not in gone]
+    for number in range(WORKERS):
+        new_id = f"new-{number}"
+        harness.workers[new_id] = type(harness.workers[gone[0]])(worker_id=new_id)
+        harness.capacity_history[new_id] = [(float("-inf"), 8_000)]
+        entries.append(evolve(entries[0], worker_id=new_id, machine_id=f"m-{new_id}"))
+    take_over_without(harness, gone, entries=entries)
+    harness.run(4_000)
+    assert not harness.cell.inherited_leases.has_quorum
+
+
+def test_at_least_half_of_the_workers_count(harness):
+    announce_leave(harness, list(harness.workers))
+    counted = [w.counts_for_quorum for w in harness.cell.context.workers.values()]
+    assert sum(counted) == WORKERS / 2
+
+
+def test_data_of_an_earlier_release_needs_all_known_workers(harness):
+    for key in [key for key in harness.store if key.startswith(EPOCH_KEY)]:
+        del harness.store[key]
+    gone = sorted(harness.workers)[:9]
+    take_over_without(harness, gone, entries=harness.entries)
+    harness.run(4_000)
+    assert not harness.cell.inherited_leases.has_quorum
+
+
+# A gone worker would be asked in vain for as long as it is remembered.
+def test_unlisted_worker_without_runs_is_not_asked_after_the_quorum(harness):
+    idle = next(
+        worker_id for worker_id, worker in harness.workers.items() if not worker.running
+    )
+    take_over_without(harness, [idle], entries=harness.entries)
+    harness.publish_worker_list([e for e in harness.entries if e.worker_id != idle])
+    harness.run(1_000)
+    polls = harness.cell.context.workers[idle].unanswered_in_row
+    harness.run(3_000)
+    assert harness.cell.context.workers[idle].unanswered_in_row <= polls + 1
--- a/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
@@ -3,8 +3,9 @@
 A worker that can't be asked may still run what previous owners have started, until
 their leases are over. Each of these tells when that is:
 
-- A quorum of workers accepts the new owner's fence: after that no previous owner can
-  renew a lease for longer than its own quorum lasts.
+- A quorum of the workers that the previous owner knew accepts the new owner's fence:
+  after that no previous owner can renew a lease for longer than its own quorum lasts.
+  A worker keeps the highest fence, so it counts however long ago it answered.
 - The previous owner announced that it has ended.
 - The previous owner announced that a worker is about to leave and that it gives only
   short leases there.
@@ -14,7 +15,7 @@
 """
 
 from .lease_duration import LEASE_MS, SHORT_LEASE_MS, max_lease_duration_ms
-from .quorum import OUTAGE_GRACE_MS, QUORUM_ANSWER_MAX_AGE_MS
+from .quorum import OUTAGE_GRACE_MS, QUORUM_ANSWER_MAX_AGE_MS, is_quorum
 
 __all__ = ["EPOCH_KEY", "InheritedLeases"]
 
@@ -25,12 +26,12 @@
 class InheritedLeases:
     """Bound the inherited leases, the more tightly the more is known."""
 
-    def __init__(self, *, context, quorum, membership_ms):
+    def __init__(self, *, context, membership_ms):
         self._context = context
-        self._quorum = quorum
         self._member_until_ms = context.taken_over_ms + membership_ms
         self._renewed_until_ms = self._member_until_ms + OUTAGE_GRACE_MS
         self._earlier_epochs = ()
+        self._previous_worker_ids = ()
         self._notices = {}  # lists by epoch
         self._leaving = {}  # by worker id
         self._quorum_reached_ms = None
@@ -77,6 +78,8 @@
         ]
         earlier = [epoch for epoch in epochs if epoch < self._context.epoch]
         self._earlier_epochs = tuple(sorted(earlier, reverse=True))
+        if self._earlier_epochs:
+            self._previous_worker_ids = tuple(self._context.workers)
         for worker in self._context.workers.values():
             worker.inherited_until_ms = self._bound_ms(None, None)
 
@@ -86,15 +89,35 @@
         The previous owner renews leases while it is a member, and after that while it
         has a quorum, which ends now.
         """
-        if self.has_quorum or not self._quorum.is_held(now_ms):
+        if self.has_quorum or not self._is_fence_accepted():
             return
         self._quorum_reached_ms = now_ms
+        self._context.has_quorum = True
         quorum_until_ms = now_ms + QUORUM_ANSWER_MAX_AGE_MS
         self._renewed_until_ms = max(self._member_until_ms, quorum_until_ms)
         self._update_bounds()
         for epoch in self._earlier_epochs:
             self._context.journal.put(f"{EPOCH_KEY}{epoch}", b"")
 
+    def _is_fence_accepted(self):
+        """Return whether a quorum of the previous owner's workers accepts this fence.
+
+        Without records of them all workers that are known by now have to do.
+        """
+        workers = self._context.workers
+        ids = self._previous_worker_ids or workers
+        voters = [worker_id for worker_id in ids if self._has_counted(worker_id)]
+        accepted = sum(
+            worker_id in workers and workers[worker_id].has_answered
+            for worker_id in voters
+        )
+        return is_quorum(accepted, len(voters))
+
+    def _has_counted(self, worker_id):
+        """Return whether the previous owner's quorum included a worker."""
+        leaving = self._leaving.get(worker_id)
+        return leaving is None or leaving.counts_for_quorum
+
     def apply(self, notice):
         """Tighten the bounds by an announcement of a previous owner."""
         self._notices.setdefault(notice.epoch, []).append(notice)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
@@ -5,6 +5,8 @@
 
 __all__ = ["LeavingWorkers"]
 
+# At least this share of the workers has to count for the quorum.
+MIN_COUNTED_FRACTION = 0.5
 # An entry that lapsed in a store outage is back within 2 s of its end; one that is
 # missing for longer, of a worker that answers, belongs to a worker that leaves.
 ENTRY_RETURN_TIMEOUT_MS = 2_500.0
@@ -13,8 +15,9 @@
 class LeavingWorkers:
     """Choose the workers that get short leases, and tell possible next owners.
 
-    A promise holds as long as the ownership, also for later incarnations under the same
-    id: next owners rely on it.
+    Most of them are gone by the time a next owner needs a quorum, so they do not count
+    for it where enough others do. A promise holds as long as the ownership, also for
+    later incarnations under the same id: next owners rely on it.
     """
 
     def __init__(self, *, context, inherited_leases):
@@ -29,17 +32,26 @@
                 continue
             until_ms = self._long_leases_until_ms(worker, now_ms)
             if until_ms is not None:
-                worker.has_short_leases = True
-                leaving.append(
-                    LeavingWorker(
-                        worker_id=worker.worker_id,
-                        born_epoch_ms=worker.born_epoch_ms,
-                        long_leases_until_ms=until_ms,
-                    )
-                )
+                leaving.append(self._promise_short_leases(worker, until_ms))
         if leaving:
             self._announce(leaving)
 
+    def _promise_short_leases(self, worker, until_ms):
+        worker.has_short_leases = True
+        worker.counts_for_quorum = not self._has_enough_others(worker)
+        return LeavingWorker(
+            worker_id=worker.worker_id,
+            born_epoch_ms=worker.born_epoch_ms,
+            long_leases_until_ms=until_ms,
+            counts_for_quorum=worker.counts_for_quorum,
+        )
+
+    def _has_enough_others(self, worker):
+        """Return whether enough other workers count for the quorum."""
+        workers = self._context.workers.values()
+        others = sum(other.counts_for_quorum for other in workers) - 1
+        return others >= MIN_COUNTED_FRACTION * len(workers)
+
     def _long_leases_until_ms(self, worker, now_ms):
         """Return until when long leases last at a worker that leaves, or None.
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
@@ -70,14 +70,21 @@
 
 
 class MachineRecords:
-    """Keep and store the location of each worker that was given a run."""
+    """Keep and store the locations of the workers that this owner knows.
+
+    The next owner needs them all: a quorum of these shows that this one can't go on.
+    """
 
     def __init__(self, *, context):
         self._context = context
         self._stored = {}  # by worker id
+        self._entries = {}  # by worker id, those whose location is stored
 
     def add(self, worker):
         """Store a worker's location before a run starts there, if it is new."""
+        if self._entries.get(worker.worker_id) is worker.entry:
+            return
+        self._entries[worker.worker_id] = worker.entry
         location = _Location.of(worker.entry)
         if self._stored.get(worker.worker_id) == location:
             return
@@ -85,17 +92,24 @@
         key = MACHINE_KEY + worker.worker_id
         self._context.journal.put(key, location.encode())
 
-    def load(self, records, registry):
-        """Complete the placeholders of workers that have runs by their locations."""
+    def load(self, records, registry, now_ms):
+        """Add the workers that the previous owner knew, or complete their entries."""
         for key, value in records.items():
             if not key.startswith(MACHINE_KEY):
                 continue
             worker_id = key.removeprefix(MACHINE_KEY)
             location = self._stored[worker_id] = _Location.decode(value)
-            registry.complete_placeholder(worker_id, location.as_entry(worker_id))
+            registry.add_unlisted(location.as_entry(worker_id), now_ms=now_ms)
 
     def review(self):
-        """Drop the records of workers that are gone."""
+        """Store the locations of new workers, and drop those of workers that are gone.
+
+        Without an address, nobody could ask the worker.
+        """
+        for worker in self._context.workers.values():
+            if worker.is_listed and worker.entry.host:
+                self.add(worker)
         for worker_id in self._stored.keys() - self._context.workers.keys():
             del self._stored[worker_id]
+            self._entries.pop(worker_id, None)
             self._context.journal.put(MACHINE_KEY + worker_id, b"")
--- a/packages/thymefork-cells/src/thymefork_cells/workers/quorum.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/quorum.py
@@ -6,7 +6,7 @@
 quorum.
 """
 
-__all__ = ["OUTAGE_GRACE_MS", "QUORUM_ANSWER_MAX_AGE_MS", "Quorum"]
+__all__ = ["OUTAGE_GRACE_MS", "QUORUM_ANSWER_MAX_AGE_MS", "Quorum", "is_quorum"]
 
 # Two quorums overlap even if the workers that the two owners know differ by a fifth.
 QUORUM_FRACTION = 0.6
@@ -29,11 +29,14 @@
         Unlisted workers count, too, until they are known to be gone: in an outage their
         entries expire while another owner may still reach them.
         """
-        workers = self._context.workers.values()
-        recent_answer_count = sum(
+        answers = [
             worker.answered_poll_ms > now_ms - QUORUM_ANSWER_MAX_AGE_MS
-            for worker in workers
-        )
-        return recent_answer_count > 0 and recent_answer_count >= QUORUM_FRACTION * len(
-            workers
-        )
+            for worker in self._context.workers.values()
+            if worker.counts_for_quorum
+        ]
+        return is_quorum(sum(answers), len(answers))
+
+
+def is_quorum(count, total):
+    """Return whether a number of workers is a quorum of all."""
+    return count > 0 and count >= QUORUM_FRACTION * total
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -110,8 +110,10 @@
         return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms(worker))
 
     def _is_needed(self, worker):
-        if not worker.has_reported or worker.runs or worker.orphaned_runs:
+        if worker.runs or worker.orphaned_runs:
             return True
+        if not worker.has_reported:
+            return worker.is_listed or self._needs_quorum
         if (
             worker.suspected_ms > worker.last_answer_ms
             or self._context.is_store_unavailable
@@ -121,6 +123,11 @@
             return False  # it keeps its ends until they are acknowledged
         return worker.stored_end > worker.acknowledged_end
 
+    @property
+    def _needs_quorum(self):
+        """Return whether workers without runs are asked for the quorum."""
+        return self._context.is_store_unavailable or not self._context.has_quorum
+
     def _send_quick_poll(self, worker, now_ms):
         """Send a second poll, without a wait, if something has to be known at once."""
         if worker.is_quick_polling or worker.unanswered_in_row:
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -37,17 +37,17 @@
             self._context.workers[worker_id] = worker
         return worker
 
-    def complete_placeholder(self, worker_id, entry):
-        """Give a placeholder its last known entry, so that it can be asked."""
-        worker = self._context.workers.get(worker_id)
-        if worker is None or worker.entry.host:
+    def add_unlisted(self, entry, *, now_ms):
+        """Add a worker by its last known entry, so that it can be asked."""
+        worker = self.get_or_add_placeholder(entry.worker_id)
+        if worker.entry.host:
             return
         worker.entry = entry
-        worker.unlisted_since_ms = self._context.taken_over_ms
+        worker.tracked_since_ms = worker.unlisted_since_ms = now_ms
         if entry.born_epoch_ms:
             worker.born_epoch_ms = entry.born_epoch_ms
             worker.incarnation_number = self._incarnations.incarnation_number(
-                worker_id, entry.born_epoch_ms
+                entry.worker_id, entry.born_epoch_ms
             )
 
     @property
