--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
@@ -49,7 +49,6 @@
     assert len(names) == WORKERS
 
 
-# Idle workers are polled once; their answers had aged before the others came.
 def test_answers_of_idle_workers_count_until_the_last_one_came(harness):
     slow = sorted(harness.workers)[11:]
     take_over_without(harness, slow, entries=harness.entries)
