Shorten leases by the drift that a worker's clock may have had since it was read

What callers could see: a task that runs twice at once.

Cause: a lease ends at a time on the worker's clock, which the owner computes from its last reading. An idle worker was not asked, so the reading was as old as the idleness, and a clock that is 2% slow made the lease longer by 2% of that.

Change: the owner counts with the earliest time that the clock may show; answers to starts are readings, too; an idle worker is asked every 20 s, so that the first lease there is 0.5 s shorter at most.

--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -8,6 +8,8 @@
 
 # Fences reserved for the incarnations of a worker under one owner.
 FENCES_PER_EPOCH = 1 << 20
+# By how much a worker's steady clock may be slow, with some allowance.
+MAX_CLOCK_DRIFT = 0.025
 # A worker has no contact after this many unanswered polls in a row. Leases are renewed
 # only by polls that follow an answered one, so that the tasks of a worker that falls
 # silent can soon start elsewhere.
@@ -44,8 +46,8 @@
     earlier incarnation. `stopped` holds the runs whose stop was answered and whose end
     was not reported yet.
 
-    Units: `*_ms` on the steady clock; `clock_offset_ms` added to the steady clock gives
-    the worker's clock.
+    Units: `*_ms` on the steady clock; `clock_offset_ms` added to the steady clock gave
+    the worker's clock at `clock_read_ms`.
     """
 
     entry: object
@@ -63,6 +65,7 @@
     is_listed: bool = True
     leaves_at_ms: float = 0.0
     clock_offset_ms: float | None = None
+    clock_read_ms: float = 0.0
     last_clock_ms: int = 0
     has_short_leases: bool = False
     counts_for_quorum: bool = True
@@ -242,10 +245,21 @@
         return round(now_ms - self.last_answer_ms) if self.last_answer_ms else None
 
     def clock_ms(self, now_ms):
-        """Return the worker's clock, None if it never answered."""
+        """Return the earliest time that the worker's clock may show, None if unknown.
+
+        The clock may be slow, so a deadline by an old reading would be too late.
+        """
         if self.clock_offset_ms is None:
             return None
-        return now_ms + self.clock_offset_ms
+        drift_ms = MAX_CLOCK_DRIFT * (now_ms - self.clock_read_ms)
+        return now_ms + self.clock_offset_ms - drift_ms
+
+    def read_clock(self, clock_ms, now_ms):
+        """Apply a reading of the worker's clock, unless a later one is known."""
+        earliest_ms = self.clock_ms(now_ms)
+        if earliest_ms is None or clock_ms > earliest_ms:
+            self.clock_offset_ms = clock_ms - now_ms
+            self.clock_read_ms = now_ms
 
     @property
     def has_no_contact(self):
--- /dev/null
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
@@ -0,0 +1,41 @@
+"""Faults in what a new owner assumes about the leases of owners before it."""
+
+from attrs import evolve
+
+from thymefork_cells.workers.lease_duration import LEASE_MS, max_lease_duration_ms
+
+from .harness import job_spec
+from .run_invariants import tasks_run_twice
+
+JOB = "00000000000000aa"
+LONG_MS = max_lease_duration_ms(LEASE_MS)
+FULL_WORKER = {"count": 4, "cpu_milli": 8_000}
+
+
+def without(entries, worker_id):
+    return [entry for entry in entries if entry.worker_id != worker_id]
+
+
+def draining(entries, worker_id):
+    return [
+        evolve(entry, draining=True, leaves_in_ms=0)
+        if entry.worker_id == worker_id
+        else entry
+        for entry in entries
+    ]
+
+
+def cut_off_and_take_over(harness, worker_id):
+    """Replace the owner at once by one that can't ask a worker, which works on."""
+    other = harness.workers["w1"]
+    for key in list(other.running):
+        other.end(key, "done")
+    harness.workers[worker_id].is_unreachable = True
+    harness.is_owner_down = True
+    harness.take_over()
+    harness.run(8_000)
+
+
+def long_work(harness):
+    for worker in harness.workers.values():
+        worker.work_ms = 60_000.0
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -130,6 +130,7 @@
             self._lifecycle.release(run.successor, now_ms=now_ms)
 
     def _confirmed(self, run, answer, now_ms):
+        run.worker.read_clock(answer.clock_ms, now_ms)
         run.confirmed_clock_ms = answer.clock_ms
         if run.state is RunState.SENT:
             run.state = RunState.LIVE
--- a/packages/thymefork-cells/src/thymefork_cells/workers/lease_duration.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/lease_duration.py
@@ -1,7 +1,8 @@
 """How long leases last, by the owner's clock and by the workers'."""
 
+from ..state.worker import MAX_CLOCK_DRIFT
+
 __all__ = [
-    "CLOCK_DRIFT_FACTOR",
     "LEASE_MARGIN_MS",
     "LEASE_MS",
     "SHORT_LEASE_MS",
@@ -16,8 +17,7 @@
 # owner that can't ask it any more soon starts its tasks elsewhere. It outlasts one
 # unanswered poll.
 SHORT_LEASE_MS = 1_200.0
-# A worker's steady clock may be 2% slow, so that its lease ends later.
-CLOCK_DRIFT_FACTOR = 1.025
+# Allowance for the time that answers take.
 LEASE_MARGIN_MS = 60.0
 
 
@@ -28,4 +28,4 @@
 
 def max_lease_duration_ms(lease_ms):
     """Return how long a lease lasts at most when measured by a worker's clock."""
-    return lease_ms * CLOCK_DRIFT_FACTOR + LEASE_MARGIN_MS
+    return lease_ms * (1.0 + MAX_CLOCK_DRIFT) + LEASE_MARGIN_MS
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -25,6 +25,9 @@
 # off few.
 MIN_POLL_RETRY_DELAY_MS = 150.0
 MAX_POLL_RETRY_DELAY_MS = 400.0
+# The clock of a worker without runs is read this often. A start there gets a lease that
+# is shorter by the drift that the clock may have had since, 0.5 s at most.
+CLOCK_MAX_AGE_MS = 20_000.0
 # Checking all workers for due polls is expensive, so it is done this often. Workers
 # with changes are checked in the next cycle.
 FULL_SCAN_INTERVAL_MS = 20.0
@@ -91,7 +94,7 @@
         if worker.is_polling:
             self._send_quick_poll(worker, now_ms)
             return None
-        if not self._is_needed(worker):
+        if not self._is_needed(worker, now_ms):
             return None
         due_ms = self._due_ms(worker)
         if due_ms <= now_ms:
@@ -109,7 +112,7 @@
             return worker.poll_due_ms
         return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms(worker))
 
-    def _is_needed(self, worker):
+    def _is_needed(self, worker, now_ms):
         if worker.runs or worker.orphaned_runs:
             return True
         if not worker.has_reported:
@@ -121,7 +124,9 @@
             return True
         if self._context.defers_idle_polls:
             return False  # it keeps its ends until they are acknowledged
-        return worker.stored_end > worker.acknowledged_end
+        if worker.stored_end > worker.acknowledged_end:
+            return True
+        return now_ms - worker.clock_read_ms > CLOCK_MAX_AGE_MS
 
     @property
     def _needs_quorum(self):
@@ -236,7 +241,7 @@
         worker.unanswered_since_ms = 0.0
         worker.last_answer_ms = now_ms
         worker.acknowledged_end = max(worker.acknowledged_end, last_end)
-        self._set_clock(worker, report.clock_ms, now_ms)
+        worker.read_clock(report.clock_ms, now_ms)
         has_new_ends = self._reconciler.apply_ends(worker, report, now_ms)
         if report.clock_ms <= worker.last_clock_ms:  # a newer one was processed
             self._log_outdated(worker, report)
@@ -279,9 +284,6 @@
     def _is_settling(self, worker):
         return bool(worker.orphaned_runs or worker.stopped)
 
-    def _set_clock(self, worker, clock_ms, now_ms):
-        worker.clock_offset_ms = clock_ms - now_ms
-
     def on_ends_stored(self, worker, last_end, *, now_ms):
         """Have the worker discard the run ends that are stored now."""
         self._unstored_ends.mark_stored(worker, last_end, now_ms=now_ms)
