Keep the promise of short leases for a worker that was forgotten and came back

What callers could see: a task that runs twice at once.

Cause: an unlisted worker without runs is forgotten after 10 s. If it came back under its id, it got leases of 3 s, while next owners relied on the promise of 1.2 s.

Change: the owner keeps the ids that it made a promise for as long as it owns the cell.

Measured: test_promise_holds_for_a_worker_that_was_forgotten_and_came_back failed before.

--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -25,7 +25,8 @@
     number of advice calls that may be made now, None if unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
     current. `has_quorum` is set once a quorum of workers has accepted this owner's
-    fence, `defers_*` while the owner is overloaded.
+    fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, by id,
+    the workers that were promised short leases, and whether they count for the quorum.
 
     Units: `*_ms` on the steady clock; `epoch_ms()` is the time since 1970.
     """
@@ -40,6 +41,7 @@
     live_jobs: dict = field(factory=dict)
     workers: dict = field(factory=dict)
     usages: dict = field(factory=dict)
+    short_lease_workers: dict = field(factory=dict)
     pending_stops: dict = field(factory=dict)
     effects: list = field(factory=list)
     journal: object = None
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
@@ -39,3 +39,34 @@
 def long_work(harness):
     for worker in harness.workers.values():
         worker.work_ms = 60_000.0
+
+
+# Runs at once on two workers: a worker that came back under its id after 10 s got long
+# leases, while next owners relied on the promise of short ones.
+def test_promise_holds_for_a_worker_that_was_forgotten_and_came_back(make_harness):
+    harness = make_harness(workers=4)
+    entries = harness.entries
+    harness.publish_worker_list(draining(entries, "w0"))
+    harness.run(300)
+    assert [row.worker_id for row in harness.lease_notices[0].leaving] == ["w0"]
+    harness.workers["w0"].end_incarnation(harness.now)
+    harness.publish_worker_list(without(entries, "w0"))
+    harness.run(12_000)
+    assert "w0" not in harness.cell.context.workers
+    worker = harness.workers["w0"]
+    worker.begin_incarnation(harness.now)
+    harness.publish_worker_list(
+        [
+            evolve(entry, born_epoch_ms=worker.born_epoch_ms)
+            if entry.worker_id == "w0"
+            else entry
+            for entry in entries
+        ]
+    )
+    harness.run(500)
+    long_work(harness)
+    harness.submit(JOB, job_spec(FULL_WORKER))
+    harness.run(60)
+    assert worker.running
+    cut_off_and_take_over(harness, "w0")
+    assert not tasks_run_twice(harness)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
@@ -39,6 +39,8 @@
     def _promise_short_leases(self, worker, until_ms):
         worker.has_short_leases = True
         worker.counts_for_quorum = not self._has_enough_others(worker)
+        promised = self._context.short_lease_workers
+        promised[worker.worker_id] = worker.counts_for_quorum
         return LeavingWorker(
             worker_id=worker.worker_id,
             born_epoch_ms=worker.born_epoch_ms,
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -95,6 +95,7 @@
                 tracked_since_ms=now_ms,
                 poll_due_ms=now_ms,
             )
+            self._keep_promise(worker)
             self._context.workers[entry.worker_id] = worker
             self._context.note("worker_listed", worker=entry.worker_id)
             return
@@ -119,6 +120,13 @@
         worker.entry = entry
         worker.is_listed = True
 
+    def _keep_promise(self, worker):
+        """Give a worker that was forgotten and came back the leases of its promise."""
+        counts_for_quorum = self._context.short_lease_workers.get(worker.worker_id)
+        if counts_for_quorum is not None:
+            worker.has_short_leases = True
+            worker.counts_for_quorum = counts_for_quorum
+
     def _log_capacity_change(self, worker, entry):
         """Log a change of a running worker's capacity."""
         previous_entry = worker.entry
