Promise short leases only for workers that have said that they leave

What callers could see: work of a sound worker lapses when its owner dies, and is done again, for as long as the cell lives.

Cause: a worker that answers while its entry is missing for 2.5 s was taken for one that leaves without saying so. Its entry may come back (the store had turned its heartbeats away), but a promise can't be taken back, and each owner passes it on to the next.

Change: only a draining entry leads to a promise. Workers that leave without a word are waited for as before (the longer sum); that stays open.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -191,7 +191,7 @@
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
             self.inherited_leases.check(now_ms)
-            self.leaving_workers.review(now_ms)
+            self.leaving_workers.review()
             self.registry.expire_leases(now_ms)
             self.losses.review(now_ms)
             self._takeover_report.review(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
@@ -70,3 +70,26 @@
     assert worker.running
     cut_off_and_take_over(harness, "w0")
     assert not tasks_run_twice(harness)
+
+
+# Sound workers got leases of 1.2 s for good, under all later owners too, after their
+# entries had been missing for 2.5 s: the store had turned their heartbeats away.
+def test_worker_whose_entry_is_back_gets_long_leases_again(make_harness):
+    harness = make_harness(workers=4)
+    entries = harness.entries
+    long_work(harness)
+    harness.submit(JOB, job_spec(FULL_WORKER))
+    harness.run(1_000)
+    harness.publish_worker_list(without(entries, "w0"))
+    harness.run(3_500)
+    harness.publish_worker_list(entries)
+    harness.run(500)
+    harness.is_owner_down = True
+    harness.run(100)
+    harness.take_over()
+    harness.run(60_000)
+    harness.is_owner_down = True
+    harness.run(100)
+    harness.take_over()
+    harness.run(1_000)
+    assert not harness.cell.context.workers["w0"].has_short_leases
--- a/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
@@ -7,9 +7,6 @@
 
 # At least this share of the workers has to count for the quorum.
 MIN_COUNTED_FRACTION = 0.5
-# An entry that lapsed in a store outage is back within 2 s of its end; one that is
-# missing for longer, of a worker that answers, belongs to a worker that leaves.
-ENTRY_RETURN_TIMEOUT_MS = 2_500.0
 
 
 class LeavingWorkers:
@@ -24,13 +21,13 @@
         self._context = context
         self._inherited_leases = inherited_leases
 
-    def review(self, now_ms):
+    def review(self):
         """Announce the workers that are newly known to leave."""
         leaving = []
         for worker in self._context.workers.values():
             if worker.has_short_leases:
                 continue
-            until_ms = self._long_leases_until_ms(worker, now_ms)
+            until_ms = self._long_leases_until_ms(worker)
             if until_ms is not None:
                 leaving.append(self._promise_short_leases(worker, until_ms))
         if leaving:
@@ -54,7 +51,7 @@
         others = sum(other.counts_for_quorum for other in workers) - 1
         return others >= MIN_COUNTED_FRACTION * len(workers)
 
-    def _long_leases_until_ms(self, worker, now_ms):
+    def _long_leases_until_ms(self, worker):
         """Return until when long leases last at a worker that leaves, or None.
 
         What the previous owner announced is passed on at once; otherwise its leases
@@ -63,7 +60,7 @@
         announced_ms = self._inherited_leases.long_leases_until_ms(worker)
         if announced_ms is not None:
             return max(worker.may_run_until_ms, announced_ms)
-        if self._inherited_leases.has_quorum and _leaves_for_good(worker, now_ms):
+        if self._inherited_leases.has_quorum and worker.entry.draining:
             return worker.runs_until_ms
         return None
 
@@ -83,10 +80,3 @@
             earlier_leases_until_ms=max(inherited_ms, default=0.0),
         )
         return LeaseNotice(epoch=self._context.epoch, end=end)
-
-
-def _leaves_for_good(worker, now_ms):
-    if worker.entry.draining:
-        return True
-    missing_ms = now_ms - worker.unlisted_since_ms
-    return worker.answers_unlisted and missing_ms > ENTRY_RETURN_TIMEOUT_MS
