Log no change of capacity for a worker whose capacity was not known

Found by the review: a takeover logged worker_room_changed, from a capacity of 0, for each worker with runs, since its stored location has none.

Measured: test_takeover_logs_no_change_of_capacity failed before.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
@@ -93,3 +93,15 @@
     harness.take_over()
     harness.run(1_000)
     assert not harness.cell.context.workers["w0"].has_short_leases
+
+
+# Each takeover logged that every worker with runs had changed its capacity from 0.
+def test_takeover_logs_no_change_of_capacity(make_harness):
+    harness = make_harness(workers=4)
+    long_work(harness)
+    harness.submit(JOB, job_spec(FULL_WORKER))
+    harness.run(1_000)
+    harness.is_owner_down = True
+    harness.take_over()
+    harness.run(500)
+    assert not [note for note in harness.notes if note.event == "worker_room_changed"]
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -135,7 +135,8 @@
             previous_entry.memory_mb,
             previous_entry.accelerators,
         )
-        if not previous_entry.host or previous_capacity == (
+        is_unknown = not previous_entry.host or previous_entry.is_lapsed
+        if is_unknown or previous_capacity == (
             entry.cpu_milli,
             entry.memory_mb,
             entry.accelerators,
