Trust no promise if an owner of an earlier release came after it

What callers could see, during an upgrade: a task that runs twice at once.

Cause: an owner of an earlier release stores its ownership under one key for all owners, which its successor replaced, and no epoch of its own. Between two newer ones it was not seen, and the promise of the one before it was taken to hold for its leases.

Change: owners no longer write that key, so that it shows the last owner of an earlier release. If that came after all known epochs, no promise counts, and all known workers are needed for the quorum.

Measured: test_promise_does_not_count_after_an_owner_of_an_earlier_release failed before.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lease_promises.py
@@ -105,3 +105,23 @@
     harness.take_over()
     harness.run(500)
     assert not [note for note in harness.notes if note.event == "worker_room_changed"]
+
+
+# The promise of an owner was taken to hold for the leases of an owner of an earlier
+# release, which stores its ownership but not its epoch.
+def test_promise_does_not_count_after_an_owner_of_an_earlier_release(make_harness):
+    harness = make_harness(workers=4)
+    long_work(harness)
+    harness.submit(JOB, job_spec(FULL_WORKER))
+    harness.run(300)
+    harness.publish_worker_list(draining(harness.entries, "w0"))
+    harness.run(LONG_MS)
+    harness.epoch += 1
+    harness.store["o"] = f'["edge-old",{harness.epoch}]'.encode()
+    harness.is_owner_down = True
+    harness.workers["w0"].is_unreachable = True
+    harness.take_over()
+    harness.run(300)
+    worker = harness.cell.context.workers["w0"]
+    waited_ms = worker.inherited_until_ms - harness.cell.context.taken_over_ms
+    assert waited_ms >= 1_000.0 + LONG_MS
--- a/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
@@ -14,6 +14,8 @@
 it gives any lease, which shows whether another owner came between.
 """
 
+import orjson
+
 from .lease_duration import LEASE_MS, SHORT_LEASE_MS, max_lease_duration_ms
 from .quorum import OUTAGE_GRACE_MS, QUORUM_ANSWER_MAX_AGE_MS, is_quorum
 
@@ -21,6 +23,9 @@
 
 # Prefix of the keys of the records that name the epochs of recent owners.
 EPOCH_KEY = "e"
+# Key under which owners of earlier releases store their name and epoch. One that came
+# after all known epochs has made no promise.
+LEGACY_OWNER_KEY = "o"
 
 
 class InheritedLeases:
@@ -71,17 +76,25 @@
 
     def load(self, records):
         """Load the epochs of previous owners, and bound what they may have given."""
+        self._earlier_epochs = self._epochs_in(records)
+        if self._earlier_epochs:
+            self._previous_worker_ids = tuple(self._context.workers)
+        for worker in self._context.workers.values():
+            worker.inherited_until_ms = self._bound_ms(None, None)
+
+    def _epochs_in(self, records):
+        """Return the epochs of earlier owners, the last first, none if unknown."""
         epochs = [
             int(key.removeprefix(EPOCH_KEY))
             for key in records
             if key.startswith(EPOCH_KEY)
         ]
         earlier = [epoch for epoch in epochs if epoch < self._context.epoch]
-        self._earlier_epochs = tuple(sorted(earlier, reverse=True))
-        if self._earlier_epochs:
-            self._previous_worker_ids = tuple(self._context.workers)
-        for worker in self._context.workers.values():
-            worker.inherited_until_ms = self._bound_ms(None, None)
+        if LEGACY_OWNER_KEY in records:
+            _, legacy_epoch = orjson.loads(records[LEGACY_OWNER_KEY])
+            if legacy_epoch > max(earlier, default=0):
+                return ()
+        return tuple(sorted(earlier, reverse=True))
 
     def check(self, now_ms):
         """Tighten the bounds once a quorum accepts the new fence.
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/takeover.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/takeover.py
@@ -11,8 +11,6 @@
 __all__ = ["Takeover"]
 
 RETRY_DELAY_MS = 80.0
-# Key of the record that holds the cell's owner and epoch.
-OWNER_KEY = "o"
 MAX_FIRST_SEQUENCE = 2**30
 
 
@@ -39,10 +37,9 @@
         if self._ended:
             return
         epoch = self._partition.epoch
-        owner = orjson.dumps([self._owner, epoch])
-        # The second key remains when the next owner replaces the first record.
+        # A key of its own, so that the next owner finds the epochs of those before it.
         self._partition.append(
-            records=[(OWNER_KEY, owner), (f"{EPOCH_KEY}{epoch}", owner)],
+            records=[(f"{EPOCH_KEY}{epoch}", orjson.dumps([self._owner, epoch]))],
             sequence=self.sequence,
             on_result=self._on_fence,
         )
