Take the silence of a worker that leaves for no sign of its hall

Cause: each unanswered poll makes the other workers of the hall suspect, which are polled at once and get no work until they answer. A next owner now polls workers that are gone, and each of these polls in vain did that.

Change: only the silence of a listed worker that does not leave counts.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
@@ -118,3 +118,16 @@
     polls = harness.cell.context.workers[idle].unanswered_in_row
     harness.run(3_000)
     assert harness.cell.context.workers[idle].unanswered_in_row <= polls + 1
+
+
+# Each unanswered poll of a gone worker made its whole hall suspect, which was polled.
+def test_silence_of_gone_workers_makes_no_other_suspect(harness):
+    gone = sorted(harness.workers)[:4]
+    listed = [entry for entry in harness.entries if entry.worker_id not in gone]
+    take_over_without(harness, gone, entries=listed)
+    harness.run(1_500)
+    workers = harness.cell.context.workers.values()
+    assert all(
+        worker.unanswered_in_row for worker in workers if worker.worker_id in gone
+    )
+    assert not any(w.suspected_ms for w in workers if w.worker_id not in gone)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -59,8 +59,11 @@
         """Poll the other workers of a silent worker's hall.
 
         A network fault mostly affects a whole hall, so they are suspect and get no new
-        work until they answer.
+        work until they answer. The silence of a worker that leaves, or that is not
+        listed, tells nothing of its hall.
         """
+        if worker.entry.draining or not worker.is_listed:
+            return
         hall = worker.entry.hall
         for other in self._context.workers.values():
             if other.entry.hall != hall or not other.entry.host:
