Let an owner and the next one count the same recorded workers for their quorums

What callers could see: a task that runs twice at once.

Cause: workers announced as leaving did not count for the owner's quorum. A next owner that had not got that notice in time counted them: with 9 or 10 of 20 leaving, the old owner kept 60% of the others while the next one had 60% of all, and waited too short.

With the notice the next one had no quorum at all (4 of the 10 that counted), where it had one before.

Change: which workers count no longer hangs on notices. An owner counts those whose records are stored, all of them, at 60%; the next one counts what it finds recorded, of which half have to accept its fence. Both can't have enough. Since the records name the same workers for both, half leaves a tenth for records of gone workers that were not removed yet.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -223,6 +223,7 @@
 
     def on_stored(self, batch):
         """Make the job states of a stored append visible."""
+        self._machine_records.on_stored(batch.other_records)
         for job, state in batch.job_states:
             job.visible_state = state
 
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -25,8 +25,8 @@
     number of advice calls that may be made now, None if unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
     current. `has_quorum` is set once a quorum of workers has accepted this owner's
-    fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, by id,
-    the workers that were promised short leases, and whether they count for the quorum.
+    fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, as
+    ordered keys, the ids of the workers that were promised short leases.
 
     Units: `*_ms` on the steady clock; `epoch_ms()` is the time since 1970.
     """
--- a/packages/thymefork-cells/src/thymefork_cells/lease_notice.py
+++ b/packages/thymefork-cells/src/thymefork_cells/lease_notice.py
@@ -10,8 +10,7 @@
     """A worker that is about to leave and gets only short leases from now on.
 
     `born_epoch_ms` identifies its incarnation, 0 if unknown. All longer leases, also of
-    earlier owners, end by `long_leases_until_ms`. The quorum of the announcing owner
-    includes it if it `counts_for_quorum`.
+    earlier owners, end by `long_leases_until_ms`.
 
     Units: `long_leases_until_ms` on the steady clock.
     """
@@ -19,7 +18,6 @@
     worker_id: str
     born_epoch_ms: int
     long_leases_until_ms: float
-    counts_for_quorum: bool
 
 
 @frozen(kw_only=True)
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -33,9 +33,9 @@
     the previous one, `extended_lease_until_ms` any lease sent to an earlier
     incarnation. `lease_sent_ms` is when a lease was last sent, `leases_expired_ms` when
     all leases were last presumed expired. With `has_short_leases`, possible next owners
-    were told that this owner gives only short ones, and without `counts_for_quorum`,
-    that it does not need the worker's answer for its quorum; `is_announced_leaving` is
-    set if the previous owner told so.
+    were told that this owner gives only short ones; `is_announced_leaving` is set if
+    the previous owner told so. It `is_recorded` if next owners will find it in the
+    store.
 
     `answered_poll_ms` is when the latest answered poll was sent: a paused process may
     read the answer much later. `unanswered_since_ms` is when the first of the latest
@@ -68,7 +68,7 @@
     clock_read_ms: float = 0.0
     last_clock_ms: int = 0
     has_short_leases: bool = False
-    counts_for_quorum: bool = True
+    is_recorded: bool = False
     is_announced_leaving: bool = False
     may_run_until_ms: float = 0.0
     inherited_until_ms: float = 0.0
--- a/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/inherited_leases.py
@@ -17,7 +17,13 @@
 import orjson
 
 from .lease_duration import LEASE_MS, SHORT_LEASE_MS, max_lease_duration_ms
-from .quorum import OUTAGE_GRACE_MS, QUORUM_ANSWER_MAX_AGE_MS, is_quorum
+from .quorum import (
+    INHERITED_QUORUM_FRACTION,
+    OUTAGE_GRACE_MS,
+    QUORUM_ANSWER_MAX_AGE_MS,
+    QUORUM_FRACTION,
+    is_quorum,
+)
 
 __all__ = ["EPOCH_KEY", "InheritedLeases"]
 
@@ -118,18 +124,14 @@
         Without records of them all workers that are known by now have to do.
         """
         workers = self._context.workers
-        ids = self._previous_worker_ids or workers
-        voters = [worker_id for worker_id in ids if self._has_counted(worker_id)]
+        recorded_ids = self._previous_worker_ids
         accepted = sum(
             worker_id in workers and workers[worker_id].has_answered
-            for worker_id in voters
+            for worker_id in recorded_ids or workers
         )
-        return is_quorum(accepted, len(voters))
-
-    def _has_counted(self, worker_id):
-        """Return whether the previous owner's quorum included a worker."""
-        leaving = self._leaving.get(worker_id)
-        return leaving is None or leaving.counts_for_quorum
+        if recorded_ids:
+            return is_quorum(accepted, len(recorded_ids), INHERITED_QUORUM_FRACTION)
+        return is_quorum(accepted, len(workers), QUORUM_FRACTION)
 
     def apply(self, notice):
         """Tighten the bounds by an announcement of a previous owner."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/leaving_workers.py
@@ -5,16 +5,12 @@
 
 __all__ = ["LeavingWorkers"]
 
-# At least this share of the workers has to count for the quorum.
-MIN_COUNTED_FRACTION = 0.5
-
 
 class LeavingWorkers:
     """Choose the workers that get short leases, and tell possible next owners.
 
-    Most of them are gone by the time a next owner needs a quorum, so they do not count
-    for it where enough others do. A promise holds as long as the ownership, also for
-    later incarnations under the same id: next owners rely on it.
+    A promise holds as long as the ownership, also for later incarnations under the same
+    id: next owners rely on it.
     """
 
     def __init__(self, *, context, inherited_leases):
@@ -35,22 +31,13 @@
 
     def _promise_short_leases(self, worker, until_ms):
         worker.has_short_leases = True
-        worker.counts_for_quorum = not self._has_enough_others(worker)
-        promised = self._context.short_lease_workers
-        promised[worker.worker_id] = worker.counts_for_quorum
+        self._context.short_lease_workers[worker.worker_id] = None
         return LeavingWorker(
             worker_id=worker.worker_id,
             born_epoch_ms=worker.born_epoch_ms,
             long_leases_until_ms=until_ms,
-            counts_for_quorum=worker.counts_for_quorum,
         )
 
-    def _has_enough_others(self, worker):
-        """Return whether enough other workers count for the quorum."""
-        workers = self._context.workers.values()
-        others = sum(other.counts_for_quorum for other in workers) - 1
-        return others >= MIN_COUNTED_FRACTION * len(workers)
-
     def _long_leases_until_ms(self, worker):
         """Return until when long leases last at a worker that leaves, or None.
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -43,6 +43,7 @@
         if worker.entry.host:
             return
         worker.entry = entry
+        worker.is_recorded = True
         worker.tracked_since_ms = worker.unlisted_since_ms = now_ms
         if entry.born_epoch_ms:
             worker.born_epoch_ms = entry.born_epoch_ms
@@ -122,10 +123,8 @@
 
     def _keep_promise(self, worker):
         """Give a worker that was forgotten and came back the leases of its promise."""
-        counts_for_quorum = self._context.short_lease_workers.get(worker.worker_id)
-        if counts_for_quorum is not None:
-            worker.has_short_leases = True
-            worker.counts_for_quorum = counts_for_quorum
+        promised = self._context.short_lease_workers
+        worker.has_short_leases = worker.worker_id in promised
 
     def _log_capacity_change(self, worker, entry):
         """Log a change of a running worker's capacity."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/lease_notice_buffer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/lease_notice_buffer.py
@@ -124,7 +124,6 @@
             worker_id=worker.worker_id,
             born_epoch_ms=worker.born_epoch_ms,
             long_leases_end_in_ms=_time_left_ms(worker.long_leases_until_ms, now_ms),
-            counts_for_quorum=worker.counts_for_quorum,
         )
         for worker in notice.leaving
     ]
@@ -149,7 +148,6 @@
             worker_id=row.worker_id,
             born_epoch_ms=row.born_epoch_ms,
             long_leases_until_ms=now_ms + row.long_leases_end_in_ms,
-            counts_for_quorum=row.counts_for_quorum,
         )
         for row in message.leaving
     )
--- a/packages/thymefork-net/peers.thrift
+++ b/packages/thymefork-net/peers.thrift
@@ -33,8 +33,6 @@
   2: required i64 born_epoch_ms
   /* The time until all longer leases are over. */
   3: required i64 long_leases_end_in_ms
-  /* Whether the owner needs its answer for the quorum. */
-  4: required bool counts_for_quorum
 }
 
 /* The end of an ownership, after which its owner renews no lease. */
--- a/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
+++ b/packages/thymefork-net/src/thymefork_net/peers/gen/ttypes.py
@@ -409,7 +409,6 @@
      - worker_id
      - born_epoch_ms
      - long_leases_end_in_ms
-     - counts_for_quorum
 
     """
 
@@ -417,15 +416,13 @@
         'worker_id',
         'born_epoch_ms',
         'long_leases_end_in_ms',
-        'counts_for_quorum',
     )
 
 
-    def __init__(self, worker_id=None, born_epoch_ms=None, long_leases_end_in_ms=None, counts_for_quorum=None,):
+    def __init__(self, worker_id=None, born_epoch_ms=None, long_leases_end_in_ms=None,):
         self.worker_id = worker_id
         self.born_epoch_ms = born_epoch_ms
         self.long_leases_end_in_ms = long_leases_end_in_ms
-        self.counts_for_quorum = counts_for_quorum
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -451,11 +448,6 @@
                     self.long_leases_end_in_ms = iprot.readI64()
                 else:
                     iprot.skip(ftype)
-            elif fid == 4:
-                if ftype == TType.BOOL:
-                    self.counts_for_quorum = iprot.readBool()
-                else:
-                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -478,10 +470,6 @@
             oprot.writeFieldBegin('long_leases_end_in_ms', TType.I64, 3)
             oprot.writeI64(self.long_leases_end_in_ms)
             oprot.writeFieldEnd()
-        if self.counts_for_quorum is not None:
-            oprot.writeFieldBegin('counts_for_quorum', TType.BOOL, 4)
-            oprot.writeBool(self.counts_for_quorum)
-            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -492,8 +480,6 @@
             raise TProtocolException(message='Required field born_epoch_ms is unset!')
         if self.long_leases_end_in_ms is None:
             raise TProtocolException(message='Required field long_leases_end_in_ms is unset!')
-        if self.counts_for_quorum is None:
-            raise TProtocolException(message='Required field counts_for_quorum is unset!')
         return
 
     def __repr__(self):
@@ -2644,7 +2630,6 @@
     (1, TType.STRING, 'worker_id', 'UTF8', None, ),  # 1
     (2, TType.I64, 'born_epoch_ms', None, None, ),  # 2
     (3, TType.I64, 'long_leases_end_in_ms', None, None, ),  # 3
-    (4, TType.BOOL, 'counts_for_quorum', None, None, ),  # 4
 )
 all_structs.append(OwnerEnd)
 OwnerEnd.thrift_spec = (
