--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -203,7 +203,7 @@
             self.progress_monitor.check(now_ms)
             self.gang_monitor.check(now_ms)
             self.pacing.check(now_ms)
-            self._forget_ended(now_ms)
+            self.lifecycle.forget_ended(now_ms)
             self.context.needs_plan = True
         if self.context.needs_plan:
             self.placer.plan(now_ms)
@@ -212,13 +212,6 @@
         poll_ms = self.poller.schedule(now_ms)
         return min(poll_ms, parts_ms, self._review_due_ms)
 
-    def _forget_ended(self, now_ms):
-        oldest_ms = now_ms - self.context.bounds.status_retention_ms * 1.5
-        for job in list(self.context.jobs.values()):
-            if not job.is_live and job.ended_ms < oldest_ms and not job.runs:
-                del self.context.jobs[job.job_id]
-                self.journal.drop(job)
-
     # Store -------------------------------------------------------------------
 
     def on_stored(self, batch):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -246,6 +246,14 @@
             critical_path_ms += job.critical_path_step_count * advice_call_ms
         return queue.stretch * critical_path_ms + queue.target_latency_ms
 
+    def forget_ended(self, now_ms):
+        """Drop the ended jobs that callers are no longer told about."""
+        oldest_ms = now_ms - self._context.bounds.status_retention_ms * 1.5
+        for job in list(self._context.jobs.values()):
+            if not job.is_live and job.ended_ms < oldest_ms and not job.runs:
+                del self._context.jobs[job.job_id]
+                self._context.journal.drop(job)
+
     def stop(self, run, reason, *, now_ms):
         """Have a run stopped; an unsent one is released when its start is due.
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -1,14 +1,13 @@
 """Owner of one cell on this instance."""
 
-import time
-
 from loguru import logger
 
-from thymefork_cells import Cell, effects as fx
+from thymefork_cells import effects as fx
 from thymefork_net import steady_ms
 
 from .advice_dispatcher import AdviceDispatcher
 from .append_pipeline import AppendPipeline
+from .cell_loading import load_cell
 from .cell_partition import CellPartition
 from .command_sender import CommandSender
 from .effect_executor import EffectExecutor
@@ -202,7 +201,13 @@
 
     def _serve(self, records):
         now_ms = steady_ms()
-        self.cell = cell = self._load_cell(records, now_ms)
+        self.cell = cell = load_cell(
+            daemon=self._daemon,
+            cell_index=self.cell_index,
+            epoch=self.epoch,
+            records=records,
+            now_ms=now_ms,
+        )
         self._request_handler = RequestHandler(
             cell=cell,
             ownership=self._ownership,
@@ -234,19 +239,6 @@
         self.on_links_changed()
         self._daemon.owned_cells.on_serving()
 
-    def _load_cell(self, records, now_ms):
-        cell = Cell(
-            cell=self.cell_index,
-            epoch=self.epoch,
-            cell_count=self._daemon.layout.cells,
-            bounds=self._daemon.settings.bounds,
-            configuration=self._daemon.configuration,
-            membership_ms=self._daemon.membership.ttl_ms,
-            now_ms=now_ms,
-        )
-        cell.load(records, epoch_ms=time.time() * 1000.0, now_ms=now_ms)
-        return cell
-
     # Inputs ------------------------------------------------------------------
 
     def request(self, kind, queue, job_id, data, respond, **options):
