Test a partitioned owner that lives on beside its successors

Guards against tasks that run twice since a successor counts the leases of workers that leave too short, while the owner before it still renews them.

The harness lets former owners go on without the store, with workers out of reach for each, and virtual workers have a clock rate.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
@@ -19,12 +19,15 @@
 
     def __init__(self, *, harness):
         self._harness = harness
-        self._heard_incarnations = {}  # by worker, on the open connections
+        self._heard_incarnations = {}  # by owner and worker, on the open connections
         self.starts_unanswered = Counter()
 
-    def forget_connections(self):
-        """Drop all connections, as for a new owner."""
-        self._heard_incarnations.clear()
+    def _check_fence(self, cell, answer):
+        if answer.refusal is Refusal.FENCED:
+            self._harness.partitions.on_fenced(cell)
+
+    def _is_cut(self, cell, worker):
+        return not self._harness.partitions.reaches(cell, worker)
 
     def start(self, cell, effect):
         run = effect.run
@@ -39,7 +42,7 @@
             self.starts_unanswered[run.task.name] += 1
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
             answer = CommandAnswer(refusal=Refusal.SILENCE)
-        elif worker.is_unreachable or self._harness.is_command_lost(effect):
+        elif self._is_cut(cell, worker) or self._harness.is_command_lost(effect):
             self.starts_unanswered[run.task.name] += 1
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
             answer = CommandAnswer(refusal=Refusal.SILENCE)
@@ -52,6 +55,7 @@
             if self._harness.is_start_answer_lost(effect):
                 yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
                 answer = CommandAnswer(refusal=Refusal.SILENCE)
+        self._check_fence(cell, answer)
         if self._harness.is_current(cell):
             cell.on_start_answer(run, answer, now_ms=self._harness.now)
 
@@ -123,13 +127,16 @@
         if worker.is_replaced:
             yield self._harness.env.timeout(COMMAND_LATENCY_MS)
             answer = CommandAnswer(refusal=Refusal.OTHER_LIFE)
-        elif late or worker.is_unreachable or self._harness.is_command_lost(effect):
+        elif (
+            late or self._is_cut(cell, worker) or self._harness.is_command_lost(effect)
+        ):
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
             answer = CommandAnswer(refusal=Refusal.SILENCE)
         else:
             yield self._harness.env.timeout(self._harness.command_latency_ms(effect))
             answer = worker.stop(*stop, self._harness.now)
             yield self._harness.env.timeout(self._harness.answer_latency_ms(effect))
+        self._check_fence(cell, answer)
         if self._harness.is_current(cell) and not isinstance(run, fx.OrphanedRun):
             cell.on_stop_answer(run, answer, now_ms=self._harness.now)
 
@@ -138,7 +145,7 @@
         worker = self._harness.workers[run.worker.worker_id]
         fence = run.worker.fence(cell.context.epoch)
         task, run_id = run.key
-        if worker.is_unreachable or self._harness.is_command_lost(effect):
+        if self._is_cut(cell, worker) or self._harness.is_command_lost(effect):
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
             answer = CommandAnswer(refusal=Refusal.SILENCE)
         else:
@@ -156,9 +163,8 @@
             )
             deadline_ms = effect.worker.clock_ms(self._harness.now) + effect.lease_ms
         fence = effect.worker.fence(cell.context.epoch)
-        is_first = (
-            self._heard_incarnations.get(worker.worker_id) != worker.born_epoch_ms
-        )
+        connection = (cell, worker.worker_id)
+        is_first = self._heard_incarnations.get(connection) != worker.born_epoch_ms
         poll = (fence, 0, 0.0) if is_first else (fence, effect.last_end, deadline_ms)
         wait_ms = 0 if is_first else effect.wait_ms
         if self._schedule_if_delayed(effect, worker, self._deliver_poll, poll):
@@ -169,7 +175,7 @@
                 )
             return
         until_ms = self._harness.now + max(wait_ms, COMMAND_LATENCY_MS)
-        while self._harness.now < until_ms and not worker.is_unreachable:
+        while self._harness.now < until_ms and not self._is_cut(cell, worker):
             worker.advance(self._harness.now)
             if wait_ms and any(r.number > effect.last_end for r in worker.ended):
                 break
@@ -179,19 +185,21 @@
             if self._harness.is_current(cell):
                 cell.on_other_incarnation(effect.worker, now_ms=self._harness.now)
             return
-        if not worker.is_unreachable:
+        if not self._is_cut(cell, worker):
             report = worker.poll(*poll, self._harness.now)
+            if report is None:
+                self._harness.partitions.on_fenced(cell)
         else:
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
         if not self._harness.is_current(cell):
             return
         if report is None:
-            self._heard_incarnations.pop(worker.worker_id, None)
+            self._heard_incarnations.pop(connection, None)
             cell.poller.on_poll_unanswered(
                 effect.worker, quick=effect.quick, now_ms=self._harness.now
             )
         else:
-            self._heard_incarnations[worker.worker_id] = report.born_epoch_ms
+            self._heard_incarnations[connection] = report.born_epoch_ms
             cell.on_report(
                 effect.worker,
                 report,
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -14,6 +14,7 @@
 from .harness_defaults import QUEUE, configuration, job_spec, worker_entries, worker_ids
 from .idle_cell_owners import PARTS, IdleCellOwners
 from .machine_faults import MachineFaults
+from .partitioned_owners import PartitionedOwners
 from .virtual_gangs import VirtualGangs
 from .virtual_worker import START_EPOCH_MS, VirtualWorker
 
@@ -49,8 +50,9 @@
     `keeps_worker_ids`, as the same one, listed `entry_delay_ms` later. `crashes` lists
     the crashes.
 
-    `owners` delivers limit part messages to the owners of other cells, by default idle
-    ones. `violations` lists the starts that exceeded a worker's cpu.
+    `partitions` holds former owners that go on without the store. `owners` delivers
+    limit part messages to the owners of other cells, by default idle ones. `violations`
+    lists the starts that exceeded a worker's cpu.
     """
 
     def __init__(
@@ -74,6 +76,7 @@
         self.owners = owners or IdleCellOwners(harness=self)
         self.transport = CommandTransport(harness=self)
         self.faults = MachineFaults(harness=self)
+        self.partitions = PartitionedOwners(harness=self)
         self.gangs = None
         self.workers = {
             worker_id: VirtualWorker(worker_id=worker_id)
@@ -127,7 +130,6 @@
         """Start a new owner from the stored state."""
         self.epoch += 1
         self.is_owner_down = False
-        self.transport.forget_connections()
         self.appending = False
         self.cell = Cell(
             cell=self.cell_index,
@@ -252,7 +254,7 @@
     # The owner's part ----------------------------------------------------------
 
     def _run_cycles(self, cell):
-        while cell is self.cell and not self.is_owner_down:
+        while self.is_current(cell):
             self._run_cycle(cell)
             yield self.env.timeout(self.cycle_interval_ms())
 
@@ -269,6 +271,8 @@
         self._make_decisions(cell)
         for effect in cell.take_effects():
             self._perform(cell, effect)
+        if cell in self.partitions:
+            return
         if not self.appending and not cell.journal.is_empty:
             self.appending = True
             self.env.process(self._append(cell, cell.journal.take(self.now)))
@@ -292,6 +296,7 @@
             self._perform(cell, effect)
 
     def _perform(self, cell, effect):
+        effect = self.partitions.limit(cell, effect)
         if isinstance(effect, fx.Reply):
             self.replies[effect.reply_to] = effect
         elif isinstance(effect, fx.Note):
@@ -322,6 +327,8 @@
 
     def is_current(self, cell):
         """Return whether a cell still has its owner."""
+        if cell in self.partitions:
+            return True
         return cell is self.cell and not self.is_owner_down
 
     def publish_worker_list(self, entries):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -44,12 +44,14 @@
     with `fails_all` all tasks do. The next `ignored_stops` stops are answered but not
     carried out; others take `stop_duration_ms`. Serving tasks have a latency tail of
     `tail_ms`. `pace_percents` holds the pace of each run. `history` holds the runs of
-    all incarnations, `lease_lapsed_ms` is when the lease last expired.
+    all incarnations, `lease_lapsed_ms` is when the lease last expired. Its clock runs
+    at `clock_rate`.
     """
 
     worker_id: str
     work_ms: float = 800.0
     clock_offset_ms: float = 5_000.0
+    clock_rate: float = 1.0
     born_epoch_ms: int = int(START_EPOCH_MS)
     history: list = field(factory=list)
     is_unreachable: bool = False
@@ -76,7 +78,7 @@
     lease_lapsed_ms: float = 0.0
 
     def clock(self, now_ms):
-        return round(now_ms + self.clock_offset_ms)
+        return round(now_ms * self.clock_rate + self.clock_offset_ms)
 
     def end_incarnation(self, now_ms):
         """Lose all runs and state, and become unreachable."""
@@ -90,7 +92,7 @@
         """Start a new incarnation under the same id."""
         self.is_unreachable = False
         self.born_epoch_ms = max(self.born_epoch_ms + 1, int(START_EPOCH_MS + now_ms))
-        self.clock_offset_ms = FIRST_CLOCK_MS - now_ms
+        self.clock_offset_ms = FIRST_CLOCK_MS - now_ms * self.clock_rate
         self.fence = 0
         self.lease_until_ms = 0.0
         self.closed.clear()
@@ -164,7 +166,10 @@
     def _take_lease(self, deadline_clock_ms, now_ms):
         if now_ms > self.lease_until_ms:
             self.lease_lapsed_ms = self.lease_until_ms
-        until_ms = min(deadline_clock_ms - self.clock_offset_ms, now_ms + MAX_HOLD_MS)
+        until_ms = min(
+            (deadline_clock_ms - self.clock_offset_ms) / self.clock_rate,
+            now_ms + MAX_HOLD_MS / self.clock_rate,
+        )
         self.lease_until_ms = max(self.lease_until_ms, until_ms)
 
     def _refusal_of(self, task, run_id, fence, deadline_clock_ms, now_ms):
