--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -21,10 +21,13 @@
 from .workers.extended_leases import ExtendedLeases
 from .workers.gang_monitor import GangMonitor
 from .workers.incarnations import IncarnationMatch, IncarnationTracker
+from .workers.inherited_leases import InheritedLeases
+from .workers.leaving_workers import LeavingWorkers
 from .workers.machine_records import MachineRecords
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
+from .workers.takeover_report import TakeoverReport
 from .workers.worker_losses import WorkerLosses
 from .workers.worker_poller import WorkerPoller
 from .workers.worker_registry import WorkerRegistry
@@ -53,7 +56,13 @@
             configuration=configuration,
         )
         self.context.journal = Journal()
-        self.quorum = Quorum(context=self.context, membership_ms=membership_ms)
+        self.quorum = Quorum(context=self.context)
+        self.inherited_leases = InheritedLeases(
+            context=self.context, quorum=self.quorum, membership_ms=membership_ms
+        )
+        self.leaving_workers = LeavingWorkers(
+            context=self.context, inherited_leases=self.inherited_leases
+        )
         self._review_due_ms = now_ms
         self.durations = ImageDurations()
         self.speeds = WorkerSpeeds()
@@ -61,10 +70,19 @@
             context=self.context, durations=self.durations, speeds=self.speeds
         )
         self.lifecycle = Lifecycle(context=self.context)
-        self.losses = WorkerLosses(context=self.context, lifecycle=self.lifecycle)
+        self._takeover_report = TakeoverReport(
+            context=self.context, inherited_leases=self.inherited_leases
+        )
+        self.losses = WorkerLosses(
+            context=self.context,
+            lifecycle=self.lifecycle,
+            takeover_report=self._takeover_report,
+        )
         self.unstored_ends = UnstoredEnds(context=self.context)
         self.inherited_ends = InheritedEnds(
-            context=self.context, lifecycle=self.lifecycle
+            context=self.context,
+            lifecycle=self.lifecycle,
+            takeover_report=self._takeover_report,
         )
         self.poller = WorkerPoller(
             context=self.context,
@@ -154,9 +172,10 @@
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
-        self._machine_records.load(records)
+        self._machine_records.load(records, self.registry)
         self.parts.load(records)
-        self.quorum.bound_inherited_leases(now_ms)
+        self.inherited_leases.load(records)
+        self._takeover_report.begin()
 
     def on_configuration(self, configuration):
         """Apply a newer configuration."""
@@ -171,9 +190,11 @@
         self.unstored_ends.announce_if_late(now_ms)
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
-            self.quorum.check(now_ms)
+            self.inherited_leases.check(now_ms)
+            self.leaving_workers.review(now_ms)
             self.registry.expire_leases(now_ms)
             self.losses.review(now_ms)
+            self._takeover_report.review(now_ms)
             self.extended_leases.review(now_ms)
             self._machine_records.review()
             self.commands.stop_unconfirmed_starts(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/outage_cases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/outage_cases.py
@@ -4,8 +4,6 @@
 
 from attrs import evolve, frozen
 
-from thymefork_cells.effects import AnnounceEnds
-
 from .harness import job_spec
 from .virtual_worker import VirtualWorker
 
@@ -127,12 +125,9 @@
 
 
 def end_owner(harness, is_planned):
-    """End the owner at once, or as planned: it announces its unstored run ends."""
+    """End the owner at once, or as planned: it announces what is not stored."""
     if is_planned:
-        harness.cell.unstored_ends.announce(harness.now)
-        for effect in harness.cell.take_effects():
-            if isinstance(effect, AnnounceEnds):
-                harness.announced_ends += effect.ends
+        harness.stop_owner()
     harness.is_owner_down = True
 
 
