--- a/packages/thymefork-cells/src/thymefork_cells/tests/partition_cases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/partition_cases.py
@@ -29,8 +29,9 @@
 class PartitionCase:
     """Draw the moments of a case from its seed, and play it.
 
-    The first owner is cut off from the store at once, or is not reached by its end after
-    an outage for all. `leaving` are the entries of the workers that leave.
+    The first owner is cut off from the store at once, or stays so after an outage for
+    all. `leaving` are the entries of the workers that leave, `owners` the cells of the
+    owners that were cut off.
     """
 
     seed: int
@@ -38,6 +39,7 @@
     rng: random.Random = field(init=False)
     events: list = field(factory=list, init=False)
     leaving: list = field(factory=list, init=False)
+    owners: list = field(factory=list, init=False)
 
     def play(self):
         """Play the case; return the harness."""
@@ -138,8 +140,10 @@
         outage_ms = rng.choice((0.0, rng.uniform(1_000.0, 6_000.0)))
         taken_over_ms = max(member_until_ms, CUT_AT_MS + outage_ms)
         taken_over_ms += rng.uniform(0.0, 500.0)
-        notices_fences = rng.random() < 0.5
-        self._at(CUT_AT_MS, self._cut_owner_off, member_until_ms, notices_fences)
+        notices_fences, tells = rng.random() < 0.5, rng.random() < 0.6
+        self._at(CUT_AT_MS, self._cut_owner_off, member_until_ms, notices_fences, tells)
+        if rng.random() < 0.5:
+            self._at(rng.uniform(CUT_AT_MS, taken_over_ms + 3_000.0), self._stop_first)
         self._draw_reach(taken_over_ms)
         if rng.random() < 0.5:
             taken_over_ms = self._draw_owner_between(taken_over_ms)
@@ -169,10 +173,16 @@
         if rng.random() < 0.5:
             self._at(ends_ms, setattr, harness, "is_owner_down", True)
         else:
-            self._at(ends_ms, self._cut_owner_off, ends_ms + MEMBERSHIP_MS, True)
+            until_ms = ends_ms + MEMBERSHIP_MS
+            self._at(ends_ms, self._cut_owner_off, until_ms, True, rng.random() < 0.6)
         return ends_ms + MEMBERSHIP_MS + rng.uniform(0.0, 1_000.0)
 
-    def _cut_owner_off(self, member_until_ms, notices_fences):
+    def _cut_owner_off(self, member_until_ms, notices_fences, tells):
+        self.owners.append(self.harness.cell)
         self.harness.partitions.add(
-            member_until_ms=member_until_ms, notices_fences=notices_fences
+            member_until_ms=member_until_ms, notices_fences=notices_fences, tells=tells
         )
+
+    def _stop_first(self):
+        """End the first owner as planned."""
+        self.harness.partitions.stop(self.owners[0])
