--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -1,6 +1,7 @@
 """Poll workers for their runs, and process their reports or missing answers."""
 
 from ..effects import EndsStored, PollWorker
+from ..state.worker import MAX_UNANSWERED_POLLS
 from .lease_duration import lease_ms_for, max_lease_duration_ms
 from .run_reconciler import RunReconciler
 
@@ -24,10 +25,6 @@
 # off few.
 MIN_POLL_RETRY_DELAY_MS = 150.0
 MAX_POLL_RETRY_DELAY_MS = 400.0
-# A worker has no contact after this many unanswered polls in a row. Leases are renewed
-# only by polls that follow an answered one, so that the tasks of a worker that falls
-# silent can soon start elsewhere.
-MAX_UNANSWERED_POLLS = 2
 # Checking all workers for due polls is expensive, so it is done this often. Workers
 # with changes are checked in the next cycle.
 FULL_SCAN_INTERVAL_MS = 20.0
@@ -113,8 +110,10 @@
         return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms(worker))
 
     def _is_needed(self, worker):
-        if not worker.has_reported or worker.runs or worker.orphaned_runs:
+        if worker.runs or worker.orphaned_runs:
             return True
+        if not worker.has_reported:
+            return worker.is_listed or self._needs_quorum
         if (
             worker.suspected_ms > worker.last_answer_ms
             or self._context.is_store_unavailable
@@ -124,6 +123,11 @@
             return False  # it keeps its ends until they are acknowledged
         return worker.stored_end > worker.acknowledged_end
 
+    @property
+    def _needs_quorum(self):
+        """Return whether workers without runs are asked for the quorum."""
+        return self._context.is_store_unavailable or not self._context.has_quorum
+
     def _send_quick_poll(self, worker, now_ms):
         """Send a second poll, without a wait, if something has to be known at once."""
         if worker.is_quick_polling or worker.unanswered_in_row:
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -4,7 +4,6 @@
 from ..specs import WorkerEntry
 from ..state import Worker
 from .incarnations import IncarnationMatch
-from .worker_poller import MAX_UNANSWERED_POLLS
 
 __all__ = ["WorkerRegistry"]
 
@@ -38,17 +37,17 @@
             self._context.workers[worker_id] = worker
         return worker
 
-    def complete_placeholder(self, worker_id, entry):
-        """Give a placeholder its last known entry, so that it can be asked."""
-        worker = self._context.workers.get(worker_id)
-        if worker is None or worker.entry.host:
+    def add_unlisted(self, entry, *, now_ms):
+        """Add a worker by its last known entry, so that it can be asked."""
+        worker = self.get_or_add_placeholder(entry.worker_id)
+        if worker.entry.host:
             return
         worker.entry = entry
-        worker.unlisted_since_ms = self._context.taken_over_ms
+        worker.tracked_since_ms = worker.unlisted_since_ms = now_ms
         if entry.born_epoch_ms:
             worker.born_epoch_ms = entry.born_epoch_ms
             worker.incarnation_number = self._incarnations.incarnation_number(
-                worker_id, entry.born_epoch_ms
+                entry.worker_id, entry.born_epoch_ms
             )
 
     @property
@@ -176,11 +175,7 @@
     def expire_leases(self, now_ms):
         """Release the runs of workers without contact whose leases have expired."""
         for worker in list(self._context.workers.values()):
-            has_no_contact = (
-                worker.unanswered_in_row >= MAX_UNANSWERED_POLLS
-                or not worker.entry.host
-            )
-            if worker.runs and has_no_contact and now_ms > worker.runs_until_ms:
+            if worker.runs and worker.has_no_contact and now_ms > worker.runs_until_ms:
                 self._expire_runs(worker, now_ms)
             unlisted = not worker.is_listed and not worker.runs
             last_seen_ms = max(
