Bound what members keep of an owner's promises, and keep the longest of each

Found by the review. What callers could see: work that stands still for longer, since a link between instances breaks on a message over 1 MB; in theory a task that runs twice.

Cause: the bound on workers held for one notice, not for an epoch, and each leave is a notice; all that is kept went in one heartbeat (2.3 MB at the bounds). Of two promises about a worker the first was kept, though the second may name a later end.

Change: the bound holds for an epoch, messages hold 1,000 workers at most, and the later end counts.

Measured: three tests, of which the review's versions failed before.

--- a/packages/thymefork-daemon/src/thymefork_daemon/lease_notice_buffer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/lease_notice_buffer.py
@@ -2,7 +2,7 @@
 
 import math
 
-from attrs import define, field
+from attrs import define, evolve, field
 from loguru import logger
 
 from thymefork_cells import LeaseNotice, LeavingWorker, OwnerEnd
@@ -18,9 +18,11 @@
 # Longer than an owner keeps its cell without the store (8 s) plus the takeover that
 # follows, which a longer outage may delay.
 RETENTION_MS = 60_000.0
-# Bounds memory and the size of heartbeats; a worker takes some 40 bytes of them.
-MAX_WORKERS_PER_CELL = 4_000
+# Bound memory. What is not kept is not promised: the next owner waits for longer.
+MAX_WORKERS_PER_EPOCH = 4_000
 MAX_EPOCHS_PER_CELL = 20
+# Keeps a message well below the size limit of 1 MiB: a worker takes some 40 bytes.
+MAX_WORKERS_PER_MESSAGE = 1_000
 
 
 @define(kw_only=True)
@@ -31,6 +33,16 @@
     leaving: dict = field(factory=dict)  # by worker id
     end: OwnerEnd | None = None
 
+    def add(self, notice):
+        """Add a later notice of the same owner."""
+        for worker in notice.leaving:
+            known = self.leaving.get(worker.worker_id)
+            if known is None and len(self.leaving) >= MAX_WORKERS_PER_EPOCH:
+                continue
+            if known is None or _lasts_longer(worker, known):
+                self.leaving[worker.worker_id] = worker
+        self.end = self.end or notice.end
+
     def as_notice(self, epoch):
         leaving = tuple(self.leaving.values())
         return LeaseNotice(epoch=epoch, leaving=leaving, end=self.end)
@@ -51,7 +63,8 @@
     def announce(self, cell, notice):
         """Buffer a local owner's notice, and send it to the other members."""
         self._add(cell, notice)
-        self._daemon.peers.send_to_members([_to_message(cell, notice)])
+        for message in _to_messages(cell, notice):
+            self._daemon.peers.send_to_members([message])
         self._daemon.metrics.count("lease_notices", "announced")
 
     def on_message(self, message):
@@ -77,8 +90,7 @@
         for cell, owner in self._daemon.owners.items():
             promises = self._promises_by_cell.get(cell, {}).get(owner.epoch)
             if promises is not None:
-                notice = promises.as_notice(owner.epoch)
-                messages.append(_to_message(cell, notice))
+                messages += _to_messages(cell, promises.as_notice(owner.epoch))
         return messages or None
 
     def forward_to_owner(self, link, cell, epoch):
@@ -89,8 +101,9 @@
         notices = self.notices_before(cell, epoch)
         if not notices:
             return
-        messages = [_to_message(cell, notice) for notice in notices]
-        self._daemon.peers.send_lease_notices(link, messages)
+        for notice in notices:
+            for message in _to_messages(cell, notice):
+                self._daemon.peers.send_lease_notices(link, [message])
         self._daemon.metrics.count("lease_notices", "handed_on")
         line = logger.bind(event="lease_notices_handed_on", cell=cell, epoch=epoch)
         line.info("forwarded {} notices to the owner at {}", len(notices), link.name)
@@ -103,9 +116,7 @@
         promises = promises or _Promises(expires_at_ms=expires_at_ms)
         by_epoch[notice.epoch] = promises
         promises.expires_at_ms = expires_at_ms
-        for worker in notice.leaving[:MAX_WORKERS_PER_CELL]:
-            promises.leaving.setdefault(worker.worker_id, worker)
-        promises.end = promises.end or notice.end
+        promises.add(notice)
         while len(by_epoch) > MAX_EPOCHS_PER_CELL:
             del by_epoch[min(by_epoch)]
 
@@ -117,6 +128,23 @@
                 del by_epoch[epoch]
 
 
+def _lasts_longer(worker, other):
+    return worker.long_leases_until_ms > other.long_leases_until_ms
+
+
+def _to_messages(cell, notice):
+    """Return a notice as messages of bounded size."""
+    leaving = notice.leaving
+    firsts = range(0, max(1, len(leaving)), MAX_WORKERS_PER_MESSAGE)
+    return [
+        _to_message(
+            cell,
+            evolve(notice, leaving=leaving[first : first + MAX_WORKERS_PER_MESSAGE]),
+        )
+        for first in firsts
+    ]
+
+
 def _to_message(cell, notice):
     now_ms = steady_ms()
     rows = [
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_lease_notice_buffer.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_lease_notice_buffer.py
@@ -11,11 +11,13 @@
 from thymefork_daemon import lease_notice_buffer as lease_notice_buffer_module
 from thymefork_daemon.lease_notice_buffer import (
     MAX_EPOCHS_PER_CELL,
+    MAX_WORKERS_PER_EPOCH,
     RETENTION_MS,
     LeaseNoticeBuffer,
 )
 from thymefork_net.peers import Heartbeat
 from thymefork_net.peers.envelope import decode, encode
+from thymefork_net.peers.link import MAX_MESSAGE_BYTES
 
 from .fakes import FakeMetrics
 
@@ -28,6 +30,7 @@
 
     def __init__(self):
         self.sent = []
+        self.sizes = []
 
     def send_to_members(self, messages):
         self.send_lease_notices(None, messages)
@@ -36,7 +39,9 @@
         heartbeat = Heartbeat(
             owned=[], config_version=1, leaving=False, lease_notices=messages
         )
-        self.sent += decode(encode(heartbeat), peer="edge-1").lease_notices
+        data = encode(heartbeat)
+        self.sizes.append(len(data))
+        self.sent += decode(data, peer="edge-1").lease_notices
 
 
 class FakeOwner:
@@ -149,3 +154,37 @@
     assert max(row.epoch for row in known) == 2 * MAX_EPOCHS_PER_CELL - 1
     timers.run(RETENTION_MS + 1)
     assert not daemon.buffer.notices_before(CELL, 1_000)
+
+
+# Memory grew without bound under an owner whose workers leave one by one.
+def test_workers_of_an_epoch_are_bounded(make_daemon, timers):
+    daemon = make_daemon()
+    for number in range(MAX_WORKERS_PER_EPOCH + 10):
+        daemon.buffer.announce(CELL, notice(workers=[leaving(f"w{number}", 1.0)]))
+    (known,) = daemon.buffer.notices_before(CELL, 4)
+    assert len(known.leaving) == MAX_WORKERS_PER_EPOCH
+
+
+# A peer closes its link on a message above its limit.
+def test_forwarded_notices_fit_into_messages(make_daemon, timers):
+    daemon = make_daemon()
+    workers = [
+        leaving(f"{number:016x}", timers.now_ms + 3_000.0)
+        for number in range(MAX_WORKERS_PER_EPOCH)
+    ]
+    for epoch in range(MAX_EPOCHS_PER_CELL):
+        daemon.buffer.announce(CELL, notice(epoch=epoch, workers=workers))
+    daemon.peers.sent.clear()
+    daemon.buffer.forward_to_owner(SimpleNamespace(name="edge-2"), CELL, 100)
+    assert max(daemon.peers.sizes) <= MAX_MESSAGE_BYTES / 10
+    rows = sum(len(message.leaving) for message in daemon.peers.sent)
+    assert rows == MAX_EPOCHS_PER_CELL * MAX_WORKERS_PER_EPOCH
+
+
+# Leases that a worker got after it was announced first were taken for over.
+def test_later_end_of_long_leases_is_kept(make_daemon, timers):
+    daemon = make_daemon()
+    for until_ms in (1_000.0, 3_000.0, 2_000.0):
+        daemon.buffer.announce(CELL, notice(workers=[leaving("w0", until_ms)]))
+    (known,) = daemon.buffer.notices_before(CELL, 4)
+    assert known.leaving[0].long_leases_until_ms == 3_000.0
