Announce no end under an epoch that another owner uses

Found by the review. What callers could see: in theory a task that runs twice. No way is known in which the store's group gives an epoch twice; the fence guards against it.

Cause: an owner whose fence was refused told all members that it never served, under the epoch of the owner that does.

Change: it announces nothing.

--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -36,6 +36,7 @@
         self._daemon = daemon
         self._started_ms = steady_ms()
         self._ended = False
+        self._is_fence_refused = False
         self._loop = None
         self._request_handler = None
         partition = daemon.layout.partition_of(cell_index)
@@ -70,7 +71,7 @@
             timers=self._daemon.timers,
             owner=self._daemon.settings.instance,
             on_loaded=self._on_loaded,
-            on_fenced=lambda: self.drop_ownership("fenced"),
+            on_fenced=self._on_fence_refused,
         )
 
     def _build_pipeline(self):
@@ -146,10 +147,16 @@
         if self._loop is not None:
             self._loop.end()
             self._request_handler.reject_unsent()
-        self._succession.announce_end(self.cell)
+        if not self._is_fence_refused:
+            self._succession.announce_end(self.cell)
         self._daemon.metrics.count("ownership", "lost")
         self._event_logger("ownership_lost").info("ownership lost: {}", reason)
 
+    def _on_fence_refused(self):
+        """End; another owner may use the epoch, for which this one can't speak."""
+        self._is_fence_refused = True
+        self.drop_ownership("fenced")
+
     def drop_ownership(self, reason):
         """End the ownership, since another instance owns the cell."""
         self.end(reason)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -28,7 +28,7 @@
 )
 
 from .fakes import FakeMetrics, capacity_attributes
-from .test_takeover import PartitionStore
+from .test_takeover import PartitionStore, take_over
 
 CLOCK_MODULES = (cell_owner_module, request_handler_module, scheduling_loop_module)
 
@@ -245,3 +245,26 @@
     send_request(daemon.owners[0], SECOND_JOB, replies)
     timers.run(5_000)
     assert not replies
+
+
+# An owner that was refused since another one serves under its epoch told all members
+# that no lease was ever given under that epoch.
+def test_owner_refused_by_another_of_its_epoch_does_not_speak_for_it(daemon):
+    take_over(daemon.store, 3)
+    daemon.owned_cells.update()
+    assert not daemon.owners
+    assert not daemon.lease_notices.notices_before(0, 4)
+
+
+def test_owner_that_never_served_says_so(daemon):
+    daemon.store.partition.put("jaa", b"not a job")
+    daemon.owned_cells.update()
+    (notice,) = daemon.lease_notices.notices_before(0, 4)
+    assert not notice.end.has_served
+
+
+def test_owner_announces_its_end(daemon):
+    daemon.owned_cells.update()
+    daemon.owners[0].end("test")
+    (notice,) = daemon.lease_notices.notices_before(0, 4)
+    assert notice.end.has_served
