--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_expected_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_expected_losses.py
@@ -2,6 +2,8 @@
 
 import pytest
 
+from thymefork_cells.advice import requester
+
 from .harness import job_spec
 
 JOB = "00000000000000aa"
@@ -63,3 +65,14 @@
         worker.is_unreachable = True
     harness.run(8_000)
     assert len(harness.advice_requests) == asked
+
+
+# Half of an owner's time went to it while 40 of 80 workers were silent.
+def test_losses_are_not_expected_where_no_queue_has_advice(make_harness, monkeypatch):
+    calls = []
+    monkeypatch.setattr(
+        requester, "expected_losses", lambda workers: calls.append(1) or {}
+    )
+    harness = make_harness(workers=4)
+    harness.run(300)
+    assert not calls
