Use isolated workers as the last resort of work that stands still

A worker isolated for a task that may crash it took no other job for up to 30 s, also one whose policy admits no other worker: open in docs/incidents/stood-still-beside-room.md. Now a job that runs nothing uses it after 2 s and a lasting task after 4.5 s, if none of its other workers could ever run a task of it. Crash suspects still wait.

--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -8,6 +8,7 @@
 from .exclusions import Exclusions, worker_exclusion
 from .exploration_scorer import ExplorationScorer, LatenessRisk
 from .gang_workers import workers_for_gang
+from .last_resort import may_use_isolated
 from .placement_log import PlacementLog
 from .speed_scorer import SpeedScorer
 from .step_order import StepOrder
@@ -136,7 +137,8 @@
         for task in waiting:
             is_crash_suspect = self._is_crash_suspect(task, now_ms)
             (crash_suspects if is_crash_suspect else regular).append(task)
-        starts = self._place_regular(step, regular, workers, permitted, now_ms)
+        usable = self._with_isolated(step, workers, permitted, now_ms)
+        starts = self._place_regular(step, regular, workers, usable, now_ms)
         unplaced = len(regular) - len(starts)
         if crash_suspects:
             starts += self._place_crash_suspects(
@@ -224,16 +226,25 @@
             starts.append((task, worker))
         return starts
 
-    def _permitted_workers(self, step, workers, now_ms):
+    def _permitted_workers(self, step, workers, now_ms, *, even_isolated=False):
         """Return the workers that a step has tickets for and that are not reserved."""
         return [
             worker
             for worker in self._advice.with_ticket(step, workers, now_ms)
             if worker_exclusion(worker, now_ms) is None
-            and worker.admits(step.job, now_ms)
+            and (even_isolated or worker.admits(step.job, now_ms))
             and self._reservations.permits(step, worker, now_ms)
         ]
 
+    def _with_isolated(self, step, workers, permitted, now_ms):
+        """Return the permitted workers, and isolated ones if these are the last left.
+
+        For tasks that are no crash suspects.
+        """
+        if not may_use_isolated(step, permitted, now_ms):
+            return permitted
+        return self._permitted_workers(step, workers, now_ms, even_isolated=True)
+
     def _place_gang(self, step, workers, now_ms):
         run_id = max(task.run_count for task in step.tasks) + 1
         permitted = self._permitted_workers(step, workers, now_ms)
@@ -244,6 +255,8 @@
             permitted = self._crash_isolation.workers_for_gang(
                 step, crash_suspects, permitted, now_ms
             )
+        else:
+            permitted = self._with_isolated(step, workers, permitted, now_ms)
         scorer = self._speed_scorer(step, now_ms)
         if scorer is not None and not crash_suspects:
             # A gang is as slow as its slowest member: choose members of similar speed.
