--- a/packages/thymefork-cells/src/thymefork_cells/placement/exclusions.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/exclusions.py
@@ -88,13 +88,13 @@
         spec, worker_id = step.spec, worker.worker_id
         if spec.required_label and spec.required_label not in worker.entry.labels:
             return Exclusion.LABEL
+        exclusion = worker_exclusion(worker, now_ms)
+        if exclusion is not None and exclusion not in DECIDED_HERE:
+            return exclusion  # no ticket is asked for
         if worker_id not in with_ticket:
             return Exclusion.NO_TICKET
         if not worker.fits_when_empty(spec):
             return Exclusion.TOO_SMALL
-        exclusion = worker_exclusion(worker, now_ms)
-        if exclusion is not None and exclusion not in DECIDED_HERE:
-            return exclusion
         if not worker.has_capacity(spec):
             return Exclusion.NO_ROOM
         if runs_per_worker.get(worker_id, 0) >= spec.most_per_worker > 0:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_wait_logs.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_wait_logs.py
@@ -1,6 +1,7 @@
 """Log lines that tell why a step waits beside workers with room."""
 
 from .harness import job_spec
+from .test_standstills import ADVICE
 
 LASTING, WAITING = "a" * 16, "b" * 16
 
@@ -40,6 +41,17 @@
     assert last_wait(harness, WAITING)["excluded"] == {"too_small": 1, "no_room": 2}
 
 
+# No tickets are asked for there, so all seemed to lack only a ticket.
+def test_wait_log_names_workers_that_are_not_listed(make_harness):
+    harness = make_harness(workers=3, advice=ADVICE)
+    harness.is_allowed = lambda step, worker_id: False
+    harness.load_worker_list(harness.entries[:1])
+    harness.submit(WAITING, job_spec({"count": 1, "cpu_milli": 500}))
+    harness.run(2_500)
+    line = last_wait(harness, WAITING)
+    assert line["excluded"] == {"no_ticket": 1, "unlisted": 2}
+
+
 def test_reasons_are_looked_up_for_few_steps_at_once(make_harness):
     """Guards against logs whose cost grows with waiting steps times workers."""
     harness = make_harness(workers=3)
