Offer crash suspects all workers once they have waited for an empty one

Cause: suspects were offered only workers without other jobs as long as there were any, also one that can't take them: a sibling alone on it where anti-affinity forbids the task, or too few for a gang. The timeout of 1 s held only where there was none.

--- a/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/crash_isolation.py
@@ -56,14 +56,10 @@
         """
         if not _any_needs_isolation(tasks, now_ms):
             return workers
-        job = step.job
-        empty = [worker for worker in workers if not worker.runs_of_others(job)]
-        if empty:
-            return empty
         since_ms = max([step.ready_ms, *(task.last_lost_ms for task in tasks)])
         if now_ms - since_ms > ISOLATION_TIMEOUT_MS:
             return workers
-        return []
+        return [worker for worker in workers if not worker.runs_of_others(step.job)]
 
     def workers_for_gang(self, step, crash_suspects, workers, now_ms):
         """Return the workers for a gang with crash suspects, the best first."""
