Judge crashes by the ages that runs can have had

Callers saw sound lasting jobs shown as failed where workers crash and owners change.

Cause: a loss held one age, and the wrong one for runs of a previous owner: the time since the present owner first saw the run. A run of 62.9 s counted as crashed at 0.42 s. Ages of other runs were off by up to a second, the time to the next unanswered look, and taken for exact to 200 ms. And five certain crashes failed a job at whatever points.

Crashes are alike if the ranges have a common point, and their chance goes by the widths. Five fail a job if they may have one point and chance explains them in under 1 %.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -144,7 +144,9 @@
     births_epoch_ms += [loss.born_epoch_ms for loss in losses]
     times_ms = [run.created_epoch_ms for run in task.runs]
     times_ms += [loss.within_ms for loss in losses]
-    optional = [[_loss_row(loss) for loss in losses], births_epoch_ms, times_ms]
+    loss_rows = [_loss_row(loss) for loss in losses]
+    unseen_ms = [loss.unseen_ms for loss in losses]
+    optional = [loss_rows, births_epoch_ms, times_ms, unseen_ms]
     while optional and not any(optional[-1]):
         optional.pop()
     return row + optional
@@ -183,20 +185,25 @@
         _add_recovered_run(
             task, run_id, worker_of(worker_id), next(births_epoch_ms), next(times_ms)
         )
+    unseen_ms = iter(more[3] if len(more) > 3 else unknown)
     for loss in losses:
-        _add_loss(task, *loss, next(births_epoch_ms), next(times_ms))
+        _add_loss(
+            task,
+            loss,
+            born_epoch_ms=next(births_epoch_ms),
+            within_ms=next(times_ms),
+            unseen_ms=next(unseen_ms),
+        )
 
 
-def _add_loss(
-    task, worker_id, after_ms, is_certain, was_alone, born_epoch_ms, within_ms
-):
+def _add_loss(task, row, **times):
+    worker_id, after_ms, is_certain, was_alone = row
     loss = WorkerLoss(
         worker_id=worker_id,
         after_ms=after_ms,
         is_certain=is_certain,
         was_alone=was_alone,
-        born_epoch_ms=born_epoch_ms,
-        within_ms=within_ms,
+        **times,
     )
     task.losses[loss.incarnation] = loss
 
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -111,15 +111,30 @@
         return self.state is not RunState.INTENDED
 
     def age_at_silence_ms(self, now_ms):
-        """Return its maximum age when its worker stopped answering, None if unknown."""
+        """Return how long before its worker's silence this owner first saw it.
+
+        None if it never did.
+        """
         if not self.began_ms:
             return None
         return max(
             0, round((self.worker.unanswered_since_ms or now_ms) - self.began_ms)
         )
 
+    def unseen_at_silence_ms(self, now_ms):
+        """Return how long before its worker's silence the worker last answered.
+
+        At most since the run began.
+        """
+        silent_ms = self.worker.unanswered_since_ms or now_ms
+        return max(
+            1, round(silent_ms - max(self.worker.answered_poll_ms, self.began_ms))
+        )
+
     def max_age_at_silence_ms(self, now_ms, epoch_ms):
-        """Return a bound of that age by the time of day, 0 if unknown."""
+        """Return a bound of that age, by the time of day if need be, 0 if unknown."""
+        if self.began_ms and not self.started_by_previous_owner:
+            return self.age_at_silence_ms(now_ms)
         if not self.created_epoch_ms:
             return 0
         silent_ms = now_ms - (self.worker.unanswered_since_ms or now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/crash_evidence.py
@@ -5,7 +5,7 @@
 
 import math
 
-from ..state import have_similar_timing
+from ..state.worker_loss import MAX_AGE_RATIO
 
 __all__ = [
     "MAX_CLEARING_TIME_MS",
@@ -25,11 +25,12 @@
 # A job also fails once this many workers have crashed at any point. If some of them are
 # only silent and were lost at about the same point, the task waits for news of them.
 MAX_LOSSES = 4
-# A job fails once this many workers have crashed, whatever the chance of it.
-MAX_CERTAIN_LOSSES = 5
-# With fewer, a job does not fail if unrelated crashes would bring its losses more often
-# than this.
+# A job does not fail if unrelated crashes would bring its losses more often than this.
 MAX_CHANCE_OF_COINCIDENCE = 0.0005
+# Once this many workers have crashed at what may be one point of the runs, it does not
+# fail only if unrelated crashes would bring its losses more often than this.
+MAX_CERTAIN_LOSSES = 5
+MAX_CHANCE_AT_LAST = 0.01
 # Run ages at the losses are not known more precisely than this.
 MIN_AGE_SPREAD_MS = 200.0
 # A run that works this many times as long as the longest run that lost its worker, plus
@@ -49,7 +50,8 @@
 
 def clearing_time_of(loss):
     """Return the age at which a run has outlived a loss."""
-    required_ms = CLEARING_FACTOR * (loss.after_ms or 0) + CLEARING_MARGIN_MS
+    age_ms = 0 if loss.after_ms is None else loss.max_age_ms
+    required_ms = CLEARING_FACTOR * age_ms + CLEARING_MARGIN_MS
     return min(max(required_ms, MIN_CLEARING_TIME_MS), MAX_CLEARING_TIME_MS)
 
 
@@ -57,7 +59,7 @@
     """Return whether an earlier run got well beyond the point of a loss, if known."""
     if loss.after_ms is None:
         return False
-    return any((other.after_ms or 0) >= clearing_time_of(loss) for other in others)
+    return any(other.seen_age_ms >= clearing_time_of(loss) for other in others)
 
 
 def is_certain_cause(losses, crash_rate):
@@ -66,22 +68,31 @@
     `crash_rate` is that of unrelated crashes, per worker and millisecond.
     """
     certain = [loss for loss in losses if loss.is_certain]
-    if len(certain) >= MAX_CERTAIN_LOSSES:
-        return True
     known = [loss for loss in certain if loss.after_ms is not None]
     chance = 1.0
     if len(known) >= MAX_CRASHES and _are_alike(known):
         chance = _chance_of_same_point(known, crash_rate)
     if len(certain) >= MAX_LOSSES:
         chance = min(chance, _chance_of_count(certain, crash_rate))
-        if have_similar_timing(certain):
+        if _have_common_point(certain):
             chance = min(chance, _chance_of_same_point(certain, crash_rate))
+    if len(certain) >= MAX_CERTAIN_LOSSES and _have_common_point(certain):
+        return chance <= MAX_CHANCE_AT_LAST
     return chance <= MAX_CHANCE_OF_COINCIDENCE
 
 
 def _are_alike(losses):
     """Return whether losses came at a similar point of the runs, one of them alone."""
-    return have_similar_timing(losses) and any(loss.was_alone for loss in losses)
+    return _have_common_point(losses) and any(loss.was_alone for loss in losses)
+
+
+def _have_common_point(losses):
+    """Return whether the runs may all have lost their workers at one point."""
+    max_ages_ms = [loss.max_age_ms for loss in losses if loss.max_age_ms is not None]
+    if not max_ages_ms:
+        return True
+    min_age_ms = max(loss.min_age_ms for loss in losses)
+    return min_age_ms <= MAX_AGE_RATIO * min(max_ages_ms) + MIN_AGE_SPREAD_MS
 
 
 def _chance_of_same_point(losses, crash_rate):
@@ -89,15 +100,24 @@
 
     One of them may come at any point, the others within some time of it.
     """
-    ages_ms = [loss.after_ms for loss in losses if loss.after_ms is not None]
-    windows_ms = [loss.exposed_ms for loss in losses if loss.after_ms is None]
-    if ages_ms:
-        spread_ms = max(max(ages_ms) - min(ages_ms), MIN_AGE_SPREAD_MS)
-        windows_ms += [spread_ms] * len(ages_ms)
+    points_ms = [loss.after_ms for loss in losses if _is_point(loss)]
+    spread_ms = max(points_ms, default=0) - min(points_ms, default=0)
+    windows_ms = [
+        max(
+            spread_ms if _is_point(loss) else loss.exposed_ms - loss.min_age_ms,
+            MIN_AGE_SPREAD_MS,
+        )
+        for loss in losses
+    ]
     windows_ms.remove(max(windows_ms))
     return math.prod(1.0 - math.exp(-crash_rate * ms) for ms in windows_ms)
 
 
+def _is_point(loss):
+    """Return whether a single age is known, as of owners of earlier versions."""
+    return not loss.unseen_ms and loss.after_ms is not None
+
+
 def _chance_of_count(losses, crash_rate):
     """Return the probability of as many unrelated crashes in the time of these runs."""
     exposed_ms = sum(loss.exposed_ms for loss in losses)
@@ -112,9 +132,14 @@
     Such a loss may be the task's own doing, though another task was found guilty.
     """
     return any(
-        loss.after_ms is None
-        or other.after_ms is None
-        or abs(loss.after_ms - other.after_ms) <= MIN_AGE_SPREAD_MS
+        abs(loss.min_age_ms - other.min_age_ms) <= MIN_AGE_SPREAD_MS
+        or _have_common_age(loss, other)
         for other in losses
         if other is not loss
     )
+
+
+def _have_common_age(loss, other):
+    """Return whether two runs may have been of the same age at their losses."""
+    ages_ms = [one.max_age_ms for one in (loss, other) if one.max_age_ms is not None]
+    return not ages_ms or max(loss.min_age_ms, other.min_age_ms) <= min(ages_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -79,7 +79,7 @@
         if loss.incarnation in self._explained:
             self._context.count("worker_losses", "explained")
             return
-        self._drop_outlived(run.task, loss.after_ms or 0)
+        self._drop_outlived(run.task, loss.seen_age_ms)
         if is_outlived(loss, run.task.losses.values()):
             self._context.count("worker_losses", "outlived")
             return
@@ -96,18 +96,18 @@
         if run.is_carried_over:
             return run.earlier_loss  # evaluated when its worker restarted
         task, after_ms = run.task, run.age_at_silence_ms(now_ms)
-        if task.done or (after_ms or 0) > MAX_CLEARING_TIME_MS:
+        if task.done or run.worker.is_leaving or run.was_absent:
             return None
-        if run.worker.is_leaving or run.was_absent:
-            return None
-        return WorkerLoss(
+        loss = WorkerLoss(
             worker_id=run.worker.worker_id,
             after_ms=after_ms,
             is_certain=is_certain,
             was_alone=not run.worker.runs_of_others(task.step.job),
             born_epoch_ms=run.born_epoch_ms,
             within_ms=run.max_age_at_silence_ms(now_ms, self._context.epoch_ms()),
+            unseen_ms=run.unseen_at_silence_ms(now_ms),
         )
+        return loss if loss.seen_age_ms <= MAX_CLEARING_TIME_MS else None
 
     def _await_outcome(self, loss, task):
         """Register a loss whose worker is silent and may not have crashed."""
