Measure how often workers crash, and hand it to the next owner

Callers saw sound jobs shown as failed by crashes that were usual where they ran.

Cause: the rate that the chance of crashes goes by was too low. Workers that were down or gone counted as observed, and so did the task's own; an owner began at no crash but those of losses that live jobs still held, and took 15 s before it for observed.

Change: the rate counts the workers that were answering, but for the task's own. It is stored with each crash (one record, as much as crashes within 60 s) and loaded by the next owner. The time from the last record to the takeover does not count, as crashes may have been missed in it. Records of earlier owners have none: their losses count as before.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -151,6 +151,7 @@
 
     def load(self, records, *, epoch_ms, now_ms):
         """Load the stored state; `records` maps keys to values."""
+        self.losses.crash_monitor.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_facts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_facts.py
@@ -3,6 +3,7 @@
 from thymefork_cells.jobs.codec import decode_progress, encode_progress
 from thymefork_cells.state import WorkerLoss
 from thymefork_cells.workers.crash_evidence import is_certain_cause
+from thymefork_cells.workers.crash_rate import CrashRate
 
 from .test_bystanders import LASTING, crash_under, submit_lasting
 
@@ -64,3 +65,42 @@
     job.steps[0].tasks[0].losses.clear()
     decode_progress(job, data, harness.cell.registry.get_or_add_placeholder)
     assert list(job.steps[0].tasks[0].losses.values()) == [loss]
+
+
+# A new owner knew few crashes and blamed the tasks that had seen them.
+def test_next_owner_knows_how_often_workers_crashed(make_harness):
+    harness = make_harness(workers=6)
+    harness.keeps_worker_ids = True
+    harness.return_delay_ms = 500.0
+    harness.run(1_000)
+    for worker in list(harness.workers.values()) * 2:
+        harness.crash(worker)
+        harness.run(1_500)
+    before = harness.cell.losses.crash_monitor.rate_beside({}, harness.now)
+    harness.take_over()
+    harness.run(1_000)
+    after = harness.cell.losses.crash_monitor.rate_beside({}, harness.now)
+    assert 0.7 * before < after < 1.4 * before
+
+
+def test_stored_rate_outlives_another_steady_clock():
+    rate = CrashRate(since_ms=0.0)
+    rate.count_workers(4, 100.0)
+    for number in range(5):
+        rate.record(("w", number), 1_000.0 * number)
+    record = rate.encode(epoch_ms=9_000_000.0, now_ms=5_000.0)
+    following = CrashRate(since_ms=70.0)
+    following.load(record, epoch_ms=9_002_000.0, now_ms=70.0)
+    assert following.worker_count == 4
+    same = rate.beside({}, 4, 5_000.0)
+    assert following.beside({}, 4, 70.0) == same
+    assert following.beside({}, 4, 59_000.0) < same  # the first ones are too old
+
+
+# Workers that were down counted as observed, and the rate came out too low.
+def test_workers_that_are_down_do_not_count_for_the_rate():
+    rate = CrashRate(since_ms=0.0)
+    rate.count_workers(8, 0.0)
+    rate.count_workers(8, 10_000.0)
+    rate.count_workers(2, 20_000.0)
+    assert rate.worker_count == 5
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -15,6 +15,7 @@
     is_certain_cause,
     is_outlived,
 )
+from .crash_monitor import CrashMonitor
 from .crash_rate import CrashRate
 
 __all__ = ["WorkerLosses"]
@@ -24,8 +25,6 @@
 NEWS_TIMEOUT_MS = 15_000.0
 # Bounds the runs named in a log line: a job may have hundreds on one worker.
 MAX_LOGGED_RUNS = 10
-
-
 # Bounds the remembered incarnations of workers whose crash is explained.
 MAX_EXPLAINED = 1_000
 
@@ -38,6 +37,7 @@
         self._lifecycle = lifecycle
         self._tasks_by_worker = {}  # by id and incarnation of silent workers
         self._crash_rate = CrashRate(since_ms=context.taken_over_ms)
+        self.crash_monitor = CrashMonitor(context=context, rate=self._crash_rate)
         self._explained = {}  # as ordered keys, incarnations that failed jobs crashed
 
     @property
@@ -51,9 +51,7 @@
             for task in step.tasks:
                 for loss in task.losses.values():
                     if loss.is_certain:
-                        self._crash_rate.record(
-                            loss.incarnation, self._context.taken_over_ms
-                        )
+                        self.crash_monitor.load_loss(loss)
                     else:
                         self._await_outcome(loss, task)
 
@@ -116,6 +114,7 @@
 
     def review(self, now_ms):
         """Fail the jobs of tasks that got no news of their lost workers."""
+        self.crash_monitor.review(now_ms)
         for worker_id, tasks_by_incarnation in list(self._tasks_by_worker.items()):
             for tasks in tasks_by_incarnation.values():
                 tasks -= {task for task in tasks if not task.step.job.is_live}
@@ -138,7 +137,7 @@
     def on_incarnation_over(self, worker, *, now_ms):
         """Confirm the losses of a silent worker that has certainly crashed."""
         if not worker.is_leaving:
-            self._crash_rate.record(worker.incarnation, now_ms)
+            self.crash_monitor.on_crash(worker, now_ms)
         for incarnation, tasks in self._tasks_by_worker.pop(
             worker.worker_id, {}
         ).items():
@@ -194,9 +193,7 @@
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
-        crash_rate = self._crash_rate.beside(
-            task.losses, len(self._context.workers), now_ms
-        )
+        crash_rate = self.crash_monitor.rate_beside(task.losses, now_ms)
         if is_certain_cause(task.losses.values(), crash_rate):
             self._fail(task, now_ms)
 
