--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -4,6 +4,8 @@
 starts. Its losses are stored with its progress for the next owner.
 """
 
+import math
+
 from attrs import evolve
 
 from ..state import JobState, WorkerLoss, have_similar_timing
@@ -15,6 +17,7 @@
     is_certain_cause,
     is_outlived,
 )
+from .crash_monitor import CrashMonitor
 from .crash_rate import CrashRate
 
 __all__ = ["WorkerLosses"]
@@ -24,8 +27,6 @@
 NEWS_TIMEOUT_MS = 15_000.0
 # Bounds the runs named in a log line: a job may have hundreds on one worker.
 MAX_LOGGED_RUNS = 10
-
-
 # Bounds the remembered incarnations of workers whose crash is explained.
 MAX_EXPLAINED = 1_000
 
@@ -39,6 +40,7 @@
         self._takeover_report = takeover_report
         self._tasks_by_worker = {}  # by id and incarnation of silent workers
         self._crash_rate = CrashRate(since_ms=context.taken_over_ms)
+        self.crash_monitor = CrashMonitor(context=context, rate=self._crash_rate)
         self._explained = {}  # as ordered keys, incarnations that failed jobs crashed
 
     @property
@@ -52,9 +54,7 @@
             for task in step.tasks:
                 for loss in task.losses.values():
                     if loss.is_certain:
-                        self._crash_rate.record(
-                            loss.incarnation, self._context.taken_over_ms
-                        )
+                        self.crash_monitor.load_loss(loss)
                     else:
                         self._await_outcome(loss, task)
 
@@ -83,7 +83,7 @@
         if loss.incarnation in self._explained:
             self._context.count("worker_losses", "explained")
             return
-        self._drop_outlived(run.task, loss.after_ms or 0)
+        self._drop_outlived(run.task, loss.seen_age_ms)
         if is_outlived(loss, run.task.losses.values()):
             self._context.count("worker_losses", "outlived")
             return
@@ -100,18 +100,18 @@
         if run.is_carried_over:
             return run.earlier_loss  # evaluated when its worker restarted
         task, after_ms = run.task, run.age_at_silence_ms(now_ms)
-        if task.done or (after_ms or 0) > MAX_CLEARING_TIME_MS:
+        if task.done or run.worker.is_leaving or run.was_absent:
             return None
-        if run.worker.is_leaving or run.was_absent:
-            return None
-        return WorkerLoss(
+        loss = WorkerLoss(
             worker_id=run.worker.worker_id,
             after_ms=after_ms,
             is_certain=is_certain,
             was_alone=not run.worker.runs_of_others(task.step.job),
             born_epoch_ms=run.born_epoch_ms,
             within_ms=run.max_age_at_silence_ms(now_ms, self._context.epoch_ms()),
+            unseen_ms=run.unseen_at_silence_ms(now_ms),
         )
+        return loss if loss.seen_age_ms <= MAX_CLEARING_TIME_MS else None
 
     def _await_outcome(self, loss, task):
         """Register a loss whose worker is silent and may not have crashed."""
@@ -120,6 +120,7 @@
 
     def review(self, now_ms):
         """Fail the jobs of tasks that got no news of their lost workers."""
+        self.crash_monitor.review(now_ms)
         for worker_id, tasks_by_incarnation in list(self._tasks_by_worker.items()):
             for tasks in tasks_by_incarnation.values():
                 tasks -= {task for task in tasks if not task.step.job.is_live}
@@ -142,7 +143,7 @@
     def on_incarnation_over(self, worker, *, now_ms):
         """Confirm the losses of a silent worker that has certainly crashed."""
         if not worker.is_leaving:
-            self._crash_rate.record(worker.incarnation, now_ms)
+            self.crash_monitor.on_crash(worker, now_ms)
         for incarnation, tasks in self._tasks_by_worker.pop(
             worker.worker_id, {}
         ).items():
@@ -182,6 +183,10 @@
         if run.began_ms:
             self._drop_outlived(run.task, now_ms - run.began_ms)
 
+    def on_run_done(self, run):
+        """Drop all losses of a task whose run did its work without a crash."""
+        self._drop_outlived(run.task, math.inf)
+
     def _drop_outlived(self, task, age_ms):
         """Drop the losses that a run of this age shows not to be the task's doing."""
         outlived = [
@@ -198,9 +203,7 @@
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
-        crash_rate = self._crash_rate.beside(
-            task.losses, len(self._context.workers), now_ms
-        )
+        crash_rate = self.crash_monitor.rate_beside(task.losses, now_ms)
         if is_certain_cause(task.losses.values(), crash_rate):
             self._fail(task, now_ms)
 
