Count no worker as recorded because its record was removed

Seen in the read-through: a worker that came back while the removal of its record was under way counted as recorded until its new record was stored, some ms later.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
@@ -101,11 +101,11 @@
             location = self._stored[worker_id] = _Location.decode(value)
             registry.add_unlisted(location.as_entry(worker_id), now_ms=now_ms)
 
-    def on_stored(self, keys):
+    def on_stored(self, records):
         """Count the workers whose records were stored for this owner's quorum."""
-        for key in keys:
+        for key, value in records.items():
             worker = self._context.workers.get(key.removeprefix(MACHINE_KEY))
-            if key.startswith(MACHINE_KEY) and worker is not None:
+            if key.startswith(MACHINE_KEY) and value and worker is not None:
                 worker.is_recorded = True
 
     def review(self):
