Clear a lasting task of its losses when its run is done

Callers saw sound lasting jobs shown as failed by crashes between which their runs had ended by themselves.

Cause: only a run of 5 s or more cleared a task; one that did its work sooner and ended proved nothing, though it passed every point of the run without a crash.

Change: a run that is done drops the losses of its task. A failed or stopped one does not.

Test: test_run_that_ends_by_itself_clears_its_task, failed before.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_facts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_crash_facts.py
@@ -5,7 +5,8 @@
 from thymefork_cells.workers.crash_evidence import is_certain_cause
 from thymefork_cells.workers.crash_rate import CrashRate
 
-from .test_bystanders import LASTING, crash_under, submit_lasting
+from .harness import job_spec
+from .test_bystanders import LASTING, LASTING_STEP, crash_under, submit_lasting
 
 # Crashes per worker and millisecond.
 FREQUENT = 0.1 / 1_000
@@ -104,3 +105,18 @@
     rate.count_workers(8, 10_000.0)
     rate.count_workers(2, 20_000.0)
     assert rate.worker_count == 5
+
+
+# Lasting tasks whose runs end early never ran long enough to clear their losses.
+def test_run_that_ends_by_itself_clears_its_task(make_harness):
+    harness = make_harness(workers=8)
+    for worker in harness.workers.values():
+        worker.work_ms_of = {FIRST_TASK: 900.0}
+    harness.submit(LASTING, job_spec({**LASTING_STEP, "count": 1}))
+    harness.run(300)
+    crash_under(harness, FIRST_TASK)
+    harness.run(6_000)
+    task = harness.job(LASTING).steps[0].tasks[0]
+    assert task.run_count > 2
+    assert harness.counts["outlived"] == 1
+    assert task.losses == {}
--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -33,6 +33,8 @@
             run = worker.runs.get((row.task, row.run_id))
             if run is not None:
                 self._unstored_ends.add(worker, row, now_ms=now_ms)
+                if row.how == "done":
+                    self._losses.on_run_done(run)
                 self._lifecycle.end(run, row.how, row.checkpoint, now_ms=now_ms)
             else:
                 self._lifecycle.end_late(row.task, row.run_id, row.how, now_ms=now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -4,6 +4,8 @@
 starts. Its losses are stored with its progress for the next owner.
 """
 
+import math
+
 from attrs import evolve
 
 from ..state import JobState, WorkerLoss, have_similar_timing
@@ -177,6 +179,10 @@
         if run.began_ms:
             self._drop_outlived(run.task, now_ms - run.began_ms)
 
+    def on_run_done(self, run):
+        """Drop all losses of a task whose run did its work without a crash."""
+        self._drop_outlived(run.task, math.inf)
+
     def _drop_outlived(self, task, age_ms):
         """Drop the losses that a run of this age shows not to be the task's doing."""
         outlived = [
