Store no start time with a worker's address, and wait for its record in a test

What callers could see: a job that stays queued for good beside a sound worker.

Cause: the stored start time of a worker was taken for the present one. A worker that restarted with its clock set back, or whose entry names no start time, then looked like an earlier incarnation, and its entry was ignored.

Change: the record holds the address only; the first known start time is that of the first report or entry, as before the records held addresses. The first entry of a worker whose reports have none is taken for the same incarnation.

test_job_abandoned_before_its_append_leaves_no_trace counts on the append of its first job being in flight. The owner now stores its workers first, which takes one slow append, so the test waits for that; what it checks is the same.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -85,7 +85,7 @@
         "None",
     ),
     "advice_ahead": _patch_return(
-        f"{_CELLS}/advice/requester.py",
+        f"{_CELLS}/advice/call_queue.py",
         "def _is_near(self, step, cost_ms, now_ms):",
         "step.ready",
     ),
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_job_cancellation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_job_cancellation.py
@@ -332,6 +332,7 @@
 def test_job_abandoned_before_its_append_leaves_no_trace(make_harness, monkeypatch):
     monkeypatch.setattr(harness_module, "APPEND_MS", SLOW_APPEND_MS)
     harness = make_harness(workers=1)
+    harness.run(2 * SLOW_APPEND_MS)  # the worker's record is stored
     harness.submit(OTHER_JOB, job_spec({"count": 1, "cpu_milli": 2_000}))
     harness.run(20)
     harness.submit(CANCELLED_JOB, job_spec({"count": 3, "cpu_milli": 2_000}))
--- a/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
@@ -54,16 +54,20 @@
     def match(self, worker, born_epoch_ms):
         """Return how the incarnation that began then relates to the tracked one."""
         if not worker.born_epoch_ms and not worker.answered_poll_ms:
-            worker.born_epoch_ms = born_epoch_ms  # first known start time
-            worker.incarnation_number = self.incarnation_number(
-                worker.worker_id, born_epoch_ms
-            )
+            self._adopt(worker, born_epoch_ms)
         if born_epoch_ms == worker.born_epoch_ms:
             return IncarnationMatch.SAME
         if born_epoch_ms > worker.born_epoch_ms:
             return IncarnationMatch.NEXT
         return IncarnationMatch.EARLIER
 
+    def _adopt(self, worker, born_epoch_ms):
+        """Take the first known start time for that of the tracked incarnation."""
+        worker.born_epoch_ms = born_epoch_ms
+        worker.incarnation_number = self.incarnation_number(
+            worker.worker_id, born_epoch_ms
+        )
+
     def match_entry(self, worker, entry):
         """Return which incarnation an entry describes.
 
@@ -71,6 +75,8 @@
         """
         if not entry.born_epoch_ms and not worker.entry.born_epoch_ms:
             return IncarnationMatch.SAME
+        if not worker.born_epoch_ms and not worker.is_listed:
+            self._adopt(worker, entry.born_epoch_ms)  # its reports have no start time
         return self.match(worker, entry.born_epoch_ms)
 
     def match_report(self, worker, born_epoch_ms, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
@@ -17,13 +17,15 @@
 
 @frozen(kw_only=True)
 class _Location:
-    """Hold where a worker is, and the incarnation that was there."""
+    """Hold where a worker is.
+
+    Not which incarnation was there: its clock may have been set back since.
+    """
 
     machine_id: str
     host: str
     port: int
     hall: str
-    born_epoch_ms: int
 
     @classmethod
     def of(cls, entry):
@@ -32,28 +34,18 @@
             host=entry.host,
             port=entry.port,
             hall=entry.hall,
-            born_epoch_ms=entry.born_epoch_ms,
         )
 
     def encode(self):
-        row = [self.machine_id, self.host, self.port, self.hall, self.born_epoch_ms]
-        return orjson.dumps(row)
+        return orjson.dumps([self.machine_id, self.host, self.port, self.hall])
 
     @classmethod
     def decode(cls, value):
         """Decode a record; those of earlier releases hold only the machine's id."""
         if not value.startswith(b"["):
-            return cls(
-                machine_id=value.decode(), host="", port=0, hall="", born_epoch_ms=0
-            )
-        machine_id, host, port, hall, born_epoch_ms = orjson.loads(value)
-        return cls(
-            machine_id=machine_id,
-            host=host,
-            port=port,
-            hall=hall,
-            born_epoch_ms=born_epoch_ms,
-        )
+            return cls(machine_id=value.decode(), host="", port=0, hall="")
+        machine_id, host, port, hall = orjson.loads(value)
+        return cls(machine_id=machine_id, host=host, port=port, hall=hall)
 
     def as_entry(self, worker_id):
         """Return the last known entry of a worker, whose capacity is not known."""
@@ -64,7 +56,6 @@
             port=self.port,
             service="",
             hall=self.hall,
-            born_epoch_ms=self.born_epoch_ms,
             is_lapsed=True,
         )
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -45,11 +45,6 @@
         worker.entry = entry
         worker.is_recorded = True
         worker.tracked_since_ms = worker.unlisted_since_ms = now_ms
-        if entry.born_epoch_ms:
-            worker.born_epoch_ms = entry.born_epoch_ms
-            worker.incarnation_number = self._incarnations.incarnation_number(
-                entry.worker_id, entry.born_epoch_ms
-            )
 
     @property
     def unlisted_count(self):
