--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -1,14 +1,13 @@
 """Owner of one cell on this instance."""
 
-import time
-
 from loguru import logger
 
-from thymefork_cells import Cell, effects as fx
+from thymefork_cells import effects as fx
 from thymefork_net import steady_ms
 
 from .advice_dispatcher import AdviceDispatcher
 from .append_pipeline import AppendPipeline
+from .cell_loading import load_cell
 from .cell_partition import CellPartition
 from .command_sender import CommandSender
 from .effect_executor import EffectExecutor
@@ -37,6 +36,7 @@
         self._daemon = daemon
         self._started_ms = steady_ms()
         self._ended = False
+        self._is_fence_refused = False
         self._loop = None
         self._request_handler = None
         partition = daemon.layout.partition_of(cell_index)
@@ -71,7 +71,7 @@
             timers=self._daemon.timers,
             owner=self._daemon.settings.instance,
             on_loaded=self._on_loaded,
-            on_fenced=lambda: self.drop_ownership("fenced"),
+            on_fenced=self._on_fence_refused,
         )
 
     def _build_pipeline(self):
@@ -147,10 +147,16 @@
         if self._loop is not None:
             self._loop.end()
             self._request_handler.reject_unsent()
-        self._succession.announce_end(self.cell)
+        if not self._is_fence_refused:
+            self._succession.announce_end(self.cell)
         self._daemon.metrics.count("ownership", "lost")
         self._event_logger("ownership_lost").info("ownership lost: {}", reason)
 
+    def _on_fence_refused(self):
+        """End; another owner may use the epoch, for which this one can't speak."""
+        self._is_fence_refused = True
+        self.drop_ownership("fenced")
+
     def drop_ownership(self, reason):
         """End the ownership, since another instance owns the cell."""
         self.end(reason)
@@ -202,7 +208,13 @@
 
     def _serve(self, records):
         now_ms = steady_ms()
-        self.cell = cell = self._load_cell(records, now_ms)
+        self.cell = cell = load_cell(
+            daemon=self._daemon,
+            cell_index=self.cell_index,
+            epoch=self.epoch,
+            records=records,
+            now_ms=now_ms,
+        )
         self._request_handler = RequestHandler(
             cell=cell,
             ownership=self._ownership,
@@ -234,19 +246,6 @@
         self.on_links_changed()
         self._daemon.owned_cells.on_serving()
 
-    def _load_cell(self, records, now_ms):
-        cell = Cell(
-            cell=self.cell_index,
-            epoch=self.epoch,
-            cell_count=self._daemon.layout.cells,
-            bounds=self._daemon.settings.bounds,
-            configuration=self._daemon.configuration,
-            membership_ms=self._daemon.membership.ttl_ms,
-            now_ms=now_ms,
-        )
-        cell.load(records, epoch_ms=time.time() * 1000.0, now_ms=now_ms)
-        return cell
-
     # Inputs ------------------------------------------------------------------
 
     def request(self, kind, queue, job_id, data, respond, **options):
