Name the stored locations of workers for what they are, and split the review of a cell

Change: names, an extracted function, the learning from a report moved to the learner. No behaviour changes.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -23,11 +23,11 @@
 from .workers.incarnations import IncarnationMatch, IncarnationTracker
 from .workers.inherited_leases import InheritedLeases
 from .workers.leaving_workers import LeavingWorkers
-from .workers.machine_records import MachineRecords
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
 from .workers.takeover_report import TakeoverReport
+from .workers.worker_locations import WorkerLocations
 from .workers.worker_losses import WorkerLosses
 from .workers.worker_poller import WorkerPoller
 from .workers.worker_registry import WorkerRegistry
@@ -91,7 +91,7 @@
             unstored_ends=self.unstored_ends,
         )
         self.extended_leases = ExtendedLeases(context=self.context)
-        self._machine_records = MachineRecords(context=self.context)
+        self._worker_locations = WorkerLocations(context=self.context)
         self.incarnations = IncarnationTracker(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -146,7 +146,7 @@
             quotas=self.quotas,
             speeds=self.speeds,
             losses=self.losses,
-            machine_records=self._machine_records,
+            worker_locations=self._worker_locations,
         )
         self.progress_monitor = ProgressMonitor(
             context=self.context, lifecycle=self.lifecycle, durations=self.durations
@@ -173,7 +173,7 @@
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
-        self._machine_records.load(records, self.registry, now_ms)
+        self._worker_locations.load(records, self.registry, now_ms)
         self.inherited_leases.load(records)
         self.parts.load(records)
         self._takeover_report.begin()
@@ -191,21 +191,7 @@
         self.unstored_ends.announce_if_late(now_ms)
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
-            self.inherited_leases.check(now_ms)
-            self.leaving_workers.review()
-            self.registry.expire_leases(now_ms)
-            self.losses.review(now_ms)
-            self._takeover_report.review(now_ms)
-            self.extended_leases.review(now_ms)
-            self._machine_records.review()
-            self.commands.stop_unconfirmed_starts(now_ms)
-            self.commands.log_overdue_stops(now_ms)
-            self.speed_learner.review(now_ms)
-            self.progress_monitor.check(now_ms)
-            self.gang_monitor.check(now_ms)
-            self.pacing.check(now_ms)
-            self.lifecycle.forget_ended(now_ms)
-            self.context.needs_plan = True
+            self._review(now_ms)
         if self.context.needs_plan:
             self.placer.plan(now_ms)
         parts_ms = self.exchange.run_cycle(now_ms)
@@ -213,11 +199,29 @@
         poll_ms = self.poller.schedule(now_ms)
         return min(poll_ms, parts_ms, self._review_due_ms)
 
+    def _review(self, now_ms):
+        """Do the periodic checks and act on timeouts."""
+        self.inherited_leases.check(now_ms)
+        self.leaving_workers.review()
+        self.registry.expire_leases(now_ms)
+        self.losses.review(now_ms)
+        self._takeover_report.review(now_ms)
+        self.extended_leases.review(now_ms)
+        self._worker_locations.review()
+        self.commands.stop_unconfirmed_starts(now_ms)
+        self.commands.log_overdue_stops(now_ms)
+        self.speed_learner.review(now_ms)
+        self.progress_monitor.check(now_ms)
+        self.gang_monitor.check(now_ms)
+        self.pacing.check(now_ms)
+        self.lifecycle.forget_ended(now_ms)
+        self.context.needs_plan = True
+
     # Store -------------------------------------------------------------------
 
     def on_stored(self, batch):
         """Make the job states of a stored append visible."""
-        self._machine_records.on_stored(batch.other_records)
+        self._worker_locations.on_stored(batch.other_records)
         for job, state in batch.job_states:
             job.visible_state = state
 
@@ -283,11 +287,7 @@
             self._apply_report(worker, report, last_end, quick, now_ms)
 
     def _apply_report(self, worker, report, last_end, quick, now_ms):
-        ended = {(row.task, row.run_id) for row in report.ended if row.how == "done"}
-        for key in ended:
-            run = worker.runs.get(key)
-            if run is not None and run.has_known_duration:
-                self.speed_learner.on_done(run, now_ms)
+        self.speed_learner.on_report(worker, report, now_ms)
         self.extended_leases.on_answer(worker, now_ms)
         self.poller.on_report(worker, report, last_end, quick=quick, now_ms=now_ms)
 
--- a/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
+++ b/packages/thymefork-cells/src/thymefork_cells/estimates/speed_learner.py
@@ -33,6 +33,15 @@
         self._log_due_ms = 0.0
         self._announce_due_ms = 0.0
 
+    def on_report(self, worker, report, now_ms):
+        """Learn from the tasks that a worker reports as done."""
+        for key in {
+            (row.task, row.run_id) for row in report.ended if row.how == "done"
+        }:
+            run = worker.runs.get(key)
+            if run is not None and run.has_known_duration:
+                self.on_done(run, now_ms)
+
     def on_done(self, run, now_ms):
         """Learn from a successful run that this owner saw begin."""
         took_ms = now_ms - run.began_ms
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -41,7 +41,7 @@
         quotas,
         speeds,
         losses,
-        machine_records,
+        worker_locations,
     ):
         self._context = context
         self._durations = durations
@@ -64,7 +64,7 @@
             ),
             losses=losses,
         )
-        self._machine_records = machine_records
+        self._worker_locations = worker_locations
         self._advice = advice
         self._lateness_risk = LatenessRisk()
         self._by_service = {}
@@ -282,7 +282,7 @@
             created_epoch_ms=round(self._context.epoch_ms()),
         )
         job = task.step.job
-        self._machine_records.add(worker)
+        self._worker_locations.add(worker)
         task.run_count = run_id
         task.runs.append(run)
         task.step.invalidate_waiting()
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -30,7 +30,7 @@
     runs under the present owner's fence; nothing is placed on it before.
 
     `may_run_until_ms` bounds the leases of this owner, `inherited_until_ms` those of
-    the previous one, `extended_lease_until_ms` any lease sent to an earlier
+    all owners before it, `extended_lease_until_ms` any lease sent to an earlier
     incarnation. `lease_sent_ms` is when a lease was last sent, `leases_expired_ms` when
     all leases were last presumed expired. With `has_short_leases`, possible next owners
     were told that this owner gives only short ones; `is_announced_leaving` is set if
@@ -219,8 +219,9 @@
 
     @property
     def is_leaving(self):
-        """Return whether it is draining, or was removed from the list while alive.
+        """Return whether it drains, or was removed from the list while alive.
 
+        An owner before this one may have announced that it drains.
         The entry of a crashed worker disappears only after it has stopped answering. An
         entry that lapsed in an outage tells nothing.
         """
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_inherited_quorum.py
@@ -4,7 +4,7 @@
 from attrs import evolve
 
 from thymefork_cells import EPOCH_KEY
-from thymefork_cells.workers.machine_records import MACHINE_KEY
+from thymefork_cells.workers.worker_locations import LOCATION_KEY
 
 from .harness import job_spec
 from .virtual_worker import VirtualWorker
@@ -46,7 +46,7 @@
 
 
 def test_records_name_all_workers_of_the_owner(harness):
-    names = [key for key in harness.store if key.startswith(MACHINE_KEY)]
+    names = [key for key in harness.store if key.startswith(LOCATION_KEY)]
     assert len(names) == WORKERS
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_lapsed_entries.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_lapsed_entries.py
@@ -3,7 +3,7 @@
 import pytest
 
 from thymefork_cells.workers.lease_duration import LEASE_MS, max_lease_duration_ms
-from thymefork_cells.workers.machine_records import MACHINE_KEY
+from thymefork_cells.workers.worker_locations import LOCATION_KEY
 
 from .harness import job_spec
 from .run_invariants import tasks_run_twice
@@ -83,7 +83,7 @@
 
 def test_record_of_an_earlier_release_still_names_the_machine(harness):
     for key in list(harness.store):
-        if key.startswith(MACHINE_KEY):
+        if key.startswith(LOCATION_KEY):
             harness.store[key] = b"m-1"
     harness.take_over()
     worker = next(iter(harness.cell.context.workers.values()))
--- a/packages/thymefork-cells/src/thymefork_cells/workers/machine_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_locations.py
@@ -1,4 +1,4 @@
-"""Store where the workers of runs are, for the next owners of the cell.
+"""Store where the workers of the cell are, for its next owners.
 
 A next owner asks a worker at its stored address, also while its entry in the platform's
 list has lapsed in a store outage. A machine runs one worker at a time: a next owner
@@ -10,9 +10,9 @@
 
 from ..specs import WorkerEntry
 
-__all__ = ["MACHINE_KEY", "MachineRecords"]
+__all__ = ["LOCATION_KEY", "WorkerLocations"]
 
-MACHINE_KEY = "m"
+LOCATION_KEY = "m"
 
 
 @frozen(kw_only=True)
@@ -60,7 +60,7 @@
         )
 
 
-class MachineRecords:
+class WorkerLocations:
     """Keep and store the locations of the workers that this owner knows.
 
     The next owner needs them all: a quorum of these shows that this one can't go on.
@@ -80,23 +80,23 @@
         if self._stored.get(worker.worker_id) == location:
             return
         self._stored[worker.worker_id] = location
-        key = MACHINE_KEY + worker.worker_id
+        key = LOCATION_KEY + worker.worker_id
         self._context.journal.put(key, location.encode())
 
     def load(self, records, registry, now_ms):
         """Add the workers that the previous owner knew, or complete their entries."""
         for key, value in records.items():
-            if not key.startswith(MACHINE_KEY):
+            if not key.startswith(LOCATION_KEY):
                 continue
-            worker_id = key.removeprefix(MACHINE_KEY)
+            worker_id = key.removeprefix(LOCATION_KEY)
             location = self._stored[worker_id] = _Location.decode(value)
             registry.add_unlisted(location.as_entry(worker_id), now_ms=now_ms)
 
     def on_stored(self, records):
         """Count the workers whose records were stored for this owner's quorum."""
         for key, value in records.items():
-            worker = self._context.workers.get(key.removeprefix(MACHINE_KEY))
-            if key.startswith(MACHINE_KEY) and value and worker is not None:
+            worker = self._context.workers.get(key.removeprefix(LOCATION_KEY))
+            if key.startswith(LOCATION_KEY) and value and worker is not None:
                 worker.is_recorded = True
 
     def review(self):
@@ -110,4 +110,4 @@
         for worker_id in self._stored.keys() - self._context.workers.keys():
             del self._stored[worker_id]
             self._entries.pop(worker_id, None)
-            self._context.journal.put(MACHINE_KEY + worker_id, b"")
+            self._context.journal.put(LOCATION_KEY + worker_id, b"")
