Count runs that a delayed start began on a worker's next incarnation

Cause: `is_unfenced` exempted from `tasks_run_twice` each run that a delayed start began on a later incarnation before that had answered the owner. The check is stricter now, and nothing else used the field.

--- a/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
@@ -90,27 +90,9 @@
         return command_delay_ms > 0
 
     def _deliver_later(self, command_delay_ms, worker, command, arguments):
-        born_epoch_ms = worker.born_epoch_ms
         yield self._harness.env.timeout(command_delay_ms)
-        if worker.is_unreachable:
-            return
-        is_unfenced = worker.born_epoch_ms != born_epoch_ms and not self._has_answered(
-            worker
-        )
-        count = len(worker.history)
-        command(worker, *arguments, self._harness.now)
-        for run in worker.history[count:]:
-            run.is_unfenced = is_unfenced
-
-    def _has_answered(self, worker):
-        """Return whether the worker's incarnation has answered the owner.
-
-        Before that, no fence can have reached it.
-        """
-        tracked = self._harness.cell.context.workers.get(worker.worker_id)
-        if tracked is None or tracked.born_epoch_ms != worker.born_epoch_ms:
-            return False
-        return tracked.answered_poll_ms > 0
+        if not worker.is_unreachable:
+            command(worker, *arguments, self._harness.now)
 
     @staticmethod
     def _deliver_stop(worker, *command):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/run_invariants.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/run_invariants.py
@@ -37,8 +37,6 @@
 
 
 def _is_twice(harness, earlier, later):
-    if earlier.is_unfenced or later.is_unfenced:
-        return False
     ended_ms = harness.now if earlier.ended_ms is None else earlier.ended_ms
     if later.began_ms < ended_ms:
         return True
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -18,9 +18,7 @@
     """Track one run; `ends_ms` is when its work will be done.
 
     `ended_ms` is None while it runs, `is_acknowledged` is set once its end was
-    acknowledged. `is_unfenced` is set if it was started by a delayed command to an
-    earlier incarnation, before this one answered the owner. `stop_at_ms` is when an
-    answered stop takes effect.
+    acknowledged. `stop_at_ms` is when an answered stop takes effect.
     """
 
     task: str
@@ -30,7 +28,6 @@
     how: str = "done"
     ended_ms: float | None = None
     is_acknowledged: bool = False
-    is_unfenced: bool = False
     stop_at_ms: float | None = None
 
 
