Let virtual workers check tickets, and delay pace commands

A ticket is valid for one step on one incarnation of a worker, for 2.5 s; with `tickets.are_checked` a start without such a ticket is rejected, as the protocol says. It is off by default, so existing tests are unchanged. A pace command can be carried out late, as starts, stops and polls could already.

--- a/bench/load_simulation.py
+++ b/bench/load_simulation.py
@@ -38,10 +38,10 @@
         self._durations_ms = durations_ms
         self._keeps_progress = keeps_progress
 
-    def start(self, task, *order):
+    def start(self, task, *order, **options):
         """Start a run with the duration drawn for its task."""
         self.work_ms = self._durations_ms[task]
-        return super().start(task, *order)
+        return super().start(task, *order, **options)
 
     def stop(self, task, run_id, fence, now_ms):
         """Stop a run and keep the remaining duration if the task has checkpoints."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/command_transport.py
@@ -35,7 +35,8 @@
         lease_ms = lease_ms_for(run.worker)
         deadline_ms = run.worker.clock_ms(self._harness.now) + lease_ms
         fence = run.worker.fence(cell.context.epoch)
-        start = (run.task.name, run.run_id, fence, deadline_ms)
+        ticket = run.task.step.ticket_for(worker.worker_id, self._harness.now)
+        start = (ticket, run.task.name, run.run_id, fence, deadline_ms)
         if worker.is_replaced:
             yield self._harness.env.timeout(COMMAND_LATENCY_MS)
             answer = CommandAnswer(refusal=Refusal.OTHER_LIFE)
@@ -66,9 +67,10 @@
             return self._deliver_start(worker, *start, self._harness.now)
         return CommandAnswer(refusal=refusal, clock_ms=worker.clock(self._harness.now))
 
-    def _deliver_start(self, worker, task, *command):
+    def _deliver_start(self, worker, ticket, task, *command):
         """Start a run, which may crash the worker later."""
-        answer = worker.start(task, *command)
+        has_ticket = self._harness.tickets.allow(worker, task, ticket)
+        answer = worker.start(task, *command, has_ticket=has_ticket)
         if answer.refusal is Refusal.NONE:
             self._harness.check_capacity(worker, task)
             if self._harness.gangs is not None:
@@ -98,6 +100,10 @@
     def _deliver_stop(worker, *command):
         return worker.stop(*command)
 
+    @staticmethod
+    def _deliver_pace(worker, *command):
+        return worker.pace(*command)
+
     @staticmethod
     def _deliver_poll(worker, *command):
         return worker.poll(*command)
@@ -127,13 +133,14 @@
         run = effect.run
         worker = self._harness.workers[run.worker.worker_id]
         fence = run.worker.fence(cell.context.epoch)
-        task, run_id = run.key
-        if self._is_cut(cell, worker) or self._harness.is_command_lost(effect):
+        pace = (*run.key, effect.percent, fence)
+        late = self._schedule_if_delayed(effect, worker, self._deliver_pace, pace)
+        if late or self._is_cut(cell, worker) or self._harness.is_command_lost(effect):
             yield self._harness.env.timeout(COMMAND_TIMEOUT_MS)
             answer = CommandAnswer(refusal=Refusal.SILENCE)
         else:
             yield self._harness.env.timeout(COMMAND_LATENCY_MS)
-            answer = worker.pace(task, run_id, effect.percent, fence, self._harness.now)
+            answer = worker.pace(*pace, self._harness.now)
         if self._harness.is_current(cell):
             cell.on_pace_answer(run, effect.percent, answer, now_ms=self._harness.now)
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -10,6 +10,7 @@
 from thymefork_cells.state.advice_slots import AdviceSlots
 from thymefork_cells.workers.lease_duration import lease_ms_for
 
+from .advice_tickets import VALID_MS, AdviceTickets
 from .command_transport import COMMAND_LATENCY_MS, CommandTransport
 from .harness_defaults import QUEUE, configuration, job_spec, worker_entries, worker_ids
 from .idle_cell_owners import PARTS, IdleCellOwners
@@ -75,6 +76,7 @@
         self.cell_count = cell_count
         self.owners = owners or IdleCellOwners(harness=self)
         self.transport = CommandTransport(harness=self)
+        self.tickets = AdviceTickets(harness=self)
         self.faults = MachineFaults(harness=self)
         self.partitions = PartitionedOwners(harness=self)
         self.gangs = None
@@ -383,11 +385,11 @@
             self.advice_requests.append((effect.step.name, effect.worker_ids))
             yield self.env.timeout(effect.cost_ms)
         tickets = {
-            worker_id: f"t-{worker_id}"
+            worker_id: self.tickets.issue(effect.step.name, worker_id)
             for worker_id in effect.worker_ids
             if self.is_allowed(effect.step.name, worker_id)
         }
         if self.is_current(cell):
             cell.advice.on_answer(
-                effect.step, effect.worker_ids, tickets, 2_500, now_ms=self.now
+                effect.step, effect.worker_ids, tickets, VALID_MS, now_ms=self.now
             )
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -138,9 +138,11 @@
             return min(self.now_ms, self.lease_until_ms)
         return min(self.now_ms, run.ends_ms)
 
-    def start(self, task, run_id, fence, deadline_clock_ms, now_ms):
+    def start(self, task, run_id, fence, deadline_clock_ms, now_ms, *, has_ticket=True):
         self.advance(now_ms)
         refusal = self._refusal_of(task, run_id, fence, deadline_clock_ms, now_ms)
+        if refusal is None and not has_ticket:
+            refusal = Refusal.NO_TICKET
         if refusal is None:
             self._take_lease(deadline_clock_ms, now_ms)
             work_ms = self.work_ms_of.get(task, self.work_ms)
