Hold a task while an unanswered start of it may reach a restarted worker

Cause: a proof that a run can't begin any more holds for one incarnation of its worker, and was used beyond it. A start without an answer is carried out late by the next incarnation, which has the same id and knows neither fence nor stop, while the task has started elsewhere.

Change: such a start holds its task for 2.2 s from its send, whatever its worker's incarnations say meanwhile, then until the worker has answered a poll or its leases are over; the hold is stored with the task. A late run is tracked and stopped, so that its end counts as an attempt; one that is to run until its job is cancelled goes on. Workers that tell no start time never keep their ids: nothing waits for them.

Changed checks: test_unanswered_start_is_repeated_elsewhere_soon and test_unanswered_start_is_stopped_before_the_next demanded what makes a task run twice where workers keep their ids: a start elsewhere within 0.4 s.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -192,12 +192,13 @@
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
             self._review(now_ms)
+        held_ms = self.lifecycle.delayed_starts.review(now_ms)
         if self.context.needs_plan:
             self.placer.plan(now_ms)
         parts_ms = self.exchange.run_cycle(now_ms)
         self.commands.send_stops(now_ms)
         poll_ms = self.poller.schedule(now_ms)
-        return min(poll_ms, parts_ms, self._review_due_ms)
+        return min(poll_ms, parts_ms, held_ms, self._review_due_ms)
 
     def _review(self, now_ms):
         """Do the periodic checks and act on timeouts."""
@@ -250,7 +251,7 @@
         """Handle the answer to a start."""
         if answer.refusal is Refusal.OTHER_LIFE:
             # The run never reached the ended incarnation, so it can't have crashed it.
-            self.lifecycle.release(run, now_ms=now_ms)
+            self.lifecycle.release_unstarted(run, now_ms=now_ms)
             self.on_other_incarnation(run.worker, now_ms=now_ms)
             return
         self.commands.on_start_answer(run, answer, now_ms=now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -4,7 +4,7 @@
 import orjson
 
 from ..specs import JobSpec, StepSpec
-from ..state import Job, JobState, Run, RunState, WorkerLoss
+from ..state import DelayedStart, Job, JobState, Run, RunState, WorkerLoss
 
 __all__ = [
     "JOB_KEY",
@@ -107,9 +107,9 @@
     The record of an ended job holds only its state. Otherwise it lists each started
     step with the indices of its finished tasks (-1 for all) and, for other tasks, run
     and failure counts, the checkpoint, the runs that may exist, the worker losses, the
-    starts of the incarnations of these workers, and when the runs were created and at
-    what age they were lost at most. What was added later comes last, so that older
-    readers ignore it.
+    starts of the incarnations of these workers, when the runs were created and at what
+    age they were lost at most, and the starts of released runs that may still arrive.
+    What was added later comes last, so that older readers ignore it.
     """
     if job.is_over:
         return orjson.dumps([job.state, []])
@@ -146,7 +146,12 @@
     times_ms += [loss.within_ms for loss in losses]
     loss_rows = [_loss_row(loss) for loss in losses]
     unseen_ms = [loss.unseen_ms for loss in losses]
-    optional = [loss_rows, births_epoch_ms, times_ms, unseen_ms]
+    delayed = [
+        [start.run_id, start.worker_id, start.until_epoch_ms]
+        for start in task.delayed_starts
+    ]
+    unanswered = [task.waiting_unit.unanswered_since_epoch_ms]
+    optional = [loss_rows, births_epoch_ms, times_ms, unseen_ms, delayed, unanswered]
     while optional and not any(optional[-1]):
         optional.pop()
     return row + optional
@@ -194,6 +199,16 @@
             within_ms=next(times_ms),
             unseen_ms=next(unseen_ms),
         )
+    if len(more) > 5:
+        (task.waiting_unit.unanswered_since_epoch_ms,) = more[5]
+    for run_id, worker_id, until_epoch_ms in more[4] if len(more) > 4 else ():
+        start = DelayedStart(
+            task=task,
+            run_id=run_id,
+            worker_id=worker_id,
+            until_epoch_ms=until_epoch_ms,
+        )
+        task.delayed_starts.append(start)
 
 
 def _add_loss(task, row, **times):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
@@ -63,6 +63,7 @@
         else:
             self._context.live_jobs[job.job_id] = job
             self._losses.load_losses(job)
+            self._lifecycle.delayed_starts.restore(job, now_ms)
         self._context.jobs[job.job_id] = job
 
     def _update_shares(self):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -2,6 +2,7 @@
 
 from ..effects import Reply
 from ..state import JobState, RunState
+from .delayed_starts import DelayedStarts
 
 __all__ = ["Lifecycle"]
 
@@ -14,9 +15,13 @@
 
     def __init__(self, *, context):
         self._context = context
+        self.delayed_starts = DelayedStarts(context=context)
 
     def release(self, run, *, now_ms):
-        """Free the resources of a run that does not run and can't start any more."""
+        """Free the resources of a run that does not run and can't start any more.
+
+        If its start may yet arrive at a later incarnation, its task has to wait.
+        """
         if run.state is RunState.GONE:
             return
         run.state = RunState.GONE
@@ -24,11 +29,17 @@
         run.worker.remove(run)
         run.worker.health.gone(run)
         run.task.runs.remove(run)
+        self.delayed_starts.hold(run, now_ms)
         run.task.step.invalidate_waiting()
         run.task.last_lost_ms = now_ms
         self._context.needs_plan = True
         self._context.journal.mark_changed(run.task.step.job)
 
+    def release_unstarted(self, run, *, now_ms):
+        """Release a run whose start was rejected, or never sent."""
+        self.delayed_starts.on_rejected(run)
+        self.release(run, now_ms=now_ms)
+
     def end(self, run, how, checkpoint, *, now_ms):
         """Apply the end of a run that its worker has reported."""
         task, step, worker = run.task, run.task.step, run.worker
@@ -36,6 +47,7 @@
         job.has_run = True
         if checkpoint:
             task.checkpoint = checkpoint
+        self.delayed_starts.on_arrived(run)
         self.release(run, now_ms=now_ms)
         self._context.count("run_ends", how)
         if how == "done":
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -2,6 +2,7 @@
 
 from .account_usage import AccountUsage
 from .advice_slots import LONG_CALL_MS, AdviceSlots
+from .delayed_start import DelayedStart
 from .isolation import Isolation
 from .job import Job, JobState
 from .run import Run, RunState
@@ -16,6 +17,7 @@
     "LONG_CALL_MS",
     "AccountUsage",
     "AdviceSlots",
+    "DelayedStart",
     "Isolation",
     "Job",
     "JobState",
--- a/packages/thymefork-cells/src/thymefork_cells/state/run.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/run.py
@@ -38,6 +38,8 @@
     slowest worker, 0 outside of gangs.
 
     `created_epoch_ms` is when its start was decided, since 1970, 0 if unknown.
+    `start_pending_since_ms` is when its start was sent, 0 once that has certainly been
+    carried out or rejected, or if a second run would do no harm.
 
     Units: `*_ms` on the steady clock, `*_clock_ms` on the worker's clock.
     """
@@ -73,6 +75,7 @@
     earlier_loss: object = None
     gang_slowness: float = 0.0
     created_epoch_ms: int = 0
+    start_pending_since_ms: float = 0.0
 
     @born_epoch_ms.default
     def _default_incarnation(self):
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -22,6 +22,9 @@
     the duration of the successful run, normalized to a worker of ordinary speed, 0 if
     another owner started it. `expired_runs` holds the runs presumed dead when their
     leases expired without a reported end; `losses` maps worker incarnations to losses.
+    `delayed_starts` holds the starts of released runs that may yet arrive at a later
+    incarnation of their worker, `unanswered_since_*` is when the first of its latest
+    starts without an answer was sent, 0 if the last was confirmed.
     `avoided_workers` holds the ids of workers that are used only if no other can be,
     from `may_return_ms` on also if no other has room.
     """
@@ -35,6 +38,9 @@
     done: bool = False
     worked_ms: float = 0.0
     runs: list = field(factory=list)
+    delayed_starts: list = field(factory=list)
+    unanswered_since_ms: float = 0.0
+    unanswered_since_epoch_ms: int = 0
     stalls: int = 0
     expired_runs: set = field(factory=set)
     avoided_workers: set = field(factory=set)
@@ -45,7 +51,12 @@
     @property
     def is_waiting(self):
         """Return whether the task is not done and no run of it may exist."""
-        return not self.done and not self.runs
+        return not self.done and not self.runs and not self.delayed_starts
+
+    @property
+    def waiting_unit(self):
+        """Return what waits as a whole for a start: the task, or its gang's step."""
+        return self.step if self.step.spec.gang else self
 
     def avoid(self, worker_id, now_ms):
         """Prefer other workers than this one."""
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -38,13 +38,13 @@
     store.
 
     `answered_poll_ms` is when the latest answered poll was sent: a paused process may
-    read the answer much later. `unanswered_since_ms` is when the first of the latest
-    unanswered polls timed out, 0 if the last was answered. `unlisted_since_ms` is when
-    the worker left the platform's list. `received_end`, `stored_end` and
-    `acknowledged_end` are the highest run end numbers that were received, stored, and
-    confirmed to the worker. `outdated_reports_in_row` counts reports of an
-    earlier incarnation. `stopped` holds the runs whose stop was answered and whose end
-    was not reported yet.
+    read the answer much later. One that is sent at `answer_needed_ms` or later has to
+    be answered. `unanswered_since_ms` is when the first of the latest unanswered polls
+    timed out, 0 if the last was answered. `unlisted_since_ms` is when the worker left
+    the platform's list. `received_end`, `stored_end` and `acknowledged_end` are the
+    highest run end numbers that were received, stored, and confirmed to the worker.
+    `outdated_reports_in_row` counts reports of an earlier incarnation. `stopped` holds
+    the runs whose stop was answered and whose end was not reported yet.
 
     Units: `*_ms` on the steady clock; `clock_offset_ms` added to the steady clock gave
     the worker's clock at `clock_read_ms`.
@@ -76,6 +76,7 @@
     answered_poll_ms: float = 0.0
     poll_sent_ms: float = 0.0
     quick_poll_sent_ms: float = 0.0
+    answer_needed_ms: float = 0.0
     stop_answered_ms: float = 0.0
     unanswered_in_row: int = 0
     unanswered_since_ms: float = 0.0
@@ -236,6 +237,11 @@
         """Return whether it has answered a poll, and so accepted this owner's fence."""
         return self.clock_offset_ms is not None
 
+    @property
+    def needs_answer(self):
+        """Return whether a poll sent by now has to be answered."""
+        return self.answered_poll_ms < self.answer_needed_ms
+
     @property
     def answers_unlisted(self):
         """Return whether it has answered since it was missing from the list."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_faults.py
@@ -4,6 +4,7 @@
 """
 
 import pytest
+from attrs import evolve
 
 from thymefork_cells.effects import Outcome, StartRun
 from thymefork_cells.state import JobState
@@ -27,7 +28,17 @@
     return is_first, seen
 
 
+def keep_no_worker_ids(harness):
+    """Let workers tell no start time, as those do that never keep their ids."""
+    for worker in harness.workers.values():
+        worker.born_epoch_ms = 0
+    harness.entries = [evolve(entry, born_epoch_ms=0) for entry in harness.entries]
+    harness.take_over()
+    harness.run(50)
+
+
 def test_unanswered_start_is_stopped_before_the_next(harness):
+    keep_no_worker_ids(harness)
     harness.is_command_lost, lost = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(2_500)
@@ -280,6 +291,7 @@
 
 
 def test_unanswered_start_is_repeated_elsewhere_soon(harness):
+    keep_no_worker_ids(harness)
     harness.is_command_lost, lost = first_start()
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(2_500)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -70,6 +70,7 @@
             return False
         run.state = RunState.SENT
         run.began_ms = now_ms
+        self._lifecycle.delayed_starts.expect(run, now_ms)
         run.resumed = bool(run.task.checkpoint)
         return True
 
@@ -127,11 +128,12 @@
         """
         is_certain = answer.refusal not in (Refusal.NONE, Refusal.SILENCE)
         if run.successor is not None and is_certain:
-            self._lifecycle.release(run.successor, now_ms=now_ms)
+            self._lifecycle.release_unstarted(run.successor, now_ms=now_ms)
 
     def _confirmed(self, run, answer, now_ms):
         run.worker.read_clock(answer.clock_ms, now_ms)
         run.confirmed_clock_ms = answer.clock_ms
+        self._lifecycle.delayed_starts.on_arrived(run)
         if run.state is RunState.SENT:
             run.state = RunState.LIVE
             run.task.step.job.has_run = True
@@ -168,7 +170,7 @@
             worker=worker.worker_id,
             reason=str(refusal),
         )
-        self._lifecycle.release(run, now_ms=now_ms)
+        self._lifecycle.release_unstarted(run, now_ms=now_ms)
 
     def on_stop_answer(self, run, answer, *, now_ms):
         """Process the answer to a stop command."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
@@ -181,6 +181,7 @@
             earlier_loss=loss,
             gang_slowness=run.gang_slowness,
             created_epoch_ms=run.created_epoch_ms,
+            start_pending_since_ms=run.start_pending_since_ms,
         )
         task.runs[task.runs.index(run)] = run.successor
         next_worker.add(run.successor)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -30,7 +30,7 @@
             has_new = True
             worker.received_end = row.number
             worker.orphaned_runs.discard((row.task, row.run_id))
-            run = worker.runs.get((row.task, row.run_id))
+            run = self._run_of(worker, row, now_ms)
             if run is not None:
                 self._unstored_ends.add(worker, row, now_ms=now_ms)
                 if row.how == "done":
@@ -62,13 +62,18 @@
         for row in report.running:
             key = (row.task, row.run_id)
             reported_keys.add(key)
-            run = worker.runs.get(key)
+            run = self._run_of(worker, row, now_ms)
             if run is None:
                 self._stop_orphaned(worker, row)
                 continue
             self._update(run, row, report.clock_ms, now_ms)
         worker.orphaned_runs &= reported_keys
 
+    def _run_of(self, worker, row, now_ms):
+        """Return the run that a row reports, or None if it is not tracked."""
+        run = worker.runs.get((row.task, row.run_id))
+        return run or self._lifecycle.delayed_starts.on_arrival(worker, row, now_ms)
+
     def _stop_orphaned(self, worker, row):
         key = (row.task, row.run_id)
         if key not in worker.orphaned_runs:
@@ -95,6 +100,7 @@
                 self._lifecycle.stop(run, "its job has ended", now_ms=now_ms)
             elif run.stop_reason:
                 self._lifecycle.stop(run, run.stop_reason, now_ms=now_ms)
+        self._lifecycle.delayed_starts.on_arrived(run)
         if self._is_stop_ineffective(run, clock_ms):
             self._lifecycle.resend_stop(run, now_ms=now_ms)
         if row.checkpoint:
@@ -135,6 +141,8 @@
             elif run.is_of_earlier_incarnation and run.state is RunState.RECOVERED:
                 lost_runs.append(run)
             elif self._is_gone(run, report.clock_ms):
+                if run.state is RunState.RECOVERED:
+                    self._lifecycle.delayed_starts.expect_recovered(run, now_ms)
                 self._context.count("run_ends", "vanished")
                 self._context.note(
                     "run_vanished",
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -116,7 +116,7 @@
         return max(worker.poll_due_ms, worker.poll_sent_ms + self._poll_wait_ms(worker))
 
     def _is_needed(self, worker, now_ms):
-        if worker.runs or worker.orphaned_runs:
+        if worker.runs or worker.orphaned_runs or worker.needs_answer:
             return True
         if not worker.has_reported:
             return worker.is_listed or self._needs_quorum
@@ -155,8 +155,8 @@
             )
 
     def _needs_quick_poll(self, worker, now_ms):
-        """Return whether an acknowledged stop needs a poll beside the one in flight."""
-        if not worker.stopped:
+        """Return whether a poll is needed beside the one in flight."""
+        if not worker.stopped and not worker.needs_answer:
             return False
         if worker.stop_answered_ms > worker.quick_poll_sent_ms:
             return True
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -163,6 +163,8 @@
     def end_incarnation(self, worker, reason, *, now_ms):
         """Release the runs of a worker whose incarnation is certainly over."""
         runs = _sent_runs(worker)
+        for run in runs:
+            run.start_pending_since_ms = 0.0  # the worker that follows has another id
         self._ended_incarnations.add(worker.incarnation)
         self._context.note(
             "worker_gone", worker=worker.worker_id, reason=reason, runs=len(runs)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -17,6 +17,7 @@
     "jobs_ended": "Jobs by their last state.",
     "cancelled": "What cancelled jobs gave back as they were cancelled, by kind.",
     "workers_paused": "Workers given nothing for a while, by reason.",
+    "delayed_starts": "Unanswered starts that may still arrive, by what is known.",
     "long_holds": "Workers that may hold runs beyond a usual lease, by what is known.",
     "worker_losses": "Workers lost with runs on them, and what came of it.",
     "heard_ends": "Ends that their owner could not store, and what came of them.",
