Poll a worker sooner after a restart if an unanswered start may be on its way

Cause: an idle worker was asked only once its new entry was read, 0.4 s and more after its restart, and a silent one each 150 to 400 ms.

Change: such a worker is polled without runs, too, for 10 s after the send, and each 20 ms while it is silent. Workers that tell no start time are not.

--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -39,8 +39,9 @@
 
     `answered_poll_ms` is when the latest answered poll was sent: a paused process may
     read the answer much later. One that is sent at `answer_needed_ms` or later has to
-    be answered. `unanswered_since_ms` is when the first of the latest unanswered polls
-    timed out, 0 if the last was answered. `unlisted_since_ms` is when the worker left
+    be answered. It is polled without runs, too, until `watched_until_ms`.
+    `unanswered_since_ms` is when the first of the latest unanswered polls timed out, 0
+    if the last was answered. `unlisted_since_ms` is when the worker left
     the platform's list. `received_end`, `stored_end` and `acknowledged_end` are the
     highest run end numbers that were received, stored, and confirmed to the worker.
     `outdated_reports_in_row` counts reports of an earlier incarnation. `stopped` holds
@@ -77,6 +78,7 @@
     poll_sent_ms: float = 0.0
     quick_poll_sent_ms: float = 0.0
     answer_needed_ms: float = 0.0
+    watched_until_ms: float = 0.0
     stop_answered_ms: float = 0.0
     unanswered_in_row: int = 0
     unanswered_since_ms: float = 0.0
@@ -242,6 +244,10 @@
         """Return whether a poll sent by now has to be answered."""
         return self.answered_poll_ms < self.answer_needed_ms
 
+    def is_watched(self, now_ms):
+        """Return whether its restart would have to be noticed at once."""
+        return now_ms < self.watched_until_ms
+
     @property
     def answers_unlisted(self):
         """Return whether it has answered since it was missing from the list."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -6,6 +6,7 @@
 
 from ..effects import StopRun
 from ..state import RunState
+from .extended_leases import MAX_COMMAND_DELAY_MS
 from .run_reconciler import UNANSWERED_START_REASON
 from .stop_priority import sort_by_stop_priority
 
@@ -149,6 +150,8 @@
             self._context.count("retries", "start_unanswered")
             run.suspected_ms = now_ms
             run.worker.suspected_ms = now_ms
+            if run.worker.born_epoch_ms:  # its next incarnation may have its id
+                run.worker.watched_until_ms = run.began_ms + MAX_COMMAND_DELAY_MS
             self._poller.suspect_hall(run.worker, now_ms)
 
     def _refused(self, run, refusal, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/incarnations.py
@@ -148,6 +148,7 @@
             is_listed=worker.is_listed,
             unlisted_since_ms=worker.unlisted_since_ms,
             has_short_leases=worker.has_short_leases,
+            watched_until_ms=worker.watched_until_ms,
             is_recorded=worker.is_recorded,
             inherited_until_ms=worker.inherited_until_ms,
             poll_due_ms=now_ms,
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -3,6 +3,7 @@
 from ..effects import EndsStored, PollWorker
 from ..state.worker import MAX_UNANSWERED_POLLS
 from .lease_duration import lease_ms_for, max_lease_duration_ms
+from .poll_retry import poll_retry_delay_ms
 from .run_reconciler import RunReconciler
 
 __all__ = ["WorkerPoller"]
@@ -21,10 +22,6 @@
 OUTAGE_POLL_WAIT_MS = 300
 # A worker that answered within this time does not become suspect with its hall.
 RECENT_ANSWER_MS = 40.0
-# Bounds of the backoff after unanswered polls; it keeps the polls to a hall that is cut
-# off few.
-MIN_POLL_RETRY_DELAY_MS = 150.0
-MAX_POLL_RETRY_DELAY_MS = 400.0
 # The clock of a worker without runs is read this often. A start there gets a lease that
 # is shorter by the drift that the clock may have had since, 0.5 s at most.
 CLOCK_MAX_AGE_MS = 20_000.0
@@ -118,6 +115,8 @@
     def _is_needed(self, worker, now_ms):
         if worker.runs or worker.orphaned_runs or worker.needs_answer:
             return True
+        if worker.is_watched(now_ms):
+            return True
         if not worker.has_reported:
             return worker.is_listed or self._needs_quorum
         if (
@@ -163,7 +162,8 @@
         return now_ms - worker.quick_poll_sent_ms >= QUICK_POLL_INTERVAL_MS
 
     def _send_poll(self, worker, now_ms):
-        can_wait = worker.runs and worker.has_reported and not worker.orphaned_runs
+        can_wait = worker.runs or worker.is_watched(now_ms)
+        can_wait = can_wait and worker.has_reported and not worker.orphaned_runs
         can_wait = can_wait and not worker.stopped and not worker.is_storing_ends
         can_wait = can_wait and worker.suspected_ms <= worker.last_answer_ms
         can_wait = can_wait and not worker.unanswered_in_row
@@ -214,10 +214,7 @@
         worker.is_polling = False
         worker.unanswered_in_row += 1
         worker.unanswered_since_ms = worker.unanswered_since_ms or now_ms
-        retry_delay_ms = min(
-            MAX_POLL_RETRY_DELAY_MS, MIN_POLL_RETRY_DELAY_MS * worker.unanswered_in_row
-        )
-        worker.poll_due_ms = now_ms + retry_delay_ms
+        worker.poll_due_ms = now_ms + poll_retry_delay_ms(worker, now_ms)
         self.suspect_hall(worker, now_ms)
         if worker.unanswered_in_row == MAX_UNANSWERED_POLLS:
             self._context.note(
