--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -162,6 +162,8 @@
 
     def end_incarnation(self, worker, reason, *, now_ms):
         """Release the runs of a worker whose incarnation is certainly over."""
+        if worker.is_over:
+            return  # a later one is tracked under its id
         runs = _sent_runs(worker)
         for run in runs:
             run.start_pending_since_ms = 0.0  # the worker that follows has another id
