Add restarts of workers to which commands are on the way to the soak

`--late-restarts` draws both as one fault, from a random stream of its own, so that no seed draws anything else than before. It is off by default. `--late-ms` sets how late the calls are, `--late-restart-interval` how often the fault comes, and `--no-other-faults` leaves the others out.

A second crash of a worker that is down extended nothing: the first restart ended the downtime, and the second one then dropped runs without telling the checker, which would have counted them as running. The later downtime counts now. It could happen before only if a worker that was leaving crashed.

The checks of the checker are untouched. It counts a fault as lasting while its calls can come later than the 3 s that it allows for commands delayed by a fault.

--- a/soak/src/thymefork_soak/main.py
+++ b/soak/src/thymefork_soak/main.py
@@ -24,8 +24,10 @@
 from .failing_caller import FailingCaller
 from .faults import FaultInjector
 from .fleet import Fleet
+from .late_restarts import LateRestarts, LateRestartSettings
 from .long_running_caller import LongRunningCaller
 from .outage_restarts import OutageRestarts
+from .standin.faulty_server import LATE_MS
 
 __all__ = ["main", "soak"]
 
@@ -53,11 +55,14 @@
     with_restarts=False,
     is_heterogeneous=False,
     calm_s=0.0,
+    late_restarts=None,
+    with_other_faults=True,
 ):
     """Run one soak test; return the violations and a summary line.
 
     With `calm_s`, jobs that always fail run beside lasting ones that stay. After the
-    faults all is calm for that time, but for a worker that crashes.
+    faults all is calm for that time, but for a worker that crashes. The settings
+    `late_restarts` add restarts of workers to which commands are on the way.
     """
     rng = random.Random(seed)
     fleet = Fleet(
@@ -139,16 +144,23 @@
             asyncio.ensure_future(caller.run(until_s + calm_s, now))
             for caller in failing
         ]
-        await asyncio.gather(
-            fault_injector.run(until_s, now),
-            fault_injector.run_outages(until_s, now, random.Random(f"{seed} outages")),
-            crashing.run(until_s, now),
-            capacity_changes.run(until_s, now),
-            corrupter.run(until_s, now),
-            *(caller.run(until_s, now) for caller in callers),
-            *(extra.run(until_s, now) for extra in account_callers),
+        late_restart_injector = LateRestarts(
+            fleet=fleet,
+            random=random.Random(f"{seed} late restarts"),
+            workers=WORKERS,
+            settings=late_restarts or LateRestartSettings(),
         )
-        (folder / "faults.txt").write_text("\n".join([*fault_injector.history, ""]))
+        sources = [*callers, *account_callers]
+        if late_restarts is not None:
+            sources.append(late_restart_injector)
+        runs = []
+        if with_other_faults:
+            sources += [fault_injector, crashing, capacity_changes, corrupter]
+            outages = random.Random(f"{seed} outages")
+            runs.append(fault_injector.run_outages(until_s, now, outages))
+        await asyncio.gather(*runs, *(each.run(until_s, now) for each in sources))
+        history = fault_injector.history + late_restart_injector.history
+        (folder / "faults.txt").write_text("\n".join([*history, ""]))
         if calm_s:
             await fault_injector.crash_worker()
             await asyncio.gather(asyncio.sleep(calm_s), *failing_tasks)
@@ -169,8 +181,7 @@
     accepted = sum(submitted.accepted for submitted in submitted_jobs)
     return (
         violations,
-        f"{len(submitted_jobs)} jobs, {accepted} accepted,"
-        f" {len(fault_injector.history)} faults",
+        f"{len(submitted_jobs)} jobs, {accepted} accepted, {len(history)} faults",
     )
 
 
@@ -243,9 +254,20 @@
     calm: Annotated[
         float, typer.Option(help="Calm seconds after the faults, beside failing jobs.")
     ] = 0.0,
+    late_restarts: Annotated[
+        bool, typer.Option(help="Restart workers while calls to them are late.")
+    ] = False,
+    late_ms: Annotated[
+        tuple[float, float], typer.Option(help="How late those calls may be.")
+    ] = LATE_MS,
+    late_restart_interval: Annotated[
+        tuple[float, float], typer.Option(help="Seconds between late restarts.")
+    ] = LateRestartSettings().interval_s,
+    other_faults: Annotated[bool, typer.Option(help="Inject the other faults.")] = True,
 ):
     """Run daemons under injected faults and print one verdict line."""
     folder = Path(tempfile.mkdtemp(prefix="thymefork-soak-"))
+    settings = LateRestartSettings(interval_s=late_restart_interval, late_ms=late_ms)
     violations, summary = asyncio.run(
         soak(
             seed,
@@ -255,6 +277,8 @@
             with_restarts=rolls,
             is_heterogeneous=uneven,
             calm_s=calm,
+            late_restarts=settings if late_restarts else None,
+            with_other_faults=other_faults,
         )
     )
     for line in violations[:20]:
--- a/soak/src/thymefork_soak/standin/faulty_server.py
+++ b/soak/src/thymefork_soak/standin/faulty_server.py
@@ -9,7 +9,10 @@
 from thymefork_net import Address, Sockets, SteadyTimers
 from thymefork_net.http import HttpServer
 
-__all__ = ["Faults", "FaultyServer", "Loop"]
+__all__ = ["LATE_MS", "Faults", "FaultyServer", "Loop"]
+
+# Range from which the lateness of a call is drawn.
+LATE_MS = (300.0, 2_500.0)
 
 
 class Loop(BaseComponent):
@@ -28,12 +31,14 @@
     """Configure the faults of calls; `mode` is "", silent, busy or reset.
 
     Units: `lose_share` is the fraction of answers dropped, `late_share` the fraction of
-    calls carried out late, `delay_ms` the delay of each answer.
+    calls carried out late, `late_ms` the range of how late, `delay_ms` the delay of
+    each answer.
     """
 
     mode: str = ""
     lose_share: float = 0.0
     late_share: float = 0.0
+    late_ms: tuple[float, float] = LATE_MS
     delay_ms: float = 0.0
     refuse_hosts: tuple[str, ...] = ()
 
@@ -74,7 +79,7 @@
             request.answer(503)
             return
         if self._random.random() < faults.late_share:
-            delay_ms = self._random.uniform(300.0, 2_500.0)
+            delay_ms = self._random.uniform(*faults.late_ms)
             self._loop.timers.after(
                 delay_ms, lambda: self._handle(request, lambda *_, **__: None)
             )
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -184,7 +184,9 @@
         self._workers[body["worker"]].leave(body["after_ms"])
 
     def _crash(self, body):
-        self._workers[body["worker"]].crash()
+        self._workers[body["worker"]].crash(
+            body.get("down_ms", 0.0), keeps_id=body.get("keeps_id", False)
+        )
 
     def _verdict(self, body):
         self._check()
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -54,6 +54,7 @@
         self.cpu_milli = cpu_milli
         self.address = f"{host}:{port}"
         self.down_since_ms = 0.0
+        self._downtimes = 0
         self._earlier_capacities = []
         self._loop = loop
         self._checker = checker
@@ -88,22 +89,26 @@
         if self.incarnation == incarnation:
             self.crash(self._random.uniform(*DOWNTIME_MS))
 
-    def crash(self, down_ms=0.0):
+    def crash(self, down_ms=0.0, *, keeps_id=False):
         """Lose all runs; restart as a new incarnation, unreachable for `down_ms`."""
         tasks = {task for task, _ in self._running}
         for task in tasks:
             self._checker.on_end(self, task, "crashed")
         self._checker.on_crash(tasks, steady_ms())
         self.faulty_server.close_connections()
-        if self._id_random.random() >= SAME_ID_SHARE:
+        if not keeps_id and self._id_random.random() >= SAME_ID_SHARE:
             self._id_number += 1
         self._reset(self.incarnation + 1)
         if down_ms:
             self.down_since_ms = steady_ms()
             self.faulty_server.outage = Faults(mode="reset")
-            self._loop.timers.after(down_ms, self._restart)
+            self._downtimes += 1
+            downtime = self._downtimes
+            self._loop.timers.after(down_ms, lambda: self._restart(downtime))
 
-    def _restart(self):
+    def _restart(self, downtime):
+        if downtime != self._downtimes:
+            return  # it crashed again meanwhile, and the later downtime counts
         self.down_since_ms = 0.0
         self.faulty_server.outage = None
         self._reset(self.incarnation)
