--- a/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
@@ -50,9 +50,11 @@
     def on_arrived(run):
         """Note that a start has arrived."""
         run.start_pending_since_ms = 0.0
-        step = run.task.step
+        unit, step = run.task.waiting_unit, run.task.step
+        if not unit.unanswered_since_ms:
+            return
         if not step.spec.gang or step.is_gang_complete(run.run_id):
-            _end_unanswered(run.task.waiting_unit)
+            _end_unanswered(unit)
 
     @staticmethod
     def on_rejected(run):
