--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_start_holds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_start_holds.py
@@ -1,4 +1,4 @@
-"""Orders of events in which a delayed start acts although its task was held, or should.
+"""Holds of tasks beside refusals, waits, gangs, late polls and late runs.
 
 Guards against holds that are lost or too short, and against tasks that wait in vain.
 """
@@ -68,9 +68,7 @@
 
 # The deadline of a start is over long before the task's next one is sent, which had to
 # wait for capacity and not for the first.
-def test_earlier_hold_does_not_shorten_next_after_wait_for_room(
-    make_harness,
-):
+def test_earlier_hold_does_not_shorten_next_after_wait_for_room(make_harness):
     harness = make_harness(workers=2)
     for worker in harness.workers.values():
         worker.work_ms_of = {f"{OTHER_JOB}.0.0.{n}": 6_000.0 for n in range(2)}
@@ -88,9 +86,7 @@
 
 
 # Members of the first gang run were all confirmed, but no report told of progress.
-def test_complete_gang_run_does_not_shorten_next_hold(
-    make_harness,
-):
+def test_complete_gang_run_does_not_shorten_next_hold(make_harness):
     harness = make_harness(workers=4, max_attempts=4)
     harness.simulate_gangs(bounds=Bounds())
     for worker in harness.workers.values():
@@ -123,9 +119,7 @@
 
 
 # Two starts in a row got no answer; the second's deadline is that of the first.
-def test_second_start_without_answer_in_a_row_is_held(
-    make_harness,
-):
+def test_second_start_without_answer_in_a_row_is_held(make_harness):
     harness = make_harness(workers=2)
     first = submit_with_delayed_start(
         harness, STEP, 100_000.0, later_runs_refused=False
@@ -151,9 +145,7 @@
 
 # A poll to the previous incarnation acknowledges the end of the delayed run, so that
 # the owner never learns of it.
-def test_late_poll_does_not_acknowledge_end_of_delayed_run(
-    make_harness,
-):
+def test_late_poll_does_not_acknowledge_end_of_delayed_run(make_harness):
     harness = make_harness(workers=2)
     harness.submit(OTHER_JOB, job_spec({"count": 12, "cpu_milli": 1_000}))
     harness.run(2_000)
@@ -214,9 +206,7 @@
 
 
 # The failure of a start that was not held is acknowledged, and not counted.
-def test_failure_of_unheld_start_counts_as_attempt(
-    make_harness,
-):
+def test_failure_of_unheld_start_counts_as_attempt(make_harness):
     harness = make_harness(workers=2, max_attempts=2)
     step = {**STEP, "speculative": True}
     late = submit_with_delayed_start(harness, step, SHORT_LATENESS_MS)
@@ -230,9 +220,7 @@
 
 
 # The arrived run is its task's only one: a stop of it takes a serving task away.
-def test_arrived_run_of_long_running_task_is_kept(
-    make_harness,
-):
+def test_arrived_run_of_long_running_task_is_kept(make_harness):
     harness = make_harness(workers=2)
     for worker in harness.workers.values():
         worker.work_ms = 1e9
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_starts_at_takeovers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_starts_at_takeovers.py
@@ -30,9 +30,7 @@
 
 # The age of a start counts from the decision, but it was sent once the store had taken
 # the intent.
-def test_slow_append_before_start_does_not_shorten_hold_of_next_owner(
-    make_harness,
-):
+def test_slow_append_before_start_does_not_shorten_hold_of_next_owner(make_harness):
     harness = make_harness(workers=2)
     harness.submit(JOB, job_spec(STEP))
     harness.append_latency_ms = lambda: 1_900.0
@@ -195,9 +193,7 @@
 
 # Another id at the address, told late of an incarnation that is over, made the owner
 # forget the next one, with its runs.
-def test_late_answer_about_over_incarnation_keeps_next(
-    make_harness,
-):
+def test_late_answer_about_over_incarnation_keeps_next(make_harness):
     harness = make_harness(workers=2)
     late = submit_with_delayed_start(harness, STEP, 100_000.0, later_runs_refused=False)
     over = harness.cell.context.workers[late.worker.worker_id]
