--- a/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
@@ -12,12 +12,12 @@
 
 __all__ = ["START_HOLD_MS", "DelayedStarts"]
 
-# A job that could run has to run something within 3 s. The rest of these is for its
+# A job that could run has to run something within 3 s. What is left of these is for its
 # next start, and for one more if that gets no answer either.
 START_HOLD_MS = 2_200.0
 # A start that leaves this soon after a hold is the next one in a row.
 REPEAT_WITHIN_MS = 600.0
-# Starts that may have arrived are reviewed this often until their worker has answered.
+# After its hold a task is reviewed this often until its worker has answered.
 REVIEW_INTERVAL_MS = 10.0
 LATE_START_REASON = "its start was carried out late"
 
@@ -39,7 +39,8 @@
     def expect_recovered(self, run, now_ms):
         """Note that a start of a previous owner may be under way.
 
-        It has not arrived at the incarnation that it was sent to.
+        The incarnation that it was sent to did not report it. Its age goes by the time
+        of day, since a full hold after each change of owner would be too long.
         """
         age_ms = self._context.epoch_ms() - run.created_epoch_ms
         earliest_ms = self._context.taken_over_ms - START_HOLD_MS
@@ -113,7 +114,7 @@
     def on_arrival(self, worker, row, now_ms):
         """Return the run that a delayed start has begun, or None.
 
-        It is stopped, unless it is to run until its job is cancelled.
+        It is to be stopped, but for a long-running one, which is its task's only run.
         """
         start = self._starts.get((worker.worker_id, row.task, row.run_id))
         if start is None:
--- a/packages/thymefork-cells/src/thymefork_cells/tests/delayed_start_cases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/delayed_start_cases.py
@@ -1,7 +1,7 @@
 """Drawn days of restarts under the same id among commands that come late.
 
-A start that got no answer may outlive the incarnation that it was sent to. Unlike
-`run_invariants`, the check here passes over no run.
+A start that got no answer may outlive the incarnation that it was sent to. It comes at
+most as late as tasks are held for.
 """
 
 import random
@@ -10,6 +10,7 @@
 from attrs import field, frozen
 
 from thymefork_cells.effects import PollWorker, StartRun, StopRun
+from thymefork_cells.jobs.delayed_starts import START_HOLD_MS
 from thymefork_cells.state import JobState
 from thymefork_cells.workers.crash_evidence import MAX_CRASHES
 
@@ -35,7 +36,7 @@
     """Describe a drawn day; a share is that of the jobs, commands or steps."""
 
     seed: int
-    lateness_ms: tuple | None = (300.0, 2_200.0)
+    lateness_ms: tuple | None = (300.0, START_HOLD_MS)
     unanswered_share: float = 0.15
     has_takeovers: bool = False
     gang_share: float = 0.0
