Bind a task to the worker of its unanswered start instead of holding it

Cause of both: a start without an answer held its task for 2.2 s although the start is rejected for as long as the worker's incarnation lives (an answered stop makes it old, a newer fence refuses it).

Change: while a start may arrive (2.5 s from its send, longer as a preference) its task starts only on that worker, on the incarnation that the start was sent to. That rejects the start, and a restart that lets it in ends the task's other run with it, so two runs can't overlap; a run that succeeds there is acknowledged only when the start can't arrive any more (`withheld_ends.py`, stored for next owners), since an acknowledged task must not begin again. A worker that has restarted, or refuses the task, is waited for, 2.5 s. A next owner binds anew; it uses the time of day only from the second change of owner on.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -27,6 +27,7 @@
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
 from .workers.takeover_report import TakeoverReport
+from .workers.withheld_ends import WithheldEnds
 from .workers.worker_locations import WorkerLocations
 from .workers.worker_losses import WorkerLosses
 from .workers.worker_poller import WorkerPoller
@@ -79,6 +80,7 @@
             takeover_report=self._takeover_report,
         )
         self.unstored_ends = UnstoredEnds(context=self.context)
+        self._withheld_ends = WithheldEnds(context=self.context)
         self.inherited_ends = InheritedEnds(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -89,6 +91,7 @@
             lifecycle=self.lifecycle,
             losses=self.losses,
             unstored_ends=self.unstored_ends,
+            withheld_ends=self._withheld_ends,
         )
         self.extended_leases = ExtendedLeases(context=self.context)
         self._worker_locations = WorkerLocations(context=self.context)
@@ -174,6 +177,7 @@
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
         self.extended_leases.load(records, self.registry.get_or_add_placeholder, now_ms)
         self._worker_locations.load(records, self.registry, now_ms)
+        self._withheld_ends.load(records, now_ms)
         self.inherited_leases.load(records)
         self.parts.load(records)
         self._takeover_report.begin()
@@ -208,6 +212,7 @@
         self.losses.review(now_ms)
         self._takeover_report.review(now_ms)
         self.extended_leases.review(now_ms)
+        self._withheld_ends.review(now_ms)
         self._worker_locations.review()
         self.commands.stop_unconfirmed_starts(now_ms)
         self.commands.log_overdue_stops(now_ms)
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -20,6 +20,8 @@
 
 JOB_KEY = "j"
 PROGRESS_KEY = "p"
+# Read by earlier releases as the time of a task's first unanswered start.
+NOT_UNANSWERED = (0,)
 
 
 def _non_default_fields(value):
@@ -147,11 +149,12 @@
     loss_rows = [_loss_row(loss) for loss in losses]
     unseen_ms = [loss.unseen_ms for loss in losses]
     delayed = [
-        [start.run_id, start.worker_id, start.until_epoch_ms]
+        [start.run_id, start.worker_id, start.binds_until_epoch_ms]
         for start in task.delayed_starts
     ]
-    unanswered = [task.waiting_unit.unanswered_since_epoch_ms]
-    optional = [loss_rows, births_epoch_ms, times_ms, unseen_ms, delayed, unanswered]
+    inherited = [start.is_inherited for start in task.delayed_starts]
+    optional = [loss_rows, births_epoch_ms, times_ms, unseen_ms, delayed]
+    optional += [NOT_UNANSWERED, inherited]
     while optional and not any(optional[-1]):
         optional.pop()
     return row + optional
@@ -199,14 +202,14 @@
             within_ms=next(times_ms),
             unseen_ms=next(unseen_ms),
         )
-    if len(more) > 5:
-        (task.waiting_unit.unanswered_since_epoch_ms,) = more[5]
-    for run_id, worker_id, until_epoch_ms in more[4] if len(more) > 4 else ():
+    inherited = iter(more[6] if len(more) > 6 else ())
+    for run_id, worker_id, binds_until_epoch_ms in more[4] if len(more) > 4 else ():
         start = DelayedStart(
             task=task,
             run_id=run_id,
             worker_id=worker_id,
-            until_epoch_ms=until_epoch_ms,
+            binds_until_epoch_ms=binds_until_epoch_ms,
+            is_inherited=next(inherited, False),
         )
         task.delayed_starts.append(start)
 
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -20,7 +20,8 @@
     def release(self, run, *, now_ms):
         """Free the resources of a run that does not run and can't start any more.
 
-        If its start may yet arrive at a later incarnation, its task has to wait.
+        If its start may yet arrive at a later incarnation, its task is bound to that
+        worker.
         """
         if run.state is RunState.GONE:
             return
@@ -37,7 +38,7 @@
 
     def release_unstarted(self, run, *, now_ms):
         """Release a run whose start was rejected, or never sent."""
-        self.delayed_starts.on_rejected(run)
+        self.delayed_starts.on_arrived(run)
         self.release(run, now_ms=now_ms)
 
     def end(self, run, how, checkpoint, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/placement/gang_workers.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/gang_workers.py
@@ -13,6 +13,7 @@
 def workers_for_gang(step, workers, now_ms):
     """Return a worker for each task of a gang, or None if they do not all fit.
 
+    A task that is bound to a worker by a delayed start gets that one.
     Workers are used in the order given, those on probation only if the gang fits on no
     others for a while: no single task may come to probe them. With `same_rack`, a
     single rack is tried first.
@@ -27,10 +28,10 @@
 def _choose(step, workers):
     if step.spec.same_rack:
         for members in _by_rack(workers):
-            chosen = _allocate(step.spec, members)
+            chosen = _allocate(step, members)
             if chosen is not None:
                 return chosen
-    return _allocate(step.spec, workers)
+    return _allocate(step, workers)
 
 
 def _by_rack(workers):
@@ -40,10 +41,19 @@
     return racks.values()
 
 
-def _allocate(spec, workers):
-    slots = []
+def _allocate(step, workers):
+    """Return a worker for each task, or None if they do not all fit."""
+    bound = {task: None for task in step.tasks if task.required_worker_id}
+    missing, slots = len(bound), []
     for worker in workers:
-        slots += [worker] * task_capacity(worker, spec)
-        if len(slots) >= spec.count:
-            return slots[: spec.count]
+        own_tasks = [task for task in bound if task.may_repeat_on(worker)]
+        bound |= dict.fromkeys(own_tasks, worker)
+        missing -= len(own_tasks)
+        unused_slots = task_capacity(worker, step.spec) - len(own_tasks)
+        if unused_slots < 0:
+            return None
+        slots += [worker] * unused_slots
+        if not missing and len(slots) + len(bound) >= step.spec.count:
+            others = iter(slots)
+            return [bound.get(task) or next(others) for task in step.tasks]
     return None
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -139,7 +139,7 @@
             (crash_suspects if is_crash_suspect else regular).append(task)
         usable = self._with_isolated(step, workers, permitted, now_ms)
         starts = self._place_regular(step, regular, workers, usable, now_ms)
-        unplaced = len(regular) - len(starts)
+        unplaced = len(regular) - len(starts) - _bound_count(regular, starts)
         if crash_suspects:
             starts += self._place_crash_suspects(
                 step, crash_suspects, permitted, now_ms
@@ -217,7 +217,7 @@
         starts = []
         for task in tasks:
             worker = ranking.best_for(task)
-            if worker is None and not task.avoided_workers:
+            if worker is None and not (task.avoided_workers or task.delayed_starts):
                 break
             if worker is None:
                 continue
@@ -292,3 +292,9 @@
             job.state = JobState.RUNNING
         self._context.journal.mark_changed(job)
         self._context.journal.after(StartRun(run=run))
+
+
+def _bound_count(tasks, starts):
+    """Return how many tasks without a start could have used a single worker only."""
+    bound = {task for task in tasks if task.delayed_starts and task.required_worker_id}
+    return len(bound - {task for task, _ in starts}) if bound else 0
--- a/packages/thymefork-cells/src/thymefork_cells/placement/worker_ranking.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/worker_ranking.py
@@ -99,6 +99,10 @@
 
         Call `on_assigned` after the assignment to put the worker back.
         """
+        if task.delayed_starts:
+            self._last_row = self._take_row_for_bound(task)
+            if self._last_row is not None or task.required_worker_id:
+                return self._last_row[2] if self._last_row is not None else None
         passed_over, found, avoided = [], None, None
         while self._rows and found is None:
             row = heapq.heappop(self._rows)
@@ -120,6 +124,18 @@
         self._last_row = found
         return found[2] if found is not None else None
 
+    def _take_row_for_bound(self, task):
+        """Remove and return the row of the worker that a task is bound to, or None."""
+        worker_id = task.required_worker_id or task.preferred_worker_id
+        for row in self._rows:
+            if row[2].worker_id != worker_id or worker_id in task.avoided_workers:
+                continue
+            if self._accepts_step(row[2]) and task.may_repeat_on(row[2]):
+                self._rows.remove(row)
+                heapq.heapify(self._rows)
+                return row
+        return None
+
     def on_assigned(self):
         """Update the score of the worker returned last, which now runs the task."""
         _, position, worker = self._last_row
--- a/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/__init__.py
@@ -2,7 +2,7 @@
 
 from .account_usage import AccountUsage
 from .advice_slots import LONG_CALL_MS, AdviceSlots
-from .delayed_start import DelayedStart
+from .delayed_start import BINDING_MS, MAX_COMMAND_DELAY_MS, DelayedStart
 from .isolation import Isolation
 from .job import Job, JobState
 from .run import Run, RunState
@@ -13,8 +13,10 @@
 from .worker_loss import EARLY_LOSS_MS, WorkerLoss, have_similar_timing
 
 __all__ = [
+    "BINDING_MS",
     "EARLY_LOSS_MS",
     "LONG_CALL_MS",
+    "MAX_COMMAND_DELAY_MS",
     "AccountUsage",
     "AdviceSlots",
     "DelayedStart",
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -31,8 +31,7 @@
     first answer. `denials_cleared_ms` is when `denied` was last cleared for new calls,
     `denial_reset_count` how often it was. `advice_asked` is set while a call is in
     flight, `advice_wanted_ms` is when a call was first wanted, 0 if none is.
-    `gang_failed_run` is the number of the last failed gang run, `unanswered_since_*`
-    is when the first of a gang's latest incomplete starts was sent.
+    `gang_failed_run` is the number of the last failed gang run.
 
     Units: `*_ms` on the steady clock.
     """
@@ -62,8 +61,6 @@
     failed_worker_ids: set = field(factory=set)
     has_success: bool = False
     advice_not_before_ms: float = 0.0
-    unanswered_since_ms: float = 0.0
-    unanswered_since_epoch_ms: int = 0
 
     @property
     def name(self):
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -10,6 +10,8 @@
 AVOIDANCE_MS = 1_000.0
 # Most runs of one task at a time, speculative copies included.
 MAX_COPIES = 3
+# After this many unanswered starts on one worker in a row a task waits for another one.
+MAX_REPEATS_ON_WORKER = 3
 # A task gets no copy once it may have crashed this many workers.
 MAX_SUSPECTED_CRASHES = 2
 
@@ -23,8 +25,7 @@
     another owner started it. `expired_runs` holds the runs presumed dead when their
     leases expired without a reported end; `losses` maps worker incarnations to losses.
     `delayed_starts` holds the starts of released runs that may yet arrive at a later
-    incarnation of their worker, `unanswered_since_*` is when the first of its latest
-    starts without an answer was sent, 0 if the last was confirmed.
+    incarnation of their worker.
     `avoided_workers` holds the ids of workers that are used only if no other can be,
     from `may_return_ms` on also if no other has room.
     """
@@ -39,8 +40,6 @@
     worked_ms: float = 0.0
     runs: list = field(factory=list)
     delayed_starts: list = field(factory=list)
-    unanswered_since_ms: float = 0.0
-    unanswered_since_epoch_ms: int = 0
     stalls: int = 0
     expired_runs: set = field(factory=set)
     avoided_workers: set = field(factory=set)
@@ -51,12 +50,43 @@
     @property
     def is_waiting(self):
         """Return whether the task is not done and no run of it may exist."""
-        return not self.done and not self.runs and not self.delayed_starts
+        return not self.done and not self.runs and not self.is_held
 
     @property
-    def waiting_unit(self):
-        """Return what waits as a whole for a start: the task, or its gang's step."""
-        return self.step if self.step.spec.gang else self
+    def is_held(self):
+        """Return whether its delayed starts keep it from starting on any worker."""
+        if not self.delayed_starts:
+            return False
+        binding = [start for start in self.delayed_starts if start.is_binding]
+        if len(binding) > MAX_REPEATS_ON_WORKER:
+            return True
+        return len({start.worker_id for start in binding}) > 1
+
+    @property
+    def required_worker_id(self):
+        """Return the id of the only worker on which it may start, empty if any may."""
+        binding = (start.worker_id for start in self.delayed_starts if start.is_binding)
+        return next(binding, "")
+
+    def may_repeat_on(self, worker):
+        """Return whether it may start on the worker that its delayed starts require."""
+        return all(
+            start.worker_id == worker.worker_id
+            and start.born_epoch_ms in (0, worker.born_epoch_ms)
+            for start in self.delayed_starts
+            if start.is_binding
+        )
+
+    @property
+    def preferred_worker_id(self):
+        """Return the id of the worker on which it should start, or an empty string.
+
+        One that may crash its workers is rather kept away from a worker that is back,
+        and the copies of one that may run twice from each other.
+        """
+        if not self.delayed_starts or self.losses or self.step.spec.speculative:
+            return ""
+        return self.delayed_starts[-1].worker_id
 
     def avoid(self, worker_id, now_ms):
         """Prefer other workers than this one."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -5,8 +5,7 @@
 from attrs import frozen
 
 from ..effects import StopRun
-from ..state import RunState
-from .extended_leases import MAX_COMMAND_DELAY_MS
+from ..state import MAX_COMMAND_DELAY_MS, RunState
 from .run_reconciler import UNANSWERED_START_REASON
 from .stop_priority import sort_by_stop_priority
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/extended_leases.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/extended_leases.py
@@ -7,13 +7,12 @@
 
 import orjson
 
+from ..state import MAX_COMMAND_DELAY_MS
 from .lease_duration import max_lease_duration_ms
 
 __all__ = ["EXTENDED_LEASE_KEY", "ExtendedLeases"]
 
 EXTENDED_LEASE_KEY = "h"
-# An unanswered command may be delivered this late, even after newer ones were answered.
-MAX_COMMAND_DELAY_MS = 10_000.0
 
 
 class ExtendedLeases:
--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -14,8 +14,9 @@
 class RunReconciler:
     """Apply a worker's report to the runs that the owner tracks on it."""
 
-    def __init__(self, *, context, lifecycle, losses, unstored_ends):
+    def __init__(self, *, context, lifecycle, losses, unstored_ends, withheld_ends):
         self._context = context
+        self._withheld_ends = withheld_ends
         self._lifecycle = lifecycle
         self._unstored_ends = unstored_ends
         self._losses = losses
@@ -35,11 +36,18 @@
                 self._unstored_ends.add(worker, row, now_ms=now_ms)
                 if row.how == "done":
                     self._losses.on_run_done(run)
+                    self._withhold_end(worker, row, run.task)
                 self._lifecycle.end(run, row.how, row.checkpoint, now_ms=now_ms)
             else:
                 self._lifecycle.end_late(row.task, row.run_id, row.how, now_ms=now_ms)
         return has_new
 
+    def _withhold_end(self, worker, row, task):
+        """Don't acknowledge a success while an earlier start may still arrive here."""
+        until_ms = self._lifecycle.delayed_starts.binds_until_ms(worker, task)
+        if until_ms and not task.step.spec.long_running:
+            self._withheld_ends.withhold(worker, row.number, until_ms)
+
     def _log_skipped(self, worker, row):
         """Log a skipped end whose run is still tracked."""
         if (row.task, row.run_id) not in worker.runs:
@@ -142,7 +150,7 @@
                 lost_runs.append(run)
             elif self._is_gone(run, report.clock_ms):
                 if run.state is RunState.RECOVERED:
-                    self._lifecycle.delayed_starts.expect_recovered(run, now_ms)
+                    self._lifecycle.delayed_starts.expect_recovered(run)
                 self._context.count("run_ends", "vanished")
                 self._context.note(
                     "run_vanished",
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_poller.py
@@ -25,6 +25,9 @@
 # The clock of a worker without runs is read this often. A start there gets a lease that
 # is shorter by the drift that the clock may have had since, 0.5 s at most.
 CLOCK_MAX_AGE_MS = 20_000.0
+# A worker whose ends are not all acknowledged answers each poll at once, so it is
+# polled this often.
+WITHHELD_POLL_INTERVAL_MS = 100.0
 # Checking all workers for due polls is expensive, so it is done this often. Workers
 # with changes are checked in the next cycle.
 FULL_SCAN_INTERVAL_MS = 20.0
@@ -33,15 +36,17 @@
 class WorkerPoller:
     """Schedule polls and process their answers."""
 
-    def __init__(self, *, context, lifecycle, losses, unstored_ends):
+    def __init__(self, *, context, lifecycle, losses, unstored_ends, withheld_ends):
         self._context = context
         self._losses = losses
         self._unstored_ends = unstored_ends
+        self._withheld_ends = withheld_ends
         self._reconciler = RunReconciler(
             context=context,
             lifecycle=lifecycle,
             losses=losses,
             unstored_ends=unstored_ends,
+            withheld_ends=withheld_ends,
         )
         self._changed = {}
         self._scan_due_ms = 0.0
@@ -126,7 +131,7 @@
             return True
         if self._context.defers_idle_polls:
             return False  # it keeps its ends until they are acknowledged
-        if worker.stored_end > worker.acknowledged_end:
+        if self._withheld_ends.end_to_acknowledge(worker) > worker.acknowledged_end:
             return True
         return now_ms - worker.clock_read_ms > CLOCK_MAX_AGE_MS
 
@@ -148,14 +153,18 @@
                     worker=worker,
                     wait_ms=0,
                     lease_ms=0.0,
-                    last_end=worker.stored_end,
+                    last_end=self._withheld_ends.end_to_acknowledge(worker),
                     quick=True,
                 )
             )
 
     def _needs_quick_poll(self, worker, now_ms):
         """Return whether a poll is needed beside the one in flight."""
-        if not worker.stopped and not worker.needs_answer:
+        if not (
+            worker.stopped
+            or worker.needs_answer
+            or self._withheld_ends.withholds_any(worker)
+        ):
             return False
         if worker.stop_answered_ms > worker.quick_poll_sent_ms:
             return True
@@ -167,6 +176,7 @@
         can_wait = can_wait and not worker.stopped and not worker.is_storing_ends
         can_wait = can_wait and worker.suspected_ms <= worker.last_answer_ms
         can_wait = can_wait and not worker.unanswered_in_row
+        can_wait = can_wait and not self._withheld_ends.withholds_any(worker)
         renews_leases = self._renews_leases(worker)
         worker.is_polling = True
         worker.poll_sent_ms = now_ms
@@ -175,7 +185,7 @@
                 worker=worker,
                 wait_ms=self._poll_wait_ms(worker) if can_wait else 0,
                 lease_ms=lease_ms_for(worker) if renews_leases else 0.0,
-                last_end=worker.stored_end,
+                last_end=self._withheld_ends.end_to_acknowledge(worker),
             )
         )
 
@@ -266,6 +276,8 @@
             worker.poll_due_ms = now_ms + SETTLING_POLL_DELAY_MS
         elif self._context.is_store_unavailable and not worker.runs:
             worker.poll_due_ms = now_ms + OUTAGE_POLL_WAIT_MS
+        elif self._withheld_ends.withholds_any(worker):
+            worker.poll_due_ms = now_ms + WITHHELD_POLL_INTERVAL_MS
 
     def _log_outdated(self, worker, report):
         """Log the second outdated report in a row; a single one may just be late."""
