Bind the tasks of runs that a restart between two owners may have left on their way

What callers saw: a task twice, always in the forced order: an owner ends before its start's answer is overdue, the worker restarts before the next owner asks it, and again before the start arrives. Cause: the next owner finds the run in the store and a younger incarnation at the worker, and takes the run for lost with the one before. No record tells it from a start still on its way, and a hold would have kept all tasks of a restarted worker waiting, so it was left open.

Why it works: a task bound to a worker may start there at once, on each incarnation that has answered this owner, since its fence rejects the start. So such runs are bound like others of a previous owner, and nothing waits.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -147,6 +147,8 @@
             if run.is_suspect and run.suspected_ms <= answered_poll_ms:
                 self._lifecycle.stop(run, UNANSWERED_START_REASON, now_ms=now_ms)
             elif run.is_of_earlier_incarnation and run.state is RunState.RECOVERED:
+                if not run.is_carried_over:
+                    self._lifecycle.delayed_starts.expect_recovered(run)
                 lost_runs.append(run)
             elif self._is_gone(run, report.clock_ms):
                 if run.state is RunState.RECOVERED:
