Count the failure of a late start whose step may run twice

What callers saw: an attempt too many, always in the forced order. Cause: starts of a speculative step were not tracked once their run was released, so that the end of a run that such a start began late was acknowledged and counted for nothing. They are tracked now like others, but bind their task to no worker, since its copies may run side by side.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
@@ -32,8 +32,8 @@
 
     @staticmethod
     def expect(run, sent_ms):
-        """Note that a start is under way, unless its step may run twice."""
-        if run.worker.born_epoch_ms and not run.step.speculative:
+        """Note that a start is under way."""
+        if run.worker.born_epoch_ms:
             run.start_pending_since_ms = sent_ms
 
     def expect_recovered(self, run):
@@ -72,7 +72,8 @@
         start.binds_until_ms = since_ms + BINDING_MS
         epoch_ms = self._context.epoch_ms() - now_ms
         start.binds_until_epoch_ms = round(epoch_ms + start.binds_until_ms)
-        start.is_binding = now_ms < start.binds_until_ms
+        may_run_twice = start.task.step.spec.speculative
+        start.is_binding = now_ms < start.binds_until_ms and not may_run_twice
 
     def _add(self, start, how, now_ms):
         self._starts[start.key] = start
