--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_start_holds.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_start_holds.py
@@ -118,7 +118,7 @@
     assert not task.delayed_starts
 
 
-# Two starts in a row got no answer.
+# Guards against a task twice after two starts in a row without an answer.
 def test_second_start_without_answer_in_a_row_is_held(make_harness):
     harness = make_harness(workers=2)
     submit_with_delayed_start(harness, STEP, 100_000.0, later_runs_refused=False)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_starts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_delayed_starts.py
@@ -181,8 +181,8 @@
     assert_succeeds_once(harness)
 
 
+# Guards against a job that stands still though its worker lives and rejects the start.
 def test_unanswered_start_is_repeated_at_its_worker_at_once(make_harness):
-    """Guards against jobs that stand still though nothing can happen to them."""
     harness = make_harness(workers=2)
     late = submit_with_delayed_start(harness, STEP, 60_000.0, later_runs_refused=False)
     harness.run(MAX_STALL_MS)
@@ -191,11 +191,8 @@
     assert again_ms - late.sent_ms < 400.0
 
 
+# Guards against a task that waits too long, or not at all, if its worker refuses it.
 def test_start_is_repeated_elsewhere_before_its_job_stands_still(make_harness):
-    """Guards against tasks that wait too long for a worker, and against none that do.
-
-    The worker refuses them.
-    """
     harness = make_harness(workers=2)
     late = submit_with_delayed_start(harness, STEP, 60_000.0)
     harness.run(MAX_STALL_MS)
@@ -203,8 +200,8 @@
     assert LONG_LATENESS_MS <= again_ms - late.sent_ms < MAX_STALL_MS
 
 
+# Guards against a sound job shown as failed since its worker restarts again and again.
 def test_start_is_not_repeated_on_worker_that_restarted(make_harness):
-    """Guards against tasks that fail with a worker that restarts again and again."""
     harness = make_harness(workers=2)
     late = submit_with_delayed_start(harness, STEP, 60_000.0, later_runs_refused=False)
     harness.run(100)
