--- a/review/2/case.py
+++ b/review/2/case.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
@@ -15,7 +16,8 @@
 
 JOB_ID, HOST = "5c0e7a21d94b36f8", "jobs.example"
 PATH = f"/batch/{JOB_ID}"
-TASKS, WORK_MS = 1_500, 12_000
+TIMES, COUNT, INTERVAL_MS, WORK_MS = 8, 300, 500, 12_000
+TASKS = TIMES * COUNT
 OUTAGE_S = 7.0
 
 
@@ -49,8 +51,15 @@
     record, store = fleet.record, fleet.store
     try:
         await fleet.start(configuration(1, {"batch": {}}))
-        step = {"count": TASKS, "cpu": 10, "mem_mb": 10, "estimated_ms": WORK_MS}
-        job = {"spec": "review", "steps": [step]}
+        job = {
+            "spec": "review",
+            "repeat_count": TIMES,
+            "interval_ms": INTERVAL_MS,
+            "start_at_ms": round(time.time() * 1_000) + 1_000,
+            "steps": [
+                {"count": COUNT, "cpu": 10, "mem_mb": 10, "estimated_ms": WORK_MS}
+            ],
+        }
         if not await fleet.submit(PATH, HOST, job):
             raise RuntimeError("the job was not accepted")
         until_ms = now_ms() + 40_000
