Let jobs go on under the last policy of a removed queue

Cause: "the configuration does not name the queue" became a default wherever it was asked, and the default of one attempt failed the job for good.

Change: the last policy of a removed queue stays in force for its jobs and is stored beside them, one record a queue, so a next owner keeps it. Where none is known, as for jobs of earlier releases, a job is neither started nor failed until a configuration names its queue. This works since nothing is decided from an absent policy any more: the number of attempts comes from the last configuration that named the queue, or the judgement waits.

Same cause on related paths, in the same tests: waiting tasks and next steps started only once the route was back; a job accepted just after the removal never started; a job loaded meanwhile kept an objective of 0; attempts lowered between two runs allowed one start too many. Ruled out: the advice code's second look-up (same plan, the configuration can't change) and preemption (an unknown queue had priority 0, so its runs never gave way).

--- a/packages/thymefork-cells/src/thymefork_cells/advice/requester.py
+++ b/packages/thymefork-cells/src/thymefork_cells/advice/requester.py
@@ -74,8 +74,7 @@
         With the tickets their tasks start as soon as the leases there are over.
         `workers_of(step)` maps the ids of the workers of a step's service to them.
         """
-        queues = self._context.configuration.queues
-        if all(queue.advice is None for queue in queues):
+        if not self._context.asks_for_advice:
             return
         for step, loss in expected_losses(self._context.workers.values()).items():
             policy = self.policy(step)
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -17,6 +17,7 @@
 from .placement.placer import Placer
 from .placement.preemptor import Preemptor
 from .placement.reservations import Reservations
+from .policies import RetainedPolicies
 from .workers.commands import CommandTracker, Refusal
 from .workers.extended_leases import ExtendedLeases
 from .workers.gang_monitor import GangMonitor
@@ -104,6 +105,7 @@
         self.registry = WorkerRegistry(
             context=self.context, losses=self.losses, incarnations=self.incarnations
         )
+        self.policies = RetainedPolicies(context=self.context)
         self.shares = JobRateShares(context=self.context)
         self.parts = PartsLedger(context=self.context)
         self.quotas = Quotas(context=self.context, parts=self.parts)
@@ -114,6 +116,7 @@
         self.intake = Intake(
             context=self.context,
             lifecycle=self.lifecycle,
+            policies=self.policies,
             quotas=self.quotas,
             shares=self.shares,
         )
@@ -172,6 +175,7 @@
 
     def load(self, records, *, epoch_ms, now_ms):
         """Load the stored state; `records` maps keys to values."""
+        self.policies.load(records)
         self.losses.crash_monitor.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._loader.load(records, epoch_ms=epoch_ms, now_ms=now_ms)
         self._crash_isolation.restore(self.context.live_jobs.values(), now_ms)
@@ -180,11 +184,12 @@
         self._withheld_ends.load(records, now_ms)
         self.inherited_leases.load(records)
         self.parts.load(records)
+        self.policies.on_jobs_loaded()
         self._takeover_report.begin()
 
     def on_configuration(self, configuration):
         """Apply a newer configuration."""
-        self.context.configuration = configuration
+        self.policies.replace_configuration(configuration)
         self.quotas.update_limits(configuration)
         self.context.needs_plan = True
 
@@ -196,6 +201,8 @@
         if now_ms >= self._review_due_ms:
             self._review_due_ms = now_ms + REVIEW_INTERVAL_MS
             self._review(now_ms)
+        if self.policies.take_changed_attempts():
+            self.lifecycle.fail_exhausted_jobs(now_ms)
         held_ms = self.lifecycle.delayed_starts.review(now_ms)
         if self.context.needs_plan:
             self.placer.plan(now_ms)
@@ -221,6 +228,7 @@
         self.gang_monitor.check(now_ms)
         self.pacing.check(now_ms)
         self.lifecycle.forget_ended(now_ms)
+        self.policies.review(now_ms)
         self.context.needs_plan = True
 
     # Store -------------------------------------------------------------------
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable
+from itertools import chain
 
 from attrs import define, field
 
@@ -20,9 +21,11 @@
 class CellContext:
     """Hold the jobs, workers and pending effects of one cell under one owner.
 
-    `usages` maps client accounts to their usage; `pending_stops` holds, as ordered
-    keys, the runs whose stop the worker has not acknowledged. `advice_slots` is the
-    number of advice calls that may be made now, None if unlimited.
+    `usages` maps client accounts to their usage; `removed_queues` maps the names of
+    queues that the configuration lacks to the last policies, which jobs go on with;
+    `pending_stops` holds, as ordered keys, the runs whose stop the worker has not
+    acknowledged. `advice_slots` is the number of advice calls that may be made now,
+    None if unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
     current. `has_quorum` is set once a quorum of workers has accepted this owner's
     fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, as
@@ -41,6 +44,7 @@
     live_jobs: dict = field(factory=dict)
     workers: dict = field(factory=dict)
     usages: dict = field(factory=dict)
+    removed_queues: dict = field(factory=dict)
     short_lease_workers: dict = field(factory=dict)
     pending_stops: dict = field(factory=dict)
     effects: list = field(factory=list)
@@ -85,8 +89,22 @@
         return self.usages[account_name]
 
     def queue(self, job):
-        """Return the policy of a job's queue, or None if it was removed."""
-        return self.configuration.queue(job.queue_name)
+        """Return the policy of a job's queue, or None if it is not known.
+
+        Jobs of a removed queue go on under its last policy. It is unknown if the job
+        was stored without it, or before this owner has read of its queue.
+        """
+        return self.queue_policy(job.queue_name)
+
+    def queue_policy(self, name):
+        """Return the present policy of a queue, the last one if it was removed."""
+        return self.configuration.queue(name) or self.removed_queues.get(name)
+
+    @property
+    def asks_for_advice(self):
+        """Return whether any queue of live jobs may need advice."""
+        queues = chain(self.configuration.queues, self.removed_queues.values())
+        return any(queue.advice is not None for queue in queues)
 
     def is_most_urgent(self, job):
         """Return whether no queue of the same service is more urgent than a job's."""
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
@@ -5,6 +5,7 @@
 from ..effects import Outcome, Reply
 from ..state import Job, JobState
 from .codec import decode_spec
+from .objective import set_objective
 
 __all__ = ["STORE_UNAVAILABLE_RETRY_DELAY_MS", "Intake"]
 
@@ -15,8 +16,9 @@
 class Intake:
     """Accept and cancel jobs, and reply with their states."""
 
-    def __init__(self, *, context, lifecycle, quotas, shares):
+    def __init__(self, *, context, lifecycle, policies, quotas, shares):
         self._context = context
+        self._policies = policies
         self._shares = shares
         self._quotas = quotas
         self._lifecycle = lifecycle
@@ -67,9 +69,10 @@
             first_start_ms=first_start_ms,
         )
         job.is_beyond_share = not self._shares.admits(account_name, now_ms)
-        job.objective_ms = now_ms + self._objective_ms(job)
+        set_objective(job, self._context.queue(job))
         self._context.jobs[job_id] = job
         self._context.live_jobs[job_id] = job
+        self._policies.store_for(job)
         self._context.journal.add(job)
         self._context.needs_plan = True
         self._context.note(
@@ -115,13 +118,6 @@
             retry_after_ms=STORE_UNAVAILABLE_RETRY_DELAY_MS,
         )
 
-    def _objective_ms(self, job):
-        """Return how long a job may take by the objective of its queue."""
-        queue = self._context.queue(job)
-        if queue is None:
-            return 0.0
-        return queue.stretch * critical_path_ms(job.spec) + queue.target_latency_ms
-
     def is_stored(self, job_id):
         """Return whether a job with this id is stored."""
         job = self._context.jobs.get(job_id)
@@ -176,12 +172,3 @@
 def _belongs_to_other_account(job, account_name):
     """Return whether a job belongs to another account than the caller's."""
     return bool(job.account_name and account_name) and job.account_name != account_name
-
-
-def critical_path_ms(spec):
-    """Return the estimated duration of the longest path of dependent steps."""
-    longest = []
-    for step in spec.steps:
-        preceding_ms = max((longest[earlier] for earlier in step.after), default=0.0)
-        longest.append(preceding_ms + step.estimated_ms)
-    return max(longest, default=0.0)
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
@@ -3,7 +3,7 @@
 from attrs import field, frozen
 
 from .codec import JOB_KEY, PROGRESS_KEY, decode_ended_job, decode_job, decode_progress
-from .intake import critical_path_ms
+from .objective import set_objective
 
 __all__ = ["JobLoader"]
 
@@ -50,12 +50,7 @@
         return job
 
     def _resume(self, job, now_ms):
-        queue = self._context.queue(job)
-        if queue is not None:
-            objective_ms = (
-                queue.stretch * critical_path_ms(job.spec) + queue.target_latency_ms
-            )
-            job.objective_ms = job.accepted_ms + objective_ms
+        set_objective(job, self._context.queue(job))
         if not job.is_live:
             job.ended_ms = now_ms
             for run in job.runs:
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -180,19 +180,38 @@
         step = task.step
         if not step.spec.gang:
             task.failures += 1
-            failures = task.failures
-        else:
-            if step.gang_failed_run != run_id:
-                step.gang_failed_run = run_id
-                step.gang_failures += 1
-            failures = step.gang_failures
-        if failures >= self._max_attempts(step.job) and step.job.is_live:
-            reason = f"{task.name} failed {failures} times"
-            self.finish(step.job, JobState.FAILED, reason, now_ms=now_ms)
-
-    def _max_attempts(self, job):
+        elif step.gang_failed_run != run_id:
+            step.gang_failed_run = run_id
+            step.gang_failures += 1
+        self._fail_if_exhausted(task, now_ms)
+
+    def _fail_if_exhausted(self, task, now_ms):
+        """Fail the job of a task or gang that has no attempt left.
+
+        While it is not known how many it has, it may neither start nor fail.
+        """
+        job = task.step.job
         queue = self._context.queue(job)
-        return queue.max_attempts if queue is not None else 1
+        if queue is None:
+            self._context.count("removed_policies", "failure_not_judged")
+        elif task.failed_attempts >= queue.max_attempts and job.is_live:
+            reason = f"{task.name} failed {task.failed_attempts} times"
+            self.finish(job, JobState.FAILED, reason, now_ms=now_ms)
+
+    def fail_exhausted_jobs(self, now_ms):
+        """Fail the jobs that have no attempt left since their queues' policies changed.
+
+        Another start of such a task would be one too many.
+        """
+        for job in list(self._context.live_jobs.values()):
+            failed_tasks = [
+                task
+                for step in job.steps
+                for task in step.tasks
+                if task.failed_attempts and not task.done
+            ]
+            for task in failed_tasks:
+                self._fail_if_exhausted(task, now_ms)
 
     # Jobs --------------------------------------------------------------------
 
--- a/packages/thymefork-cells/src/thymefork_cells/placement/preemptor.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/preemptor.py
@@ -75,7 +75,7 @@
 
     def _candidates(self, step, worker, now_ms):
         """Return the runs that may be preempted, the largest first."""
-        priority = self._priority(step)
+        priority = self._context.queue(step.job).priority
         needs_ms = self._durations.expected_ms(step.spec, worker)
         runs = [
             run
@@ -85,7 +85,7 @@
             and not run.step.gang
             and not run.step.long_running
             and now_ms - run.began_ms > MIN_RUN_AGE_MS
-            and self._priority(run.task.step) > priority
+            and self._is_less_urgent(run, priority)
             and self._can_be_preempted(run, needs_ms, now_ms)
         ]
         return sorted(runs, key=lambda run: -run.step.reserved_cpu_milli)
@@ -98,9 +98,10 @@
         spare_ms = run.task.step.job.objective_ms - now_ms - left_ms
         return spare_ms < 0 or spare_ms > needs_ms + RESUME_MS
 
-    def _priority(self, step):
-        queue = self._context.queue(step.job)
-        return queue.priority if queue is not None else 0
+    def _is_less_urgent(self, run, priority):
+        """Return whether a run's queue is known to have a lower priority."""
+        queue = self._context.queue(run.task.step.job)
+        return queue is not None and queue.priority > priority
 
     def _stop(self, run, step, now_ms):
         self._context.count("run_ends", "made_way")
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -52,6 +52,11 @@
         """Return whether the task is not done and no run of it may exist."""
         return not self.done and not self.runs and not self.is_held
 
+    @property
+    def failed_attempts(self):
+        """Return how many attempts have failed, of the whole gang if it is in one."""
+        return self.step.gang_failures if self.step.spec.gang else self.failures
+
     @property
     def is_held(self):
         """Return whether its delayed starts keep it from starting on any worker."""
