Keep the limit and weight of a removed account over a change of owner

What callers would see: an account that the configuration has dropped runs more than its limit once the owner of its cell has changed, beside others that keep to theirs.

Evidence: test_account_keeps_its_limit_while_it_is_removed[True] ran six tasks where the limit allows two, on the code before; with the same owner it held.

Change: what live jobs go by of their account is stored beside the policies of queues. Quotas ask the context for the present or the last policy, so the limits that they kept are gone. Fair shares go by the last weight, too.

--- a/packages/thymefork-cells/src/thymefork_cells/accounts/dominant_shares.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/dominant_shares.py
@@ -69,7 +69,7 @@
         self._accounts = {name: account for name, account in seen.items() if account}
 
     def _review(self, name, usage, now_ms):
-        policy = self._context.configuration.account(name)
+        policy = self._context.account_policy(name)
         if policy is None or not policy.weight:
             return None
         if now_ms >= self._capacity_due_ms or not self._cpu_milli:
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/job_rate_shares.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/job_rate_shares.py
@@ -23,7 +23,7 @@
 
         Jobs without an account, or whose account has no share, are always within.
         """
-        account = self._context.configuration.account(account_name)
+        account = self._context.account_policy(account_name)
         if account is None or not account.weight:
             return True
         interval_ms = 1000.0 * self._context.cell_count / account.weight
--- a/packages/thymefork-cells/src/thymefork_cells/accounts/quotas.py
+++ b/packages/thymefork-cells/src/thymefork_cells/accounts/quotas.py
@@ -65,28 +65,24 @@
     _parts = field()
     demands = field(factory=dict)
     plan_number = field(default=0)
-    _last_limits = field(factory=dict)
-
-    def update_limits(self, configuration):
-        """Take the limits of a new configuration."""
-        for account in configuration.accounts or ():
-            self._last_limits[account.name] = account.limit
 
     @property
     def has_limits(self):
         """Return whether any account was ever known."""
-        return bool(self._last_limits)
+        context = self._context
+        return bool(context.configuration.accounts or context.removed_accounts)
 
     def known_limit(self, name):
         """Return the whole limit of an account, or None if unknown."""
-        return self._last_limits.get(name)
+        policy = self._context.account_policy(name)
+        return policy.limit if policy is not None else None
 
     def limit(self, job, now_ms):
         """Return the limit of a job's account in this cell."""
         name = job.account_name
         if not name:
             return NO_LIMIT
-        limit = self._last_limits.get(name)
+        limit = self.known_limit(name)
         if limit is not None:
             if self._context.cell_count == 1:
                 return limit
@@ -127,13 +123,13 @@
         return _PlannedAccount(
             usage=copy(job.usage),
             limit=self.limit(job, now_ms),
-            is_limit_known=job.account_name in self._last_limits,
+            is_limit_known=self.known_limit(job.account_name) is not None,
         )
 
     def _add_demand(self, step, usage, left):
         """Add a step to its account's demand, for the exchange of limit parts."""
         name = usage.name
-        if self._context.cell_count == 1 or name not in self._last_limits:
+        if self._context.cell_count == 1 or self.known_limit(name) is None:
             return
         if name not in self.demands:
             self.demands[name] = AccountDemand(wanted=copy(step.job.usage))
@@ -141,7 +137,7 @@
 
     def can_ever_run(self, spec, account_name):
         """Return whether each task and each whole gang fits an account's limit."""
-        limit = self._last_limits.get(account_name)
+        limit = self.known_limit(account_name)
         if limit is None:
             return True
         idle = AccountUsage(name=account_name)
--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -109,7 +109,6 @@
         self.shares = JobRateShares(context=self.context)
         self.parts = PartsLedger(context=self.context)
         self.quotas = Quotas(context=self.context, parts=self.parts)
-        self.quotas.update_limits(configuration)
         self.exchange = PartExchange(
             context=self.context, ledger=self.parts, quotas=self.quotas
         )
@@ -190,7 +189,6 @@
     def on_configuration(self, configuration):
         """Apply a newer configuration."""
         self.policies.replace_configuration(configuration)
-        self.quotas.update_limits(configuration)
         self.context.needs_plan = True
 
     # Time --------------------------------------------------------------------
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -21,11 +21,11 @@
 class CellContext:
     """Hold the jobs, workers and pending effects of one cell under one owner.
 
-    `usages` maps client accounts to their usage; `removed_queues` maps the names of
-    queues that the configuration lacks to the last policies, which jobs go on with;
-    `pending_stops` holds, as ordered keys, the runs whose stop the worker has not
-    acknowledged. `advice_slots` is the number of advice calls that may be made now,
-    None if unlimited.
+    `usages` maps client accounts to their usage; `removed_queues` and
+    `removed_accounts` map names that the configuration lacks to the last policies,
+    which jobs go on with; `pending_stops` holds, as ordered keys, the runs whose stop
+    the worker has not acknowledged. `advice_slots` is the number of advice calls that
+    may be made now, None if unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
     current. `has_quorum` is set once a quorum of workers has accepted this owner's
     fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, as
@@ -45,6 +45,7 @@
     workers: dict = field(factory=dict)
     usages: dict = field(factory=dict)
     removed_queues: dict = field(factory=dict)
+    removed_accounts: dict = field(factory=dict)
     short_lease_workers: dict = field(factory=dict)
     pending_stops: dict = field(factory=dict)
     effects: list = field(factory=list)
@@ -106,6 +107,10 @@
         queues = chain(self.configuration.queues, self.removed_queues.values())
         return any(queue.advice is not None for queue in queues)
 
+    def account_policy(self, name):
+        """Return the present policy of an account, the last one if it was removed."""
+        return self.configuration.account(name) or self.removed_accounts.get(name)
+
     def is_most_urgent(self, job):
         """Return whether no queue of the same service is more urgent than a job's."""
         own = self.queue(job)
--- a/packages/thymefork-cells/src/thymefork_cells/policies/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/policies/codec.py
@@ -1,18 +1,22 @@
-"""Encode and decode the stored policies of queues."""
+"""Encode and decode the stored policies of queues and accounts."""
 
 import orjson
 import xxhash
 
-from ..specs import AdvicePolicy, QueuePolicy
+from ..specs import AccountPolicy, AdvicePolicy, QueuePolicy, ResourceLimit
 
 __all__ = [
+    "ACCOUNT_POLICY_KEY",
     "QUEUE_POLICY_KEY",
+    "decode_account_policy",
     "decode_queue_policy",
+    "encode_account_policy",
     "encode_queue_policy",
     "policy_key",
 ]
 
 QUEUE_POLICY_KEY = "q"
+ACCOUNT_POLICY_KEY = "a"
 
 
 def policy_key(kind, name):
@@ -56,3 +60,29 @@
         target_latency_ms=target_latency_ms,
         advice=advice,
     )
+
+
+def encode_account_policy(policy):
+    """Return what an account's policy says about accepted jobs."""
+    limit = policy.limit
+    return orjson.dumps(
+        [
+            policy.name,
+            policy.weight,
+            limit.cpu_milli,
+            limit.memory_mb,
+            limit.accelerators,
+        ]
+    )
+
+
+def decode_account_policy(data):
+    """Return a stored policy; no key belongs to it."""
+    name, weight, cpu_milli, memory_mb, accelerators = orjson.loads(data)
+    return AccountPolicy(
+        name=name,
+        weight=weight,
+        limit=ResourceLimit(
+            cpu_milli=cpu_milli, memory_mb=memory_mb, accelerators=accelerators
+        ),
+    )
--- a/packages/thymefork-cells/src/thymefork_cells/policies/retained_policies.py
+++ b/packages/thymefork-cells/src/thymefork_cells/policies/retained_policies.py
@@ -1,15 +1,18 @@
-"""Keep the policies of queues that a configuration removes.
+"""Keep the policies of queues and accounts that a configuration removes.
 
-An accepted job goes on under the last policy of its queue. What live jobs need is
-stored with them, so that the next owner keeps it as well.
+An accepted job goes on under the last policy of its queue and of its account. What live
+jobs need is stored with them, so that the next owner keeps it as well.
 """
 
 from collections import Counter
 
 from ..jobs.objective import set_objective
 from .codec import (
+    ACCOUNT_POLICY_KEY,
     QUEUE_POLICY_KEY,
+    decode_account_policy,
     decode_queue_policy,
+    encode_account_policy,
     encode_queue_policy,
     policy_key,
 )
@@ -45,6 +48,11 @@
             for queue in before.queues
             if configuration.queue(queue.name) is None
         }
+        context.removed_accounts |= {
+            account.name: account
+            for account in before.accounts or ()
+            if configuration.account(account.name) is None
+        }
         context.configuration = configuration
         for job in unknown:
             set_objective(job, context.queue(job))
@@ -62,11 +70,17 @@
         context = self._context
         live_jobs = context.live_jobs.values()
         queues = Counter(job.queue_name for job in live_jobs)
+        accounts = Counter(job.account_name for job in live_jobs if job.account_name)
         for name, jobs in queues.items():
             self._store_queue(name)
             if context.configuration.queue(name) is None:
                 is_known = name in context.removed_queues
                 self._note_removed("queue", name, jobs, is_known=is_known)
+        for name, jobs in accounts.items():
+            self._store_account(name)
+            if context.configuration.account(name) is None:
+                is_known = name in context.removed_accounts
+                self._note_removed("account", name, jobs, is_known=is_known)
 
     def _note_removed(self, kind, name, jobs, *, is_known):
         self._context.count(
@@ -95,6 +109,10 @@
                 queue = decode_queue_policy(value)
                 self._context.removed_queues[queue.name] = queue
                 self._stored[key] = (queue.name, value)
+            elif key.startswith(ACCOUNT_POLICY_KEY):
+                account = decode_account_policy(value)
+                self._context.removed_accounts[account.name] = account
+                self._stored[key] = (account.name, value)
 
     def on_jobs_loaded(self):
         """Go by the configuration, which may be newer than what was stored."""
@@ -104,6 +122,7 @@
     def store_for(self, job):
         """Store the policies that a new job goes by, together with the job."""
         self._store_queue(job.queue_name)
+        self._store_account(job.account_name)
 
     def _store_queue(self, name):
         policy = self._context.queue_policy(name)
@@ -111,6 +130,12 @@
             key = policy_key(QUEUE_POLICY_KEY, name)
             self._store(key, name, encode_queue_policy(policy))
 
+    def _store_account(self, name):
+        policy = self._context.account_policy(name)
+        if policy is not None:
+            key = policy_key(ACCOUNT_POLICY_KEY, name)
+            self._store(key, name, encode_account_policy(policy))
+
     def _store(self, key, name, value):
         if self._stored.get(key) != (name, value):
             self._stored[key] = (name, value)
@@ -126,9 +151,14 @@
         configuration = self._context.configuration
         live_jobs = self._context.live_jobs.values()
         queues = {job.queue_name for job in live_jobs}
+        accounts = {job.account_name for job in live_jobs}
         self._drop_removed_queues(queues, now_ms)
         for key, (name, _) in list(self._stored.items()):
-            if name not in queues and configuration.queue(name) is None:
+            if key.startswith(QUEUE_POLICY_KEY):
+                needed = name in queues or configuration.queue(name) is not None
+            else:
+                needed = name in accounts or configuration.account(name) is not None
+            if not needed:
                 del self._stored[key]
                 self._context.journal.put(key, b"")
 
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_removed_queues.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_removed_queues.py
@@ -1,4 +1,4 @@
-"""Jobs whose queue a configuration removes, and maybe names again.
+"""Jobs whose queue or account a configuration removes, and maybe names again.
 
 A removed queue tells nothing about the jobs that it had accepted, so nothing that can't
 be taken back may be decided from its absence.
@@ -7,6 +7,7 @@
 import pytest
 from attrs import evolve
 
+from thymefork_cells.specs import AccountPolicy, ResourceLimit
 from thymefork_cells.state import JobState
 
 from .harness import job_spec
@@ -14,6 +15,7 @@
 
 JOB = "00000000000000aa"
 FIRST_TASK = f"{JOB}.0.0.0"
+ACCOUNT = "a"
 MAX_ATTEMPTS = 3
 # Longest time that a job may run nothing beside room, and what a start takes at most.
 STANDSTILL_MS = 3_000.0
@@ -136,7 +138,7 @@
 
 def forget_policies(harness):
     """Remove all policies from the store, as if an earlier release had written it."""
-    for key in [key for key in harness.store if key[0] == "q"]:
+    for key in [key for key in harness.store if key[0] in "qa"]:
         del harness.store[key]
 
 
@@ -194,11 +196,31 @@
     assert len(harness.starts_of(FIRST_TASK)) == 1
 
 
+# After a change of owner the runs of a removed account were bounded by no limit.
+@pytest.mark.parametrize("owner_changes", [False, True])
+def test_account_keeps_its_limit_while_it_is_removed(harness, owner_changes):
+    limit = ResourceLimit(cpu_milli=1_000)
+    configure(harness, accounts=(AccountPolicy(name=ACCOUNT, limit=limit),))
+    for worker in harness.workers.values():
+        worker.work_ms = 1_500.0
+    harness.submit(JOB, job_spec({"count": 8, "cpu_milli": 500}), account_name=ACCOUNT)
+    harness.run(100)
+    configure(harness, accounts=())
+    harness.run(50)
+    if owner_changes:
+        change_owner(harness)
+    for _ in range(6_000 // 50):
+        harness.run(50)
+        assert len(harness.running()) <= 2
+    harness.run(2_000)
+    assert harness.job(JOB).visible_state is JobState.SUCCEEDED
+
+
 # What is stored about queues is bounded by the queues that are named or still used.
 def test_policies_are_stored_once_and_removed_when_unused(harness):
     harness.submit(JOB, job_spec({"count": 1, "cpu_milli": 500}))
     harness.run(50)
-    stored = {key for key in harness.store if key[0] == "q"}
+    stored = {key for key in harness.store if key[0] in "qa"}
     assert len(stored) == 1
     batches = []
     take = harness.cell.journal.take
