Divide the progress of a large job into records of which only the changed are stored

Cause: the progress of a job was one record, rewritten at each change of one task, and bounded by a count of tasks with 80 bytes each in mind. Losses, copies, delayed starts and checkpoints make rows longer; the store takes 262,144 bytes.

Change: progress over 16 KB is divided for good into a record for each 32 tasks; the job's own record says that they hold, and is stored after them. What waits for the job waits for it. Checkpoints beyond a share of the record, or of 1 MB a job, are left out and told of: a start without one is allowed. This works since each row of a task holds by itself, so that parts may come in several appends; what spans tasks (a gang's success and failures) is read as the latest of all.

An earlier release reads undivided records as before and fails its takeover on a divided one, which it can't mistake for tasks that have not begun.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -47,7 +47,16 @@
     """
 
     def __init__(
-        self, *, cell, epoch, cell_count, bounds, configuration, membership_ms, now_ms
+        self,
+        *,
+        cell,
+        epoch,
+        cell_count,
+        bounds,
+        configuration,
+        membership_ms,
+        now_ms,
+        record_limits=None,
     ):
         self.context = CellContext(
             cell=cell,
@@ -57,7 +66,7 @@
             taken_over_ms=now_ms,
             configuration=configuration,
         )
-        self.context.journal = Journal()
+        self.context.journal = Journal(limits=record_limits, context=self.context)
         self.quorum = Quorum(context=self.context)
         self.inherited_leases = InheritedLeases(
             context=self.context, membership_ms=membership_ms
@@ -244,9 +253,7 @@
         replies = batch.take_replies(new_jobs) + self.journal.take_replies(new_jobs)
         for reply in replies:
             self.intake.refuse(reply)
-        batch.job_states = [
-            row for row in batch.job_states if row[0].job_id not in new_jobs
-        ]
+        batch.changes = [row for row in batch.changes if row[0].job_id not in new_jobs]
         self.journal.forget(new_jobs)
         self.journal.put_back(batch)
 
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/codec.py
@@ -1,5 +1,9 @@
 """Encode and decode the stored records of a job: its spec and its progress."""
 
+from itertools import groupby
+from math import inf
+from operator import attrgetter
+
 import attrs
 import orjson
 
@@ -8,18 +12,26 @@
 
 __all__ = [
     "JOB_KEY",
+    "PART_KEY",
     "PROGRESS_KEY",
     "decode_ended_job",
     "decode_job",
     "decode_progress",
     "decode_spec",
+    "encode_divided_progress",
     "encode_job",
+    "encode_part",
     "encode_progress",
     "encode_spec",
+    "is_longer",
+    "part_key",
 ]
 
 JOB_KEY = "j"
 PROGRESS_KEY = "p"
+PART_KEY = "t"
+# Longest encoding of a character in a record, such as a control character's.
+MAX_CHARACTER_BYTES = 6
 # Read by earlier releases as the time of a task's first unanswered start.
 NOT_UNANSWERED = (0,)
 
@@ -70,8 +82,8 @@
 
     Of ended jobs, which are most of those taken over, only the state is needed.
     """
-    state, rows = orjson.loads(progress)
-    if rows or not JobState(state).is_final:
+    state, rows, *division = orjson.loads(progress)
+    if rows or division or not JobState(state).is_final:
         return None
     return Job(
         job_id=job_id,
@@ -116,32 +128,60 @@
     if job.is_over:
         return orjson.dumps([job.state, []])
     steps = []
-    for position, step in enumerate(job.steps):
-        row = _step_row(step)
+    for step in job.steps:
+        row = _step_row(step, step.tasks)
         if row is not None:
-            steps.append([position, *row])
+            steps.append(row)
     return orjson.dumps([job.state, steps])
 
 
-def _step_row(step):
+def encode_divided_progress(job, tasks_per_part):
+    """Return the record of a job whose tasks are in records of their own, its parts.
+
+    Earlier releases can't read it and leave the job's cell to others.
+    """
+    return orjson.dumps([job.state, [], tasks_per_part])
+
+
+def part_key(job_id, part):
+    """Return the key of one part of a job's progress."""
+    return f"{PART_KEY}{job_id}.{part}"
+
+
+def encode_part(tasks, max_checkpoint_bytes):
+    """Return the record of some tasks of a job, without checkpoints that are longer."""
+    steps = []
+    for step, tasks_of_step in groupby(tasks, key=attrgetter("step")):
+        row = _step_row(step, list(tasks_of_step), max_checkpoint_bytes)
+        if row is not None:
+            steps.append(row)
+    return orjson.dumps(steps)
+
+
+def _step_row(step, tasks, max_checkpoint_bytes=inf):
+    """Return what is stored of a step's tasks, None if none of them was started."""
     done, rows = [], []
-    for task in step.tasks:
+    for task in tasks:
         if task.done:
             done.append(task.index)
         if not task.runs and (task.done or not task.run_count):
             continue
-        rows.append(_task_row(task))
+        rows.append(_task_row(task, max_checkpoint_bytes))
     if not done and not rows:
         return None
     if len(done) == len(step.tasks):
         done = -1
-    return [done, rows, step.gang_failures]
+    position = step.occurrence * len(step.job.spec.steps) + step.index
+    return [position, done, rows, step.gang_failures]
 
 
-def _task_row(task):
+def _task_row(task, max_checkpoint_bytes):
     losses = task.losses.values()
     runs = [[run.run_id, run.worker.worker_id] for run in task.runs]
-    row = [task.index, task.run_count, task.failures, task.checkpoint, runs]
+    checkpoint = task.checkpoint
+    if is_longer(checkpoint, max_checkpoint_bytes):
+        checkpoint = ""
+    row = [task.index, task.run_count, task.failures, checkpoint, runs]
     births_epoch_ms = [run.born_epoch_ms for run in task.runs]
     births_epoch_ms += [loss.born_epoch_ms for loss in losses]
     times_ms = [run.created_epoch_ms for run in task.runs]
@@ -164,21 +204,46 @@
     return [loss.worker_id, loss.after_ms, loss.is_certain, loss.was_alone]
 
 
-def decode_progress(job, data, worker_of):
-    """Apply stored progress to a job; `worker_of` returns a worker by its id."""
-    state, rows = orjson.loads(data)
+def is_longer(text, max_bytes):
+    """Return whether a text takes more than some bytes in a record."""
+    if MAX_CHARACTER_BYTES * len(text) <= max_bytes:
+        return False
+    return len(orjson.dumps(text)) > max_bytes
+
+
+def decode_progress(job, data, worker_of, parts=()):
+    """Apply stored progress to a job; return how many tasks a part has, 0 without any.
+
+    `worker_of` returns a worker by its id; `parts` are the records of the job's parts.
+    Unless its own record names them, nothing depends on them, and they are ignored.
+    """
+    state, rows, *division = orjson.loads(data)
     job.state = JobState(state)
     job.visible_state = job.state
-    for position, done, tasks, gang_failures in rows:
-        step = job.steps[position]
-        step.gang_failures = gang_failures
-        indices = range(len(step.tasks)) if done == -1 else done
-        for index in indices:
-            step.tasks[index].done = True
-        step.tasks_remaining = len(step.tasks) - len(indices)
-        job.has_run = job.has_run or bool(indices) or step.gang_failures > 0
-        for index, *row in tasks:
-            _decode_task(step.tasks[index], row, worker_of)
+    tasks_per_part = division[0] if division else 0
+    if tasks_per_part:
+        rows = [row for part in parts for row in orjson.loads(part)]
+    for row in rows:
+        _decode_step(job, row, worker_of)
+    return tasks_per_part
+
+
+def _decode_step(job, row, worker_of):
+    """Apply a row of a step, which may stand in several parts with some tasks each.
+
+    Parts are stored one after the other: the gang failures count that is highest holds,
+    and a gang of which one member is done is done.
+    """
+    position, done, tasks, gang_failures = row
+    step = job.steps[position]
+    step.gang_failures = max(step.gang_failures, gang_failures)
+    is_whole = done == -1 or (step.spec.gang and done)
+    for index in range(len(step.tasks)) if is_whole else done:
+        step.tasks[index].done = True
+    step.tasks_remaining = sum(not task.done for task in step.tasks)
+    job.has_run = job.has_run or bool(done) or step.gang_failures > 0
+    for index, *task_row in tasks:
+        _decode_task(step.tasks[index], task_row, worker_of)
 
 
 def _decode_task(task, row, worker_of):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/delayed_starts.py
@@ -101,7 +101,7 @@
         start.is_inherited = True
         self._set_deadlines(start, since_ms, now_ms)
         self._add(start, "inherited", now_ms)
-        self._context.journal.mark_changed(start.task.step.job)
+        self._context.journal.mark_task_changed(start.task)
 
     @staticmethod
     def binds_until_ms(worker, task):
@@ -188,7 +188,7 @@
         if not start.task.step.job.is_live:
             return
         start.task.step.invalidate_waiting()
-        self._context.journal.mark_changed(start.task.step.job)
+        self._context.journal.mark_task_changed(start.task)
         self._context.needs_plan = True
 
     def _log(self, start, how, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
@@ -2,7 +2,15 @@
 
 from attrs import field, frozen
 
-from .codec import JOB_KEY, PROGRESS_KEY, decode_ended_job, decode_job, decode_progress
+from .codec import (
+    JOB_KEY,
+    PART_KEY,
+    PROGRESS_KEY,
+    decode_ended_job,
+    decode_job,
+    decode_progress,
+    part_key,
+)
 from .objective import set_objective
 
 __all__ = ["JobLoader"]
@@ -28,15 +36,19 @@
                 job = decode_ended_job(key.removeprefix(PROGRESS_KEY), value)
                 if job is not None:
                     self._resume(job, now_ms)
+        parts = _parts_by_job(records)
         for key, value in records.items():
             job_id = key.removeprefix(JOB_KEY)
             if key.startswith(JOB_KEY) and job_id not in self._context.jobs:
+                job = self._load_live_job(job_id, value, epoch_ms, now_ms)
                 progress = records.get(PROGRESS_KEY + job_id)
-                job = self._load_live_job(job_id, value, progress, epoch_ms, now_ms)
+                if progress is not None:
+                    self._load_progress(job, progress, parts)
                 self._resume(job, now_ms)
+        self._drop_parts(parts)
         self._update_shares()
 
-    def _load_live_job(self, job_id, value, progress, epoch_ms, now_ms):
+    def _load_live_job(self, job_id, value, epoch_ms, now_ms):
         job = decode_job(
             job_id,
             value,
@@ -45,10 +57,24 @@
             now_ms=now_ms,
         )
         job.visible_state = job.state
-        if progress is not None:
-            decode_progress(job, progress, self._worker_of)
         return job
 
+    def _load_progress(self, job, progress, parts):
+        """Load a job's progress, and its parts if the job's own record names them."""
+        rows = parts.get(job.job_id, {})
+        tasks_per_part = decode_progress(job, progress, self._worker_of, rows.values())
+        if tasks_per_part:
+            self._context.journal.load_layout(job, tasks_per_part, rows)
+            parts.pop(job.job_id, None)
+
+    def _drop_parts(self, parts):
+        """Delete the parts that no job's own record names.
+
+        Their owner had not stored that record yet, so nothing depended on them.
+        """
+        for job_id, rows in parts.items():
+            self._context.journal.drop_keys([part_key(job_id, part) for part in rows])
+
     def _resume(self, job, now_ms):
         set_objective(job, self._context.queue(job))
         if not job.is_live:
@@ -69,3 +95,13 @@
         for job in by_age:
             is_within = self._shares.admits(job.account_name, job.accepted_ms)
             job.is_beyond_share = not is_within
+
+
+def _parts_by_job(records):
+    """Return the records of parts, by the ids of their jobs and by their numbers."""
+    parts = {}
+    for key, value in records.items():
+        if key.startswith(PART_KEY):
+            job_id, _, part = key.removeprefix(PART_KEY).partition(".")
+            parts.setdefault(job_id, {})[int(part)] = value
+    return parts
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -2,16 +2,30 @@
 
 import time
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from ..effects import EndsStored, Reply
+from ..specs import RecordLimits
 from ..state import JobState
-from .codec import JOB_KEY, PROGRESS_KEY, encode_job, encode_progress
+from .codec import (
+    JOB_KEY,
+    PROGRESS_KEY,
+    encode_divided_progress,
+    encode_job,
+    encode_part,
+    encode_progress,
+    is_longer,
+    part_key,
+)
+from .progress_layout import MAX_WHOLE_BYTES, ProgressLayout
 
 __all__ = ["Batch", "Journal"]
 
 # Below the store's limit of 2 MB for each call.
 MAX_BATCH_BYTES = 1_000_000
+# In place of a part's number: the job's own record, which holds its state and, while
+# that is small, all its progress.
+WHOLE = -1
 
 
 @define(kw_only=True, eq=False)
@@ -19,14 +33,17 @@
     """Hold the records of one append and the effects to carry out once it is stored.
 
     `last_number` is the number of the last change that this or an earlier batch holds,
-    `other_records` maps keys to the records that are not of jobs, `job_states` lists
-    each job with the state that is stored.
+    `other_records` maps keys to the records that are not of jobs, `dropped_keys` are
+    those of forgotten jobs. `changes` lists each job with the part that is stored, and
+    `job_states` with the state that is.
     """
 
     records: list = field(factory=list)
     other_records: dict = field(factory=dict)
+    dropped_keys: list = field(factory=list)
     effects: list = field(factory=list)
     new_jobs: list = field(factory=list)
+    changes: list = field(factory=list)
     job_states: list = field(factory=list)
     size_bytes: int = 0
     last_number: int = 0
@@ -44,12 +61,17 @@
 
 
 @frozen(kw_only=True, eq=False)
-class _PendingJob:
-    """Hold a job that has to be stored, and the sequence number of its change."""
+class _PendingChange:
+    """Hold a job of which a part has to be stored, and the change's sequence number."""
 
     job: object
+    part: int
     number: int
 
+    @property
+    def key(self):
+        return (self.job.job_id, self.part)
+
 
 @frozen(kw_only=True, eq=False)
 class _PendingEffect:
@@ -63,16 +85,20 @@
     """Collect changed jobs and split them into batches for the store.
 
     Several batches may be in flight; each counts as stored only after those before it.
-    A job that changes meanwhile is stored again by a later batch.
+    A job that changes meanwhile is stored again by a later batch. The progress of a
+    large job is divided into parts, of which only the changed ones are stored.
 
     If the changes exceed one append, an effect is released with the batch that stores
     the last change before it, so that callers never learn of a job that may be lost.
     `is_urgent` is set while a caller, a start or an ended job waits for the store.
     """
 
-    def __init__(self):
+    def __init__(self, *, limits=None, context=None):
+        self._limits = limits or RecordLimits()
+        self._context = context
         self._new_jobs = {}
-        self._changes = {}
+        self._changes = {}  # by job id and part
+        self._layouts = {}  # of jobs with divided progress, by job id
         self._dropped_keys = []
         self._other_records = {}
         self._pending_effects = []
@@ -98,16 +124,39 @@
         self.is_urgent = True
 
     def mark_changed(self, job):
-        """Store a job's progress; a pending job keeps its position."""
+        """Store a job's state; a pending change keeps its position."""
+        self._add_change(job, WHOLE)
+
+    def mark_task_changed(self, task):
+        """Store a task's progress; a pending change keeps its position."""
+        job = task.step.job
+        layout = self._layouts.get(job.job_id)
+        self._add_change(job, WHOLE if layout is None else layout.part_of(task))
+
+    def _add_change(self, job, part):
         self.is_urgent = self.is_urgent or not job.is_live
-        if job.job_id not in self._changes:
+        if (job.job_id, part) not in self._changes:
             self._last_number += 1
-            self._changes[job.job_id] = _PendingJob(job=job, number=self._last_number)
+            change = _PendingChange(job=job, part=part, number=self._last_number)
+            self._changes[change.key] = change
+
+    def load_layout(self, job, tasks_per_part, stored_parts):
+        """Go on with the division of a stored job's progress."""
+        self._layouts[job.job_id] = ProgressLayout(
+            job=job,
+            tasks_per_part=tasks_per_part,
+            stored_parts=set(stored_parts),
+            is_in_force=True,
+        )
 
     def drop(self, job):
         """Delete the records of a job that is past its retention time."""
-        self._changes.pop(job.job_id, None)
-        self._dropped_keys += [JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id]
+        self._discard_changes(job.job_id)
+        self.drop_keys([JOB_KEY + job.job_id, PROGRESS_KEY + job.job_id])
+
+    def drop_keys(self, keys):
+        """Delete records that nothing refers to any more."""
+        self._dropped_keys += keys
 
     def put(self, key, value):
         """Store a record that is not of a job; an empty value deletes it.
@@ -144,9 +193,14 @@
     def forget(self, job_ids):
         """Discard the pending changes of withdrawn jobs."""
         for job_id in job_ids:
-            self._changes.pop(job_id, None)
+            self._discard_changes(job_id)
             self._new_jobs.pop(job_id, None)
 
+    def _discard_changes(self, job_id):
+        layout = self._layouts.pop(job_id, None)
+        for part in (WHOLE, *(layout.parts if layout is not None else ())):
+            self._changes.pop((job_id, part), None)
+
     def put_back(self, batch):
         """Requeue a failed batch's remaining jobs and effects, before all others.
 
@@ -155,28 +209,26 @@
         """
         self.is_urgent = True
         number = batch.last_number
-        requeued_changes = {
-            job.job_id: _PendingJob(job=job, number=number)
-            for job, _ in batch.job_states
-        }
-        newer_changes = {
-            key: row
-            for key, row in self._changes.items()
-            if key not in requeued_changes
-        }
-        self._changes = requeued_changes | newer_changes
+        self._requeue(
+            _PendingChange(job=job, part=part, number=number)
+            for job, part in batch.changes
+        )
+        for job, part in batch.changes:
+            if part == WHOLE and job.job_id in self._layouts:
+                self._layouts[job.job_id].is_in_force = False
         self._other_records = batch.other_records | self._other_records
-        dropped = [
-            key
-            for key, value in batch.records
-            if not value and key not in batch.other_records
-        ]
-        self._dropped_keys = dropped + self._dropped_keys
+        self._dropped_keys = batch.dropped_keys + self._dropped_keys
         requeued = [
             _PendingEffect(effect=effect, number=number) for effect in batch.effects
         ]
         self._pending_effects = requeued + self._pending_effects
 
+    def _requeue(self, changes):
+        """Put changes before all others, in this order."""
+        first = {change.key: change for change in changes}
+        later = {key: row for key, row in self._changes.items() if key not in first}
+        self._changes = first | later
+
     def take(self, now_ms):
         """Return the next batch of pending records."""
         batch = Batch(last_number=self._last_sent_number)
@@ -184,39 +236,130 @@
         batch.other_records, self._other_records = self._other_records, {}
         for key, value in batch.other_records.items():
             batch.add(key, value)
-        for key in self._dropped_keys:
+        batch.dropped_keys, self._dropped_keys = self._dropped_keys, []
+        for key in batch.dropped_keys:
             batch.add(key, b"")
-        self._dropped_keys = []
         epoch_ms = time.time() * 1000.0
         while self._changes and batch.size_bytes <= MAX_BATCH_BYTES:
-            pending = self._changes.pop(next(iter(self._changes)))
-            batch.last_number = pending.number
-            self._put(batch, pending.job, epoch_ms, now_ms)
+            change = next(iter(self._changes.values()))
+            records = self._records_of(change, epoch_ms, now_ms)
+            if records is not None:
+                self._put(batch, change, records)
         self._last_sent_number = batch.last_number
         self._release_effects(batch)
         return batch
 
-    def _put(self, batch, job, epoch_ms, now_ms):
-        is_new = self._new_jobs.pop(job.job_id, None) is not None
-        if is_new:
+    def _put(self, batch, change, records):
+        """Move a change with its records into a batch."""
+        job, layout = change.job, self._layouts.get(change.job.job_id)
+        batch.last_number = change.number
+        for key, value in records:
+            batch.add(key, value)
+        if self._new_jobs.pop(job.job_id, None) is not None:
             batch.new_jobs.append(job)
+            if len(records) == 1 and job.has_started:
+                return  # its progress is large and goes next
+        del self._changes[change.key]
+        if layout is not None and change.part == WHOLE:
+            layout.is_in_force = True
+        elif layout is not None:
+            layout.stored_parts.add(change.part)
+        batch.changes.append((job, change.part))
+        if change.part == WHOLE:
+            batch.job_states.append((job, job.state))
+
+    # Records of jobs ----------------------------------------------------------
+
+    def _records_of(self, change, epoch_ms, now_ms):
+        """Return the records of a change, None if others have to go before it."""
+        job, is_new = change.job, change.job.job_id in self._new_jobs
+        layout = self._layouts.get(job.job_id)
         if job.is_over:
-            self._delete_spec(batch, job, was_stored=not is_new)
-        elif is_new:
+            return self._records_of_ended(change, layout, is_new=is_new)
+        if change.part != WHOLE:
+            return [self._part_record(layout, change.part)]
+        records = []
+        if is_new:
             value = encode_job(job, epoch_ms=epoch_ms, now_ms=now_ms)
-            batch.add(JOB_KEY + job.job_id, value)
-        if job.state is not JobState.QUEUED or job.has_started:
-            batch.add(PROGRESS_KEY + job.job_id, encode_progress(job))
-        batch.job_states.append((job, job.state))
-
-    @staticmethod
-    def _delete_spec(batch, job, *, was_stored):
-        """Delete the spec of an ended job, whose progress record holds its state.
-
-        Specs of ended jobs would be most of what the next owner has to read.
+            records.append((JOB_KEY + job.job_id, value))
+        if layout is None and (job.state is not JobState.QUEUED or job.has_started):
+            progress = encode_progress(job)
+            if len(progress) <= MAX_WHOLE_BYTES:
+                records.append((PROGRESS_KEY + job.job_id, progress))
+            elif not is_new:
+                layout = self._divide(job)
+        if layout is not None:
+            if self._parts_go_first(change, layout):
+                return None
+            progress = encode_divided_progress(job, layout.tasks_per_part)
+            records.append((PROGRESS_KEY + job.job_id, progress))
+        return records
+
+    def _records_of_ended(self, change, layout, *, is_new):
+        """Return the record with an ended job's state, and delete its other records.
+
+        Its spec and its parts would be most of what the next owner has to read. They
+        have to go with the same append: without them, a job that had not ended would
+        be lost or start anew.
         """
-        if was_stored:
-            batch.add(JOB_KEY + job.job_id, b"")
+        job = change.job
+        if change.part != WHOLE:
+            self._requeue([evolve(change, part=WHOLE)])
+            self._changes.pop(change.key)
+            return None
+        records = [(PROGRESS_KEY + job.job_id, encode_progress(job))]
+        if not is_new:
+            records.append((JOB_KEY + job.job_id, b""))
+        for part in sorted(layout.stored_parts) if layout is not None else ():
+            records.append((part_key(job.job_id, part), b""))
+            self._changes.pop((job.job_id, part), None)
+        return records
+
+    def _divide(self, job):
+        """Divide the progress of a job that has grown large."""
+        layout = self._layouts[job.job_id] = ProgressLayout(job=job)
+        for part in layout.parts:
+            if any(task.run_count or task.done for task in layout.tasks_of(part)):
+                self._add_change(job, part)
+        return layout
+
+    def _parts_go_first(self, change, layout):
+        """Put the parts of a newly divided job before its own record, if any wait.
+
+        That record says that they hold. The parts take its number, so that what waits
+        for the change waits for all of them.
+        """
+        if layout.is_in_force:
+            return False
+        parts = [row for row in self._changes.values() if row.job is change.job]
+        parts.remove(change)
+        if not parts:
+            return False
+        first = [evolve(row, number=change.number) for row in parts]
+        self._requeue([*first, change])
+        return True
+
+    def _part_record(self, layout, part):
+        """Return the record of a part; it holds no checkpoints that are too long."""
+        tasks = layout.tasks_of(part)
+        max_bytes = layout.max_checkpoint_bytes(self._limits)
+        too_long = [task for task in tasks if is_longer(task.checkpoint, max_bytes)]
+        if too_long:
+            self._note_long_checkpoints(too_long, max_bytes)
+        return part_key(layout.job.job_id, part), encode_part(tasks, max_bytes)
+
+    def _note_long_checkpoints(self, tasks, max_bytes):
+        """Tell of checkpoints that the next owner will not know."""
+        self._context.count("checkpoints", "not_stored", len(tasks))
+        self._context.note(
+            "checkpoints_not_stored",
+            level="WARNING",
+            job=tasks[0].step.job.job_id,
+            task=tasks[0].name,
+            tasks=len(tasks),
+            characters=len(tasks[0].checkpoint),
+            max_bytes=max_bytes,
+        )
 
     def _release_effects(self, batch):
         """Move the effects that only wait for this batch, or earlier ones, into it."""
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -34,7 +34,7 @@
         run.task.step.invalidate_waiting()
         run.task.last_lost_ms = now_ms
         self._context.needs_plan = True
-        self._context.journal.mark_changed(run.task.step.job)
+        self._context.journal.mark_task_changed(run.task)
 
     def release_unstarted(self, run, *, now_ms):
         """Release a run whose start was rejected, or never sent."""
@@ -89,7 +89,7 @@
             return
         self._context.count("run_ends", f"{how}_late")
         self._context.note("run_ended_late", task=task_name, run=run_id, how=how)
-        self._context.journal.mark_changed(job)
+        self._context.journal.mark_task_changed(task)
         self._context.needs_plan = True
 
     def _task_named(self, task_name):
@@ -122,6 +122,7 @@
         if step.spec.gang:
             for member in step.tasks:
                 member.done = True
+                self._context.journal.mark_task_changed(member)
             step.tasks_remaining = 0
         elif not task.done:
             task.done = True
--- a/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
+++ b/packages/thymefork-cells/src/thymefork_cells/placement/placer.py
@@ -290,7 +290,8 @@
         worker.health.started(run)
         if job.state is JobState.QUEUED:
             job.state = JobState.RUNNING
-        self._context.journal.mark_changed(job)
+            self._context.journal.mark_changed(job)
+        self._context.journal.mark_task_changed(task)
         self._context.journal.after(StartRun(run=run))
 
 
--- a/packages/thymefork-cells/src/thymefork_cells/specs/__init__.py
+++ b/packages/thymefork-cells/src/thymefork_cells/specs/__init__.py
@@ -6,6 +6,7 @@
 from .job_spec import JobSpec
 from .limit_parts import PARTS_PER_CELL, LimitParts
 from .queue_policy import AdvicePolicy, QueuePolicy
+from .record_limits import RecordLimits
 from .service_policy import ServicePolicy
 from .step_spec import StepSpec
 from .worker_entry import WorkerEntry
@@ -19,6 +20,7 @@
     "JobSpec",
     "LimitParts",
     "QueuePolicy",
+    "RecordLimits",
     "ResourceLimit",
     "ServicePolicy",
     "StepSpec",
--- a/packages/thymefork-cells/src/thymefork_cells/state/job.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/job.py
@@ -33,7 +33,7 @@
     `state` is the decided state, `visible_state` the stored one that callers may see.
     `usage` is shared by all jobs of the client account. `is_beyond_share` is set if the
     account had exceeded its job rate share when the job arrived, `has_run` once a
-    worker has reported a run of it.
+    worker has reported a run of it. `tasks` lists the tasks of all steps in order.
 
     Units: `*_ms` on the steady clock.
     """
@@ -53,6 +53,7 @@
     ended_ms: float = 0.0
     reason: str = ""
     steps: list = field(factory=list)
+    tasks: list = field(factory=list)
     waiting_replies: list = field(factory=list)
 
     @classmethod
@@ -66,7 +67,9 @@
         )
         for occurrence in range(spec.occurrences):
             for index, step_spec in enumerate(spec.steps):
-                job.steps.append(_step_state(job, occurrence, index, step_spec))
+                step = _step_state(job, occurrence, index, step_spec)
+                job.steps.append(step)
+                job.tasks += step.tasks
         return job
 
     def step(self, occurrence, index):
@@ -93,12 +96,12 @@
     @property
     def is_over(self):
         """Return whether the job has ended and no run of it may exist."""
-        return self.state.is_final and not self.runs
+        return self.state.is_final and not any(task.runs for task in self.tasks)
 
     @property
     def runs(self):
         """Return every run that may still exist."""
-        return [run for step in self.steps for task in step.tasks for run in task.runs]
+        return [run for task in self.tasks for run in task.runs]
 
     @property
     def worked_ms(self):
@@ -128,7 +131,7 @@
     @property
     def has_started(self):
         """Return whether any task was ever started."""
-        return any(task.run_count for step in self.steps for task in step.tasks)
+        return any(task.run_count for task in self.tasks)
 
     @property
     def is_long_running(self):
@@ -143,7 +146,13 @@
 
 
 def _step_state(job, occurrence, index, step_spec):
-    step = StepState(job=job, occurrence=occurrence, index=index, spec=step_spec)
+    step = StepState(
+        job=job,
+        occurrence=occurrence,
+        index=index,
+        spec=step_spec,
+        first_task_number=len(job.tasks),
+    )
     prefix = f"{job.job_id}.{occurrence}.{index}"
     step.tasks = [
         Task(step=step, index=number, name=f"{prefix}.{number}")
--- a/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/step_state.py
@@ -31,7 +31,8 @@
     first answer. `denials_cleared_ms` is when `denied` was last cleared for new calls,
     `denial_reset_count` how often it was. `advice_asked` is set while a call is in
     flight, `advice_wanted_ms` is when a call was first wanted, 0 if none is.
-    `gang_failed_run` is the number of the last failed gang run.
+    `gang_failed_run` is the number of the last failed gang run. `first_task_number` is
+    the number of the job's tasks in the steps before.
 
     Units: `*_ms` on the steady clock.
     """
@@ -40,6 +41,7 @@
     occurrence: int
     index: int
     spec: object
+    first_task_number: int = 0
     tasks: list = field(factory=list)
     tasks_remaining: int = 0
     ready: bool = False
--- a/packages/thymefork-cells/src/thymefork_cells/state/task.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/task.py
@@ -52,6 +52,11 @@
         """Return whether the task is not done and no run of it may exist."""
         return not self.done and not self.runs and not self.is_held
 
+    @property
+    def number(self):
+        """Return its position among all tasks of its job."""
+        return self.step.first_task_number + self.index
+
     @property
     def failed_attempts(self):
         """Return how many attempts have failed, of the whole gang if it is in one."""
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -6,7 +6,7 @@
 from attrs import evolve
 
 from thymefork_cells import EPOCH_KEY, Cell, effects as fx, encode_spec
-from thymefork_cells.specs import Bounds
+from thymefork_cells.specs import Bounds, RecordLimits
 from thymefork_cells.state.advice_slots import AdviceSlots
 from thymefork_cells.workers.lease_duration import lease_ms_for
 
@@ -51,6 +51,9 @@
     `keeps_worker_ids`, as the same one, listed `entry_delay_ms` later. `crashes` lists
     the crashes.
 
+    `record_limits` are what the store takes, `refuses_record(key)` returns whether it
+    takes a record of this key never. `appends` lists the records of all that it took.
+
     `partitions` holds former owners that go on without the store. `owners` delivers
     limit part messages to the owners of other cells, by default idle ones. `violations`
     lists the starts that exceeded a worker's cpu.
@@ -92,6 +95,9 @@
         self.bounds = Bounds()
         self.store = {}
         self.store_down = False
+        self.record_limits = RecordLimits()
+        self.refuses_record = lambda key: False
+        self.appends = []
         self.is_command_lost = lambda effect: False
         self.is_start_answer_lost = lambda effect: False
         self.is_stop_dropped = lambda effect: False
@@ -143,6 +149,7 @@
             configuration=self.configuration,
             membership_ms=1_000.0,
             now_ms=self.now,
+            record_limits=self.record_limits,
         )
         self.cell.context.epoch_ms = lambda: START_EPOCH_MS + self.now
         self.cell.load(
@@ -297,10 +304,12 @@
         if cell is not self.cell or self.is_owner_down:
             return
         self.appending = False
-        if self.store_down:
+        if self.store_down or self._refuses(batch):
             cell.on_not_stored(batch, now_ms=self.now)
             yield self.env.timeout(60)
             return
+        if batch.records:
+            self.appends.append(batch.records)
         for key, value in batch.records:
             if value:
                 self.store[key] = value
@@ -310,6 +319,15 @@
         for effect in batch.effects:
             self._perform(cell, effect)
 
+    def _refuses(self, batch):
+        """Return whether the store never takes an append."""
+        sizes = [1 + len(key) + len(value) for key, value in batch.records]
+        return (
+            max(sizes, default=0) > self.record_limits.max_record_bytes
+            or sum(sizes) + 4 * len(sizes) > self.record_limits.max_call_bytes
+            or any(self.refuses_record(key) for key, _ in batch.records)
+        )
+
     def _perform(self, cell, effect):
         effect = self.partitions.limit(cell, effect)
         if isinstance(effect, fx.Reply):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -40,9 +40,9 @@
     members. Tasks for which `fails_task` returns true fail after `fail_after_ms`, and
     with `fails_all` all tasks do. The next `ignored_stops` stops are answered but not
     carried out; others take `stop_duration_ms`. Serving tasks have a latency tail of
-    `tail_ms`. `pace_percents` holds the pace of each run. `history` holds the runs of
-    all incarnations, `lease_lapsed_ms` is when the lease last expired. Its clock runs
-    at `clock_rate`.
+    `tail_ms`. All its tasks save the same `checkpoint`. `pace_percents` holds the pace
+    of each run. `history` holds the runs of all incarnations, `lease_lapsed_ms` is when
+    the lease last expired. Its clock runs at `clock_rate`.
     """
 
     worker_id: str
@@ -61,6 +61,7 @@
     ignored_stops: int = 0
     stop_duration_ms: float = 0.0
     tail_ms: int = 0
+    checkpoint: str = ""
     pace_percents: dict = field(factory=dict)
     slow_factor: float = 1.0
     work_ms_of: dict = field(factory=dict)
@@ -127,7 +128,11 @@
         self.closed[key[0]] = max(key[1], self.closed.get(key[0], 0))
         self.ended.append(
             EndRow(
-                number=self.next_end, task=key[0], run_id=key[1], how=how, checkpoint=""
+                number=self.next_end,
+                task=key[0],
+                run_id=key[1],
+                how=how,
+                checkpoint=self.checkpoint,
             )
         )
         self.next_end += 1
@@ -223,7 +228,7 @@
             RunRow(
                 task=run.task,
                 run_id=run.run_id,
-                checkpoint="",
+                checkpoint=self.checkpoint,
                 percent=self._percent(run, now_ms),
                 tail_ms=self.tail_ms,
             )
--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -129,7 +129,7 @@
         if run.is_of_earlier_incarnation:
             run.born_epoch_ms = run.worker.born_epoch_ms
             run.is_carried_over = False
-            self._context.journal.mark_changed(run.task.step.job)
+            self._context.journal.mark_task_changed(run.task)
 
     def _is_stop_ineffective(self, run, clock_ms):
         """Return whether a run continues long after its stop was acknowledged."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_losses.py
@@ -154,7 +154,7 @@
             loss = task.losses.get(incarnation)
             if loss is not None and not loss.is_certain:
                 task.losses[incarnation] = evolve(loss, is_certain=True)
-                self._context.journal.mark_changed(task.step.job)
+                self._context.journal.mark_task_changed(task)
                 self._fail_if_crashing(task, now_ms)
 
     def on_answer(self, worker, *, now_ms):
@@ -174,7 +174,7 @@
         for task in tasks:
             if task.losses.pop(incarnation, None) is not None:
                 self._context.count("worker_losses", "taken_back")
-                self._context.journal.mark_changed(task.step.job)
+                self._context.journal.mark_task_changed(task)
 
     # Tasks -------------------------------------------------------------------
 
@@ -199,7 +199,7 @@
         for incarnation in outlived:
             del task.losses[incarnation]
         self._context.count("worker_losses", "outlived", len(outlived))
-        self._context.journal.mark_changed(task.step.job)
+        self._context.journal.mark_task_changed(task)
 
     def _fail_if_crashing(self, task, now_ms):
         """Fail a job whose task has crashed too many workers."""
@@ -231,8 +231,9 @@
         for job in self._context.live_jobs.values():
             withdrawn = _withdraw_losses(job, incarnations)
             if withdrawn:
-                self._context.count("worker_losses", "explained", withdrawn)
-                self._context.journal.mark_changed(job)
+                self._context.count("worker_losses", "explained", len(withdrawn))
+            for task in withdrawn:
+                self._context.journal.mark_task_changed(task)
 
     def awaits_news(self, task):
         """Return whether a task may have crashed too many workers to go on.
@@ -279,16 +280,15 @@
 
 
 def _withdraw_losses(job, incarnations):
-    """Remove the losses of these incarnations from a job; return how many it had."""
-    withdrawn = 0
-    for step in job.steps:
-        for task in step.tasks:
-            losses = list(task.losses.values())
-            for loss in losses:
-                is_explained = loss.incarnation in incarnations
-                if is_explained and not fits_another(loss, losses):
-                    del task.losses[loss.incarnation]
-                    withdrawn += 1
+    """Remove the losses of these incarnations from a job; return the task of each."""
+    withdrawn = []
+    for task in job.tasks:
+        losses = list(task.losses.values())
+        for loss in losses:
+            is_explained = loss.incarnation in incarnations
+            if is_explained and not fits_another(loss, losses):
+                del task.losses[loss.incarnation]
+                withdrawn.append(task)
     return withdrawn
 
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -38,6 +38,7 @@
     "owner_handovers_given_up": "Handovers begun and not carried out, by reason.",
     "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
+    "checkpoints": "Checkpoints of runs that the store does not keep, by why.",
     "removed_policies": "Queues and accounts with jobs and no place, by what is known.",
     "limit_parts": "Parts of accounts' limits asked for, lent and returned, by what.",
     "limit_parts_dropped": "Messages on parts of limits that reached nobody.",
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -13,6 +13,7 @@
     Bounds,
     Configuration,
     JobSpec,
+    RecordLimits,
     StepSpec,
     WorkerEntry,
 )
@@ -53,7 +54,9 @@
             drop_partition=lambda partition, epoch: given_up.append((partition, epoch)),
         ),
         given_up=given_up,
-        settings=SimpleNamespace(instance="edge-1", bounds=Bounds()),
+        settings=SimpleNamespace(
+            instance="edge-1", bounds=Bounds(), store=RecordLimits()
+        ),
         configuration=Configuration(version=1),
         worker_list=SimpleNamespace(
             is_complete=True, entries={}, set_wanted=lambda wanted: None, as_of_ms=1e9
