Keep each append below the limit of a call that the deployment sets

What callers would see: nothing as the deployments are set up; with a lower platform.max_call_bytes a cell stores nothing any more once an append exceeds it, since the same one is offered again and again.

Cause: the setting was read nowhere. An append was closed at 1,000,000 bytes, asked before each job was added, so it could be one record longer, and neither records that are not of jobs nor deleted keys counted.

Change: what an append takes is asked before each record of any kind, lengths included, below the setting and below 1,000,000 bytes. While records that are not of jobs wait for the next append, jobs and effects wait, too, since a start or a grant may depend on them. An ended job's records stay in one append.

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -21,8 +21,10 @@
 
 __all__ = ["Batch", "Journal"]
 
-# Below the store's limit of 2 MB for each call.
+# Larger appends would make others wait; the store may take less.
 MAX_BATCH_BYTES = 1_000_000
+# What a record takes in an append beside its key and value: two lengths.
+RECORD_OVERHEAD_BYTES = 5
 # In place of a part's number: the job's own record, which holds its state and, while
 # that is small, all its progress.
 WHOLE = -1
@@ -51,7 +53,13 @@
     def add(self, key, value):
         """Add a record; an empty value deletes the key."""
         self.records.append((key, value))
-        self.size_bytes += len(key) + len(value) + 5
+        self.size_bytes += _size_bytes([(key, value)])
+
+    def has_room_for(self, records, max_bytes):
+        """Return whether it may hold these records as well; an empty one always may."""
+        if not self.records:
+            return True
+        return self.size_bytes + _size_bytes(records) <= max_bytes
 
     def take_replies(self, job_ids):
         """Remove and return the replies about some jobs."""
@@ -233,21 +241,39 @@
         """Return the next batch of pending records."""
         batch = Batch(last_number=self._last_sent_number)
         self.is_urgent = False
-        batch.other_records, self._other_records = self._other_records, {}
-        for key, value in batch.other_records.items():
+        max_bytes = min(MAX_BATCH_BYTES, self._limits.max_call_bytes)
+        self._take_other_records(batch, max_bytes)
+        if not self._other_records and not self._dropped_keys:
+            self._take_changes(batch, max_bytes, now_ms)
+        self._last_sent_number = batch.last_number
+        self._release_effects(batch)
+        return batch
+
+    def _take_other_records(self, batch, max_bytes):
+        """Move as many records that are not of live jobs as fit into a batch."""
+        for key, value in list(self._other_records.items()):
+            if not batch.has_room_for([(key, value)], max_bytes):
+                return
             batch.add(key, value)
-        batch.dropped_keys, self._dropped_keys = self._dropped_keys, []
-        for key in batch.dropped_keys:
+            batch.other_records[key] = self._other_records.pop(key)
+        while self._dropped_keys:
+            if not batch.has_room_for([(self._dropped_keys[0], b"")], max_bytes):
+                return
+            key = self._dropped_keys.pop(0)
             batch.add(key, b"")
+            batch.dropped_keys.append(key)
+
+    def _take_changes(self, batch, max_bytes, now_ms):
+        """Move as many changes of jobs as fit into a batch, in their order."""
         epoch_ms = time.time() * 1000.0
-        while self._changes and batch.size_bytes <= MAX_BATCH_BYTES:
+        while self._changes:
             change = next(iter(self._changes.values()))
             records = self._records_of(change, epoch_ms, now_ms)
-            if records is not None:
-                self._put(batch, change, records)
-        self._last_sent_number = batch.last_number
-        self._release_effects(batch)
-        return batch
+            if records is None:
+                continue
+            if not batch.has_room_for(records, max_bytes):
+                return
+            self._put(batch, change, records)
 
     def _put(self, batch, change, records):
         """Move a change with its records into a batch."""
@@ -264,6 +290,9 @@
             layout.is_in_force = True
         elif layout is not None:
             layout.stored_parts.add(change.part)
+        if job.is_over and layout is not None:
+            for part in layout.parts:
+                self._changes.pop((job.job_id, part), None)
         batch.changes.append((job, change.part))
         if change.part == WHOLE:
             batch.job_states.append((job, job.state))
@@ -312,7 +341,6 @@
             records.append((JOB_KEY + job.job_id, b""))
         for part in sorted(layout.stored_parts) if layout is not None else ():
             records.append((part_key(job.job_id, part), b""))
-            self._changes.pop((job.job_id, part), None)
         return records
 
     def _divide(self, job):
@@ -363,6 +391,9 @@
 
     def _release_effects(self, batch):
         """Move the effects that only wait for this batch, or earlier ones, into it."""
+        if self._other_records or self._dropped_keys:
+            self.is_urgent = True
+            return  # they may wait for any of these
         if not self._changes:
             batch.effects = [pending.effect for pending in self._pending_effects]
             self._pending_effects = []
@@ -379,5 +410,12 @@
         ]
 
 
+def _size_bytes(records):
+    """Return what records take in an append."""
+    return sum(
+        len(key.encode()) + len(value) + RECORD_OVERHEAD_BYTES for key, value in records
+    )
+
+
 def _is_reply_about(effect, job_ids):
     return isinstance(effect, Reply) and effect.job_id in job_ids
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_journal.py
@@ -3,6 +3,7 @@
 import pytest
 
 from thymefork_cells.effects import Outcome
+from thymefork_cells.specs import RecordLimits
 from thymefork_cells.state import JobState
 
 from .harness import job_spec
@@ -91,6 +92,32 @@
     assert harness.job(LONG_RUNNING_JOB).visible_state is JobState.CANCELLED
 
 
+# An append over the limit of a call was never taken by the store.
+@pytest.mark.parametrize("max_call_bytes", [12_000, 40_000])
+def test_no_append_is_larger_than_the_store_takes(make_harness, max_call_bytes):
+    harness = make_harness()
+    harness.record_limits = RecordLimits(
+        max_record_bytes=10_000, max_call_bytes=max_call_bytes
+    )
+    harness.take_over()
+    submit_more_than_fits_one_append(harness)
+    journal = harness.cell.journal
+    for number in range(1_000):
+        journal.put(f"l{number}/a", b"x" * 50)
+    journal.after("grant")
+    journal.drop_keys([f"j{number:016x}" for number in range(10_000, 12_000)])
+    granted = []
+    while not journal.is_empty:
+        batch = journal.take(harness.now)
+        granted += batch.effects
+        assert batch.records
+        sizes = [4 + 1 + len(key) + len(value) for key, value in batch.records]
+        assert sum(sizes) <= max_call_bytes
+        if any(key.startswith("l") for key, _ in batch.records):
+            assert "grant" not in granted
+    assert "grant" in granted
+
+
 def test_loan_is_stored_before_all_runs(harness):
     submit_more_than_fits_one_append(harness)
     journal = harness.cell.journal
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_large_jobs.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_large_jobs.py
@@ -110,7 +110,7 @@
 
 # What a next owner reads has to be whole at each moment at which the owner may end.
 @pytest.mark.parametrize("appends", range(1, 14))
-@pytest.mark.parametrize("max_call_bytes", [131_072])
+@pytest.mark.parametrize("max_call_bytes", [8_192, 131_072])
 def test_next_owner_goes_on_after_any_append_of_a_large_job(
     make_harness, appends, max_call_bytes
 ):
