Set a refused record aside in place of stopping its cell

Change: a 4xx that asks for no later try is an outcome of its own. Batches are offered in halves until the change to blame is alone; a probe of a few bytes tells a refused record from a store that takes nothing. The change is set aside with the starts and replies of its job, offered again after 5 s, told of and counted; parts are first offered without checkpoints, and a new job is refused at once. This works since nothing of other jobs waits for it any more; nothing is given up while the store takes nothing.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -12,6 +12,7 @@
 from .jobs.job_loader import JobLoader
 from .jobs.journal import Journal
 from .jobs.lifecycle import Lifecycle
+from .jobs.refused_appends import RefusedAppends
 from .jobs.unstored_ends import UnstoredEnds
 from .placement.crash_isolation import CrashIsolation
 from .placement.placer import Placer
@@ -128,6 +129,7 @@
             quotas=self.quotas,
             shares=self.shares,
         )
+        self._refused_appends = RefusedAppends(context=self.context, intake=self.intake)
         self._loader = JobLoader(
             context=self.context,
             lifecycle=self.lifecycle,
@@ -236,27 +238,31 @@
         self.pacing.check(now_ms)
         self.lifecycle.forget_ended(now_ms)
         self.policies.review(now_ms)
+        self._refused_appends.review(now_ms)
         self.context.needs_plan = True
 
     # Store -------------------------------------------------------------------
 
     def on_stored(self, batch):
         """Make the job states of a stored append visible."""
+        self.journal.on_stored(batch)
         self._worker_locations.on_stored(batch.other_records)
         for job, state in batch.job_states:
             job.visible_state = state
 
     def on_not_stored(self, batch, *, now_ms):
         """Refuse the new jobs of an append that the store has definitely rejected."""
-        new_jobs = {job.job_id for job in batch.new_jobs}
-        self.intake.withdraw(batch.new_jobs, now_ms=now_ms)
-        replies = batch.take_replies(new_jobs) + self.journal.take_replies(new_jobs)
-        for reply in replies:
-            self.intake.refuse(reply)
-        batch.changes = [row for row in batch.changes if row[0].job_id not in new_jobs]
-        self.journal.forget(new_jobs)
+        self.intake.return_new_jobs(batch, now_ms=now_ms)
         self.journal.put_back(batch)
 
+    def on_refused(self, batch, *, to_blame, now_ms):
+        """Handle an append that the store will never take as it is.
+
+        Return whether it may take others. If several were on their way, `to_blame` is
+        set for the first, which is handled last.
+        """
+        return self._refused_appends.on_refused(batch, to_blame=to_blame, now_ms=now_ms)
+
     # Other cells -------------------------------------------------------------
 
     def on_parts(self, message, *, now_ms):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/intake.py
@@ -99,6 +99,17 @@
             self._context.live_jobs.pop(job.job_id, None)
             self._context.note("job_withdrawn", job=job.job_id, reason="not stored")
 
+    def return_new_jobs(self, batch, *, now_ms):
+        """Refuse the new jobs of a batch that is certainly not stored."""
+        journal = self._context.journal
+        new_jobs = {job.job_id for job in batch.new_jobs}
+        self.withdraw(batch.new_jobs, now_ms=now_ms)
+        for reply in batch.take_replies(new_jobs) + journal.take_replies(new_jobs):
+            self.refuse(reply)
+        batch.new_jobs = []
+        batch.changes = [row for row in batch.changes if row[0].job_id not in new_jobs]
+        journal.forget(new_jobs)
+
     def abandon(self, job_id, *, now_ms):
         """Refuse a new job that is in no append yet, since its caller timed out."""
         journal = self._context.journal
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -1,6 +1,7 @@
 """Queue of records to store and of effects that have to wait for them."""
 
 import time
+from math import inf
 
 from attrs import define, evolve, field, frozen
 
@@ -18,13 +19,16 @@
     part_key,
 )
 from .progress_layout import MAX_WHOLE_BYTES, ProgressLayout
+from .set_aside import SetAsideChanges
 
-__all__ = ["Batch", "Journal"]
+__all__ = ["PROBE_KEY", "WHOLE", "Batch", "Journal"]
 
 # Larger appends would make others wait; the store may take less.
 MAX_BATCH_BYTES = 1_000_000
 # What a record takes in an append beside its key and value: two lengths.
 RECORD_OVERHEAD_BYTES = 5
+# Key of a small record that shows whether the store takes any.
+PROBE_KEY = "x"
 # In place of a part's number: the job's own record, which holds its state and, while
 # that is small, all its progress.
 WHOLE = -1
@@ -37,7 +41,8 @@
     `last_number` is the number of the last change that this or an earlier batch holds,
     `other_records` maps keys to the records that are not of jobs, `dropped_keys` are
     those of forgotten jobs. `changes` lists each job with the part that is stored, and
-    `job_states` with the state that is.
+    `job_states` with the state that is. `unit_count` is how many independent changes it
+    holds.
     """
 
     records: list = field(factory=list)
@@ -48,6 +53,7 @@
     changes: list = field(factory=list)
     job_states: list = field(factory=list)
     size_bytes: int = 0
+    unit_count: int = 0
     last_number: int = 0
 
     def add(self, key, value):
@@ -55,11 +61,13 @@
         self.records.append((key, value))
         self.size_bytes += _size_bytes([(key, value)])
 
-    def has_room_for(self, records, max_bytes):
+    def has_room_for(self, records, room):
         """Return whether it may hold these records as well; an empty one always may."""
         if not self.records:
             return True
-        return self.size_bytes + _size_bytes(records) <= max_bytes
+        if self.unit_count >= room.max_units:
+            return False
+        return self.size_bytes + _size_bytes(records) <= room.max_bytes
 
     def take_replies(self, job_ids):
         """Remove and return the replies about some jobs."""
@@ -68,6 +76,14 @@
         return taken
 
 
+@frozen(kw_only=True)
+class _Room:
+    """Limit what a batch holds."""
+
+    max_bytes: int
+    max_units: float
+
+
 @frozen(kw_only=True, eq=False)
 class _PendingChange:
     """Hold a job of which a part has to be stored, and the change's sequence number."""
@@ -107,6 +123,8 @@
         self._new_jobs = {}
         self._changes = {}  # by job id and part
         self._layouts = {}  # of jobs with divided progress, by job id
+        self._set_aside = SetAsideChanges()
+        self._max_units = inf
         self._dropped_keys = []
         self._other_records = {}
         self._pending_effects = []
@@ -143,10 +161,16 @@
 
     def _add_change(self, job, part):
         self.is_urgent = self.is_urgent or not job.is_live
-        if (job.job_id, part) not in self._changes:
+        key = (job.job_id, part)
+        if key in self._set_aside and not job.is_over:
+            return  # it is offered again with what is known then
+        waiting = self._set_aside.pop(key)
+        if key not in self._changes:
             self._last_number += 1
             change = _PendingChange(job=job, part=part, number=self._last_number)
             self._changes[change.key] = change
+        for effect in waiting:
+            self.after(effect)
 
     def load_layout(self, job, tasks_per_part, stored_parts):
         """Go on with the division of a stored job's progress."""
@@ -208,6 +232,7 @@
         layout = self._layouts.pop(job_id, None)
         for part in (WHOLE, *(layout.parts if layout is not None else ())):
             self._changes.pop((job_id, part), None)
+            self._set_aside.pop((job_id, part))
 
     def put_back(self, batch):
         """Requeue a failed batch's remaining jobs and effects, before all others.
@@ -215,8 +240,8 @@
         Several batches have to be put back in reverse order. Jobs are then stored with
         their latest state.
         """
-        self.is_urgent = True
         number = batch.last_number
+        self._new_jobs |= {job.job_id: job for job in batch.new_jobs}
         self._requeue(
             _PendingChange(job=job, part=part, number=number)
             for job, part in batch.changes
@@ -226,11 +251,76 @@
                 self._layouts[job.job_id].is_in_force = False
         self._other_records = batch.other_records | self._other_records
         self._dropped_keys = batch.dropped_keys + self._dropped_keys
+        self.requeue_effects(batch)
+
+    def requeue_effects(self, batch):
+        """Requeue a failed batch's effects alone."""
+        self.is_urgent = True
         requeued = [
-            _PendingEffect(effect=effect, number=number) for effect in batch.effects
+            _PendingEffect(effect=effect, number=batch.last_number)
+            for effect in batch.effects
         ]
         self._pending_effects = requeued + self._pending_effects
 
+    # Refused records ----------------------------------------------------------
+
+    def limit_next(self, max_units):
+        """Let the next batches hold no more changes, to find a refused one."""
+        self._max_units = max_units
+
+    def leave_out_checkpoints(self, batch):
+        """Store the parts of a batch's job without checkpoints from now on.
+
+        Return whether that may help.
+        """
+        job, part = batch.changes[0]
+        layout = self._layouts.get(job.job_id)
+        if layout is None or part == WHOLE or not layout.keeps_checkpoints:
+            return False
+        layout.keeps_checkpoints = False
+        return any(task.checkpoint for task in layout.tasks_of(part))
+
+    def set_aside(self, batch, now_ms):
+        """Go on without the change of a batch that was put back."""
+        job, part = batch.changes[0]
+        self._set_aside.add(self._changes.pop((job.job_id, part)), now_ms)
+
+    def put_probe(self):
+        """Let the next batch show whether the store takes anything."""
+        probe = {PROBE_KEY: str(self._last_number).encode()}
+        self._other_records = probe | self._other_records
+        self._max_units = 1
+        self.is_urgent = True
+
+    def on_stored(self, batch):
+        """Take up what a stored batch shows about refused records."""
+        if PROBE_KEY in batch.other_records:
+            self._max_units = inf
+            self._set_aside.confirm()
+        elif batch.records and batch.unit_count < self._max_units:
+            self._max_units = inf  # nothing that waited was to blame alone
+
+    def offer_all_again(self):
+        """Requeue what was refused: the store takes nothing at all."""
+        self._max_units = inf
+        self._requeue(self._set_aside.take_unconfirmed())
+        self.is_urgent = True
+
+    def take_refused_replies(self):
+        """Remove and return the replies that wait for refused records."""
+        return self._set_aside.take_replies()
+
+    def offer_due_again(self, now_ms):
+        """Requeue the records that were refused a while ago; return how many."""
+        due = self._set_aside.take_due(now_ms)
+        for change, effects in due:
+            self._add_change(change.job, change.part)
+            for effect in effects:
+                self.after(effect)
+        return len(due)
+
+    # Batches ------------------------------------------------------------------
+
     def _requeue(self, changes):
         """Put changes before all others, in this order."""
         first = {change.key: change for change in changes}
@@ -241,29 +331,34 @@
         """Return the next batch of pending records."""
         batch = Batch(last_number=self._last_sent_number)
         self.is_urgent = False
-        max_bytes = min(MAX_BATCH_BYTES, self._limits.max_call_bytes)
-        self._take_other_records(batch, max_bytes)
+        room = _Room(
+            max_bytes=min(MAX_BATCH_BYTES, self._limits.max_call_bytes),
+            max_units=self._max_units,
+        )
+        self._take_other_records(batch, room)
         if not self._other_records and not self._dropped_keys:
-            self._take_changes(batch, max_bytes, now_ms)
+            self._take_changes(batch, room, now_ms)
         self._last_sent_number = batch.last_number
         self._release_effects(batch)
         return batch
 
-    def _take_other_records(self, batch, max_bytes):
+    def _take_other_records(self, batch, room):
         """Move as many records that are not of live jobs as fit into a batch."""
         for key, value in list(self._other_records.items()):
-            if not batch.has_room_for([(key, value)], max_bytes):
+            if not batch.has_room_for([(key, value)], room):
                 return
             batch.add(key, value)
+            batch.unit_count += 1
             batch.other_records[key] = self._other_records.pop(key)
         while self._dropped_keys:
-            if not batch.has_room_for([(self._dropped_keys[0], b"")], max_bytes):
+            if not batch.has_room_for([(self._dropped_keys[0], b"")], room):
                 return
             key = self._dropped_keys.pop(0)
             batch.add(key, b"")
+            batch.unit_count += 1
             batch.dropped_keys.append(key)
 
-    def _take_changes(self, batch, max_bytes, now_ms):
+    def _take_changes(self, batch, room, now_ms):
         """Move as many changes of jobs as fit into a batch, in their order."""
         epoch_ms = time.time() * 1000.0
         while self._changes:
@@ -271,9 +366,10 @@
             records = self._records_of(change, epoch_ms, now_ms)
             if records is None:
                 continue
-            if not batch.has_room_for(records, max_bytes):
+            if not batch.has_room_for(records, room):
                 return
             self._put(batch, change, records)
+            batch.unit_count += 1
 
     def _put(self, batch, change, records):
         """Move a change with its records into a batch."""
@@ -293,6 +389,7 @@
         if job.is_over and layout is not None:
             for part in layout.parts:
                 self._changes.pop((job.job_id, part), None)
+                self._set_aside.pop((job.job_id, part))
         batch.changes.append((job, change.part))
         if change.part == WHOLE:
             batch.job_states.append((job, job.state))
@@ -394,16 +491,16 @@
         if self._other_records or self._dropped_keys:
             self.is_urgent = True
             return  # they may wait for any of these
-        if not self._changes:
-            batch.effects = [pending.effect for pending in self._pending_effects]
-            self._pending_effects = []
-            return
-        self.is_urgent = True
-        first_unsent_number = next(iter(self._changes.values())).number
+        first_unsent_number = self._set_aside.first_unconfirmed_number
+        if self._changes:
+            self.is_urgent = True
+            first_change = next(iter(self._changes.values()))
+            first_unsent_number = min(first_unsent_number, first_change.number)
         batch.effects = [
             row.effect
             for row in self._pending_effects
             if row.number < first_unsent_number
+            and not self._set_aside.hold(row.effect, row.number)
         ]
         self._pending_effects = [
             row for row in self._pending_effects if row.number >= first_unsent_number
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/progress_layout.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/progress_layout.py
@@ -20,13 +20,14 @@
 
     `stored_parts` are the parts that may be stored. They hold only once the job's own
     record names them, so that one has to be stored after them: `is_in_force` is set as
-    soon as it is being stored.
+    soon as it is being stored. It `keeps_checkpoints` unless the store refused them.
     """
 
     job: object
     tasks_per_part: int = TASKS_PER_PART
     stored_parts: set = field(factory=set)
     is_in_force: bool = False
+    keeps_checkpoints: bool = True
 
     def part_of(self, task):
         """Return the number of the part that holds a task."""
@@ -47,6 +48,8 @@
 
         Longer ones are known to the present owner only.
         """
+        if not self.keeps_checkpoints:
+            return 0
         task_count = len(self.job.tasks)
         in_record = (1.0 - ROWS_SHARE) * limits.max_record_bytes
         in_record /= min(self.tasks_per_part, task_count)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/harness.py
@@ -22,6 +22,8 @@
 __all__ = ["SHRINK_KNOWN_MS", "START_EPOCH_MS", "Harness", "job_spec"]
 
 APPEND_MS = 10.0
+# Delay before the next append after one that the store did not take.
+RETRY_DELAY_MS = 60.0
 CYCLE_INTERVAL_MS = 5.0
 # Time after which the owner must know that a worker has shrunk.
 SHRINK_KNOWN_MS = 3_500.0
@@ -304,9 +306,15 @@
         if cell is not self.cell or self.is_owner_down:
             return
         self.appending = False
-        if self.store_down or self._refuses(batch):
+        if self.store_down:
             cell.on_not_stored(batch, now_ms=self.now)
-            yield self.env.timeout(60)
+            yield self.env.timeout(RETRY_DELAY_MS)
+            return
+        if self._refuses(batch):
+            if not cell.on_refused(batch, to_blame=True, now_ms=self.now):
+                self.appending = True
+                yield self.env.timeout(RETRY_DELAY_MS)
+                self.appending = False
             return
         if batch.records:
             self.appends.append(batch.records)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pipeline.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/append_pipeline.py
@@ -97,12 +97,13 @@
 
     # Sending -----------------------------------------------------------------
 
-    def send(self, batch, on_stored, on_not_stored):
+    def send(self, batch, on_stored, on_not_stored, on_refused=None):
         """Store a batch, and then call `on_stored(batch)`, in the order of sending.
 
         `on_not_stored(batch)` is called instead if the store has certainly stored
         neither this batch nor any later one; the last batch is returned first, and the
-        sequence numbers are used again.
+        sequence numbers are used again. If the store will never take the first of them
+        as it is, `on_refused(batch, to_blame=...)` is called instead.
         """
         now_ms = steady_ms()
         # An append without records has no sequence number of its own.
@@ -112,6 +113,7 @@
             sequence=self._last_sequence,
             on_stored=on_stored,
             on_not_stored=on_not_stored,
+            on_refused=on_refused,
             started_ms=now_ms,
             hedge_delay_ms=self._window.hedge_delay_ms,
         )
@@ -215,6 +217,8 @@
             self._on_out_of_sequence(pending, result, call)
         elif result.outcome is AppendOutcome.NOT_STORED:
             self._on_not_stored_answer(pending, result)
+        elif result.outcome is AppendOutcome.REFUSED:
+            self._on_refused_answer(pending, result)
         elif result.outcome is AppendOutcome.UNKNOWN:
             pending.is_outcome_unknown = True
             self._return_or_resend(pending, "append_unknown")
@@ -245,6 +249,22 @@
         pending.is_rejected = self._is_head(pending)
         self._return_or_resend(pending, "append_not_stored")
 
+    def _on_refused_answer(self, pending, result):
+        """Return what the store will not take; other appends may go on.
+
+        An earlier call of the same content that got no answer is refused as well.
+        """
+        if self._is_head(pending):
+            line = self._event_logger("append_not_taken", **_batch_fields(pending))
+            line.warning("the store refuses an append for good: {}", result.error)
+            pending.is_rejected = pending.is_refused = True
+            pending.is_outcome_unknown = False
+        self._return_or_resend(pending, "append_refused")
+
+    def report_failing(self):
+        """Take the store for unavailable, since it takes nothing."""
+        self._is_failing = True
+
     def _return_or_resend(self, pending, reason):
         """Return all batches if certainly not stored, else send the head again."""
         self._metrics.count("retries", reason)
@@ -307,7 +327,21 @@
         if not all(pending.is_certainly_not_stored for pending in self._in_flight):
             return False
         self._last_sequence = self._stored_sequence
+        is_refused = self._in_flight[0].is_refused
         while self._in_flight:
             pending = self._in_flight.pop()
-            pending.on_not_stored(pending.batch)
+            if is_refused:
+                pending.on_refused(pending.batch, to_blame=not self._in_flight)
+            else:
+                pending.on_not_stored(pending.batch)
         return True
+
+
+def _batch_fields(pending):
+    """Return log fields of a batch."""
+    sizes = [len(key) + len(value) for key, value in pending.batch.records]
+    return {
+        "records": len(sizes),
+        "batch_bytes": sum(sizes),
+        "largest_record_bytes": max(sizes, default=0),
+    }
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/scheduling_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/scheduling_loop.py
@@ -143,6 +143,7 @@
             batch,
             lambda batch: self._on_stored(batch, sent_ms),
             self._on_not_stored,
+            self._on_refused,
         )
         return math.inf
 
@@ -156,6 +157,20 @@
     def _on_not_stored(self, batch):
         self._cell.on_not_stored(batch, now_ms=steady_ms())
         self._execute_effects()
+        self._retry_later()
+
+    def _on_refused(self, batch, *, to_blame):
+        """Go on with other records at once, unless the store takes none."""
+        now_ms = steady_ms()
+        takes_others = self._cell.on_refused(batch, to_blame=to_blame, now_ms=now_ms)
+        if takes_others:
+            self.apply_effects()
+            return
+        self._pipeline.report_failing()
+        self._execute_effects()
+        self._retry_later()
+
+    def _retry_later(self):
         if not self._store_retry_timer:
             self._store_retry_timer = self._timers.after(
                 STORE_RETRY_DELAY_MS, self._retry_store
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -39,6 +39,7 @@
     "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
     "checkpoints": "Checkpoints of runs that the store does not keep, by why.",
+    "refused_records": "Records that the store will not take, and what came of them.",
     "removed_policies": "Queues and accounts with jobs and no place, by what is known.",
     "limit_parts": "Parts of accounts' limits asked for, lent and returned, by what.",
     "limit_parts_dropped": "Messages on parts of limits that reached nobody.",
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_failures.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_failures.py
@@ -31,6 +31,7 @@
         self.store = store
         self.metrics = FakeMetrics()
         self.sent, self.stored, self.returned, self.lost = [], [], [], []
+        self.refused = []
         self.pipeline = AppendPipeline(
             partition=CellPartition(store=store, cell=0, partition=7, epoch=5),
             timers=timers,
@@ -45,9 +46,14 @@
         for key in keys:
             batch.add(key, b"v")
         self.sent.append(batch)
-        self.pipeline.send(batch, self.stored.append, self.returned.append)
+        self.pipeline.send(
+            batch, self.stored.append, self.returned.append, self.on_refused
+        )
         return batch
 
+    def on_refused(self, batch, *, to_blame):
+        self.refused.append((batch, to_blame))
+
 
 @pytest.fixture
 def writer(timers):
@@ -187,6 +193,44 @@
     assert writer.store.appends[-1]["sequence"] == 2
 
 
+# A refused append was offered again and again, and the store counted as away.
+@pytest.mark.parametrize("is_repeated", [False, True])
+def test_refused_head_returns_all_batches_and_blames_the_first(
+    writer, timers, is_repeated
+):
+    if is_repeated:
+        answer(writer, calls_with_sequence(writer, 2)[0], AppendOutcome.UNKNOWN)
+        timers.run(100)
+    answer(writer, calls_with_sequence(writer, 2)[-1], AppendOutcome.REFUSED)
+    for sequence in (3, 4):
+        assert not writer.refused
+        answer(
+            writer,
+            calls_with_sequence(writer, sequence)[0],
+            AppendOutcome.OUT_OF_SEQUENCE,
+            wanted=2,
+        )
+    first, second, third = writer.sent
+    assert writer.refused == [(third, False), (second, False), (first, True)]
+    assert not writer.returned and not writer.pipeline.is_store_unavailable
+    writer.send("d")
+    assert writer.store.appends[-1]["sequence"] == 2
+
+
+def test_batch_refused_behind_another_is_sent_again_as_the_first(writer):
+    answer(writer, calls_with_sequence(writer, 3)[0], AppendOutcome.REFUSED)
+    assert not writer.refused
+    answer(writer, calls_with_sequence(writer, 2)[0], AppendOutcome.STORED)
+    answer(writer, calls_with_sequence(writer, 3)[1], AppendOutcome.REFUSED)
+    answer(
+        writer,
+        calls_with_sequence(writer, 4)[0],
+        AppendOutcome.OUT_OF_SEQUENCE,
+        wanted=3,
+    )
+    assert writer.refused == [(writer.sent[2], False), (writer.sent[1], True)]
+
+
 def test_no_batch_is_returned_while_later_outcome_is_unknown(writer, timers):
     """A delayed call could store the third batch after a new second one."""
     answer(writer, calls_with_sequence(writer, 2)[0], AppendOutcome.NOT_STORED)
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_scheduling_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_scheduling_loop.py
@@ -39,6 +39,8 @@
         self.turns_ms = []
         self.stored = []
         self.not_stored = []
+        self.refused = []
+        self.takes_others = True
 
     def run_cycle(self, now_ms):
         self.turns_ms.append(now_ms)
@@ -54,6 +56,10 @@
     def on_not_stored(self, batch, *, now_ms):
         self.not_stored.append(batch)
 
+    def on_refused(self, batch, *, to_blame, now_ms):
+        self.refused.append((batch, to_blame))
+        return self.takes_others
+
 
 class FakePipeline:
     next_send_ms = 0.0
@@ -63,8 +69,12 @@
         self.sent = []
         self.cleared = 0
 
-    def send(self, batch, on_stored, on_not_stored):
+    def send(self, batch, on_stored, on_not_stored, on_refused):
         self.sent.append((batch, on_stored, on_not_stored))
+        self.on_refused = on_refused
+
+    def report_failing(self):
+        self.is_store_unavailable = True
 
     def reset_failure(self):
         self.cleared += 1
@@ -217,6 +227,27 @@
     assert harness.pipeline.cleared == 1
 
 
+# Other records have to be stored at once after a refused append.
+@pytest.mark.parametrize("takes_others", [True, False])
+def test_refused_append_is_followed_at_once_if_store_takes_others(
+    harness, timers, takes_others
+):
+    harness.cell.takes_others = takes_others
+    harness.cell.journal.waiting, harness.cell.journal.is_urgent = ["a job"], True
+    harness.loop.apply_effects()
+    timers.run(CYCLE_DELAY_MS)
+    batch = harness.pipeline.sent[0][0]
+    harness.pipeline.on_refused(batch, to_blame=True)
+    assert harness.cell.refused == [(batch, True)] and not harness.cell.not_stored
+    assert harness.pipeline.is_store_unavailable is not takes_others
+    harness.cell.journal.waiting = ["others"]
+    harness.loop.apply_effects()
+    timers.run(CYCLE_DELAY_MS)
+    assert len(harness.pipeline.sent) == (2 if takes_others else 1)
+    timers.run(STORE_RETRY_DELAY_MS + CYCLE_DELAY_MS)
+    assert len(harness.pipeline.sent) == 2
+
+
 @pytest.mark.parametrize("renewed", [True, False])
 def test_cell_is_told_whether_store_is_unavailable(harness, timers, renewed):
     harness.ownership.is_renewed = lambda: renewed
