Don't take a run for gone because a worker's list of ends is full

Cause: a worker lists 500 ends at once. A run that stood neither among the running ones nor in that list was taken for gone, and its task was planned again; its end came with a later list.

Change: the adapter says whether a report has all ends. Unless it has, a run that it does not name stays with its room until its end is listed or a whole list lacks it. It works since the oldest ends come first and each acknowledgement lets the next come: every end is listed before a list is whole. A next owner's first report is treated alike. ends_listed_in_part tells of such lists.

--- a/packages/thymefork-cells/src/thymefork_cells/reports.py
+++ b/packages/thymefork-cells/src/thymefork_cells/reports.py
@@ -54,7 +54,10 @@
 class WorkerReport:
     """Running and ended runs of a worker.
 
-    `born_epoch_ms` is when its incarnation began, 0 if it does not report it.
+    Without `has_all_ends` more runs may have ended than it lists: a worker lists its
+    oldest ends only, and goes on once these are acknowledged. What it does not name may
+    have ended then. `born_epoch_ms` is when its incarnation began, 0 if it does not
+    report it.
 
     Units: `clock_ms` on the worker's clock, `born_epoch_ms` since 1970.
     """
@@ -62,4 +65,5 @@
     clock_ms: int
     running: tuple[RunRow, ...]
     ended: tuple[EndRow, ...]
+    has_all_ends: bool = True
     born_epoch_ms: int = 0
--- a/packages/thymefork-cells/src/thymefork_cells/state/worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/state/worker.py
@@ -43,7 +43,8 @@
     `unanswered_since_ms` is when the first of the latest unanswered polls timed out, 0
     if the last was answered. `unlisted_since_ms` is when the worker left
     the platform's list. `received_end`, `stored_end` and `acknowledged_end` are the
-    highest run end numbers that were received, stored, and confirmed to the worker.
+    highest run end numbers that were received, stored, and confirmed to the worker; it
+    `has_unlisted_ends` if its last report did not list all the others.
     `outdated_reports_in_row` counts reports of an earlier incarnation. `stopped` holds
     the runs whose stop was answered and whose end was not reported yet.
 
@@ -92,6 +93,7 @@
     is_polling: bool = False
     is_quick_polling: bool = False
     is_storing_ends: bool = False
+    has_unlisted_ends: bool = False
     received_end: int = 0
     stored_end: int = 0
     acknowledged_end: int = 0
--- a/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/virtual_worker.py
@@ -40,7 +40,8 @@
     members. Tasks for which `fails_task` returns true fail after `fail_after_ms`, and
     with `fails_all` all tasks do. The next `ignored_stops` stops are answered but not
     carried out; others take `stop_duration_ms`. Serving tasks have a latency tail of
-    `tail_ms`. All its tasks save the same `checkpoint`. `pace_percents` holds the pace
+    `tail_ms`. All its tasks save the same `checkpoint`. It lists its oldest ends only,
+    `max_listed_ends` at once. `pace_percents` holds the pace
     of each run. `history` holds the runs of all incarnations, `lease_lapsed_ms` is when
     the lease last expired. Its clock runs at `clock_rate`.
     """
@@ -62,6 +63,7 @@
     stop_duration_ms: float = 0.0
     tail_ms: int = 0
     checkpoint: str = ""
+    max_listed_ends: int = 500
     pace_percents: dict = field(factory=dict)
     slow_factor: float = 1.0
     work_ms_of: dict = field(factory=dict)
@@ -237,7 +239,8 @@
         return WorkerReport(
             clock_ms=self.clock(now_ms),
             running=running,
-            ended=tuple(self.ended),
+            ended=tuple(self.ended[: self.max_listed_ends]),
+            has_all_ends=len(self.ended) < self.max_listed_ends,
             born_epoch_ms=self.born_epoch_ms,
         )
 
--- a/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/run_reconciler.py
@@ -139,8 +139,12 @@
         return clock_ms > run.stop_clock_ms + bound_ms
 
     def release_missing(self, worker, report, answered_poll_ms, now_ms):
-        """Release the runs that the worker neither runs nor can start any more."""
-        lost_runs = []
+        """Release the runs that the worker neither runs nor can start any more.
+
+        What a report without all ends does not name may have ended: its run stays until
+        its end is listed, or all ends are.
+        """
+        lost_runs, unnamed = [], 0
         for run in list(worker.runs.values()):
             if run.reported_ms == now_ms:
                 continue
@@ -151,6 +155,9 @@
                     self._lifecycle.delayed_starts.expect_recovered(run)
                 lost_runs.append(run)
             elif self._is_gone(run, report.clock_ms):
+                if not report.has_all_ends:
+                    unnamed += 1
+                    continue
                 if run.state is RunState.RECOVERED:
                     self._lifecycle.delayed_starts.expect_recovered(run)
                 self._context.count("run_ends", "vanished")
@@ -162,12 +169,28 @@
                     state=run.state.name.lower(),
                 )
                 self._lifecycle.release(run, now_ms=now_ms)
-
+        self._note_unlisted_ends(worker, report, unnamed)
         if lost_runs:
             self._losses.on_worker_lost(
                 worker, lost_runs, is_certain=True, now_ms=now_ms
             )
 
+    def _note_unlisted_ends(self, worker, report, unnamed):
+        """Tell when a worker begins and ceases to list its ends in part."""
+        if not report.has_all_ends:
+            self._context.count("looks", "ends_in_part")
+        if worker.has_unlisted_ends == (not report.has_all_ends):
+            return
+        worker.has_unlisted_ends = not report.has_all_ends
+        self._context.note(
+            "ends_listed_in_part" if worker.has_unlisted_ends else "ends_listed_whole",
+            worker=worker.worker_id,
+            ended=len(report.ended),
+            running=len(report.running),
+            unnamed_runs=unnamed,
+            stored_end=worker.stored_end,
+        )
+
     def _is_gone(self, run, clock_ms):
         if run.state is RunState.RECOVERED:
             return True  # the fence rejects late starts of the previous owner
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -27,6 +27,8 @@
 # Clock of an incarnation at its start.
 INITIAL_CLOCK_MS = 1.0
 MAX_HOLD_MS = 10_000.0
+# A worker lists this many of its unacknowledged ends at most, the oldest first.
+MAX_LISTED_ENDS = 500
 
 
 class Worker:
@@ -188,7 +190,7 @@
         return {
             "clock_ms": self._clock_ms(),
             "running": running,
-            "ended": self._ended,
+            "ended": self._ended[:MAX_LISTED_ENDS],
             "born": self.born_epoch_ms,
         }
 
