Read every page of the store's newest records before going by them

What callers would see: behind 500 or more other records of the operators, or 1 MB, an instance never finds the configuration and answers 503; after an empty page that says there are more, a cell would be taken over in part.

Cause: the configuration was looked for on the first page alone, and an empty page counted as the last. Same class as a worker's full list of ends, found by reading; not seen.

--- a/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/configuration_watch.py
@@ -36,19 +36,29 @@
         """Read the newest records, then follow the topic."""
         self._read_newest()
 
-    def _read_newest(self):
-        self._store.newest(topic=TOPIC, on_result=self._on_newest)
+    def _read_newest(self, after="", offset=None):
+        """Read a page of the newest records; `offset` is the end at the first one."""
+        self._store.newest(
+            topic=TOPIC,
+            after=after,
+            on_result=lambda result: self._on_newest(result, offset),
+        )
 
-    def _on_newest(self, result):
+    def _on_newest(self, result, offset):
         self._record_answer(result is not None)
         if result is None:
             self._timers.after(RETRY_MS, self._read_newest)
             return
         self._apply(result.records)
+        # Later pages may miss changes made since the first, so follow from its end.
+        offset = result.end_offset if offset is None else offset
+        if result.next_key:
+            self._read_newest(result.next_key, offset)
+            return
         if self.current is None:
             self._timers.after(RETRY_MS, self._read_newest)
             return
-        self._follow(result.end_offset)
+        self._follow(offset)
         self._notifier.notify(self.current)
 
     def _follow(self, offset):
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_configuration_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_configuration_watch.py
@@ -17,11 +17,16 @@
     def __init__(self):
         self.calls = []
 
-    def newest(self, *, topic, on_result):
+        self.pages_after = []
+        self.offsets = []
+
+    def newest(self, *, topic, on_result, after=""):
         self.calls.append(on_result)
+        self.pages_after.append(after)
 
     def read(self, *, topic, offset, wait_ms, on_result):
         self.calls.append(on_result)
+        self.offsets.append(offset)
 
 
 @pytest.fixture
@@ -65,3 +70,14 @@
     reader.calls.pop()(ReadResult(records=records, next_offset=4))
     assert watch.current.version == 3
     assert [found.version for found in notifications] == [2, 3]
+
+
+# A configuration that stood on a later page was never read.
+def test_configuration_is_found_on_a_later_page(reader, timers):
+    watch = follow(reader, timers, lambda configuration: None)
+    others = (StoreRecord(key="aaa", value=b"{}"),)
+    reader.calls.pop()(NewestResult(records=others, next_key="aaa", end_offset=7))
+    assert reader.pages_after == ["", "aaa"] and not reader.offsets
+    reader.calls.pop()(NewestResult(records=(version(4),), next_key="", end_offset=9))
+    assert watch.current.version == 4
+    assert reader.offsets == [7]
