--- a/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_loader.py
@@ -64,7 +64,8 @@
         rows = parts.get(job.job_id, {})
         tasks_per_part = decode_progress(job, progress, self._worker_of, rows.values())
         if tasks_per_part:
-            self._context.journal.load_layout(job, tasks_per_part, rows)
+            records = self._context.journal.job_records
+            records.load_layout(job, tasks_per_part, rows)
             parts.pop(job.job_id, None)
 
     def _drop_parts(self, parts):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/lifecycle.py
@@ -3,12 +3,10 @@
 from ..effects import Reply
 from ..state import JobState, RunState
 from .delayed_starts import DelayedStarts
+from .objective import measured_objective_ms
 
 __all__ = ["Lifecycle"]
 
-# Number of workers per advice call that a job's measured objective allows for.
-WORKERS_PER_ADVICE_CALL = 30
-
 
 class Lifecycle:
     """Change the states of runs, tasks, steps and jobs."""
@@ -240,7 +238,9 @@
             after_ms=round(now_ms - job.accepted_ms),
             worked_ms=round(job.worked_ms),
             objective_ms=round(job.objective_ms - job.accepted_ms),
-            measured_objective_ms=round(self._measured_objective_ms(job)),
+            measured_objective_ms=round(
+                measured_objective_ms(job, self._context.queue(job))
+            ),
         )
 
     def _release_runs(self, job, now_ms):
@@ -264,21 +264,6 @@
         if count:
             self._context.count("cancelled", kind, count)
 
-    def _measured_objective_ms(self, job):
-        """Return how long a job may take by its measured work, 0 if unknown.
-
-        Each step on the critical path counts one advice call.
-        """
-        queue = self._context.queue(job)
-        if queue is None or not job.worked_ms:
-            return 0.0
-        critical_path_ms = job.worked_ms
-        if queue.advice is not None:
-            advice_call_ms = queue.advice.decision_ms
-            advice_call_ms += WORKERS_PER_ADVICE_CALL * queue.advice.per_worker_ms
-            critical_path_ms += job.critical_path_step_count * advice_call_ms
-        return queue.stretch * critical_path_ms + queue.target_latency_ms
-
     def forget_ended(self, now_ms):
         """Drop the ended jobs that callers are no longer told about."""
         oldest_ms = now_ms - self._context.bounds.status_retention_ms * 1.5
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/objective.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/objective.py
@@ -1,6 +1,9 @@
 """The time by which a job should be done."""
 
-__all__ = ["set_objective"]
+__all__ = ["measured_objective_ms", "set_objective"]
+
+# Number of workers per advice call that a job's measured objective allows for.
+WORKERS_PER_ADVICE_CALL = 30
 
 
 def set_objective(job, queue):
@@ -10,6 +13,21 @@
         job.objective_ms = job.accepted_ms + duration_ms + queue.target_latency_ms
 
 
+def measured_objective_ms(job, queue):
+    """Return how long a job may take by its measured work, 0 if unknown.
+
+    Each step on the critical path counts one advice call.
+    """
+    if queue is None or not job.worked_ms:
+        return 0.0
+    critical_path_ms = job.worked_ms
+    if queue.advice is not None:
+        advice_call_ms = queue.advice.decision_ms
+        advice_call_ms += WORKERS_PER_ADVICE_CALL * queue.advice.per_worker_ms
+        critical_path_ms += job.critical_path_step_count * advice_call_ms
+    return queue.stretch * critical_path_ms + queue.target_latency_ms
+
+
 def _critical_path_ms(spec):
     """Return the estimated duration of the longest path of dependent steps."""
     longest = []
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/refused_appends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/refused_appends.py
@@ -56,7 +56,7 @@
         elif not batch.changes:
             how = "dropped"
             journal.requeue_effects(batch)
-        elif journal.leave_out_checkpoints(batch):
+        elif journal.job_records.leave_out_checkpoints(*batch.changes[0]):
             how = "without_checkpoints"
             journal.put_back(batch)
         else:
