--- a/packages/thymefork-cells/src/thymefork_cells/jobs/job_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/job_records.py
@@ -101,7 +101,8 @@
         tasks = layout.tasks_of(part)
         max_bytes = layout.max_checkpoint_bytes(self._limits)
         too_long = [task for task in tasks if is_longer(task.checkpoint, max_bytes)]
-        if too_long:
+        if too_long and not layout.has_long_checkpoints:
+            layout.has_long_checkpoints = True
             self._note_long_checkpoints(too_long, max_bytes)
         return part_key(job.job_id, part), encode_part(tasks, max_bytes)
 
@@ -121,8 +122,8 @@
         return records
 
     def _note_long_checkpoints(self, tasks, max_bytes):
-        """Tell of checkpoints that the next owner will not know."""
-        self._context.count("checkpoints", "not_stored", len(tasks))
+        """Tell once of a job whose checkpoints the next owner will not know."""
+        self._context.count("checkpoints", "job_with_long_ones")
         self._context.note(
             "checkpoints_not_stored",
             level="WARNING",
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/progress_layout.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/progress_layout.py
@@ -20,7 +20,8 @@
 
     `stored_parts` are the parts that may be stored. They hold only once the job's own
     record names them, so that one has to be stored after them: `is_in_force` is set as
-    soon as it is being stored. It `keeps_checkpoints` unless the store refused them.
+    soon as it is being stored. It `keeps_checkpoints` unless the store refused them;
+    `has_long_checkpoints` is set once one was too long to be stored.
     """
 
     job: object
@@ -28,6 +29,7 @@
     stored_parts: set = field(factory=set)
     is_in_force: bool = False
     keeps_checkpoints: bool = True
+    has_long_checkpoints: bool = False
 
     def part_of(self, task):
         """Return the number of the part that holds a task."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -38,7 +38,7 @@
     "owner_handovers_given_up": "Handovers begun and not carried out, by reason.",
     "owner_shed": "Work that an overloaded owner put off, by kind.",
     "odd_answers": "Answers that nobody waited for or could read, by kind.",
-    "checkpoints": "Checkpoints of runs that the store does not keep, by why.",
+    "checkpoints": "Jobs whose runs save more than the store keeps, by what.",
     "refused_records": "Records that the store will not take, and what came of them.",
     "removed_policies": "Queues and accounts with jobs and no place, by what is known.",
     "limit_parts": "Parts of accounts' limits asked for, lent and returned, by what.",
