Drop a refused record that is of no job only once the store takes another

A store that takes nothing for a while made the cell give up the first such record that was refused alone, before the probe showed that nothing is taken; a loan given up so would have been granted twice after a change of owner. It waits for the probe now.

test_other_record_is_dropped_only_if_the_store_takes_others[True] fails without this change (the record is not in the store after the outage).

--- a/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/journal.py
@@ -47,6 +47,7 @@
         self._new_jobs = {}
         self._changes = ChangeQueue()
         self._set_aside = SetAsideChanges()
+        self._doubted = None  # a refused batch without jobs, until the probe is taken
         self._max_units = inf
         self._dropped_keys = []
         self._other_records = {}
@@ -186,6 +187,12 @@
         job, part = batch.changes[0]
         self._set_aside.add(self._changes.pop((job.job_id, part)), now_ms)
 
+    def doubt(self, batch):
+        """Go on without a batch that holds no jobs, unless the store takes nothing."""
+        self.requeue_effects(batch)
+        batch.effects = []
+        self._doubted = batch
+
     def put_probe(self):
         """Let the next batch show whether the store takes anything."""
         probe = {PROBE_KEY: str(self._changes.last_number).encode()}
@@ -197,6 +204,7 @@
         """Take up what a stored batch shows about refused records."""
         if PROBE_KEY in batch.other_records:
             self._max_units = inf
+            self._doubted = None
             self._set_aside.confirm()
         elif batch.records and batch.unit_count < self._max_units:
             self._max_units = inf  # nothing that waited was to blame alone
@@ -205,6 +213,9 @@
         """Requeue what was refused: the store takes nothing at all."""
         self._max_units = inf
         self._changes.put_first(self._set_aside.take_unconfirmed())
+        if self._doubted is not None:
+            self.put_back(self._doubted)
+            self._doubted = None
         self.is_urgent = True
 
     def take_refused_replies(self):
--- a/packages/thymefork-cells/src/thymefork_cells/jobs/refused_appends.py
+++ b/packages/thymefork-cells/src/thymefork_cells/jobs/refused_appends.py
@@ -55,7 +55,7 @@
             self._refuse_new_job(batch, now_ms)
         elif not batch.changes:
             how = "dropped"
-            journal.requeue_effects(batch)
+            journal.doubt(batch)
         elif journal.job_records.leave_out_checkpoints(*batch.changes[0]):
             how = "without_checkpoints"
             journal.put_back(batch)
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_refused_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_refused_records.py
@@ -143,6 +143,19 @@
     assert not tasks_run_twice(harness)
 
 
+# A loan that was given up because nothing was taken would be granted twice.
+@pytest.mark.parametrize("refuses_all", [True, False])
+def test_other_record_is_dropped_only_if_the_store_takes_others(harness, refuses_all):
+    harness.refuses_record = lambda key: refuses_all or key == "l1/a"
+    harness.cell.journal.put("l1/a", b"[1]")
+    harness.run(1_000)
+    harness.refuses_record = lambda key: False
+    submit_all(harness, OTHERS[:3])
+    harness.run(3_000)
+    assert ("l1/a" in harness.store) is refuses_all
+    assert states(harness, OTHERS[:3]) == {JobState.SUCCEEDED}
+
+
 # The store may take less than the settings say.
 def test_large_job_goes_on_without_checkpoints_that_are_refused(make_harness):
     harness = make_harness(workers=4)
