--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_large_jobs.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_large_jobs.py
@@ -95,7 +95,6 @@
 
 # A change of one task wrote the progress of all.
 def test_end_of_a_task_writes_the_records_around_it_only(harness):
-    harness.workers["w0"].work_ms_of[f"{LARGE}.0.0.7"] = 900.0
     for worker in harness.workers.values():
         worker.work_ms_of[f"{LARGE}.0.0.7"] = 900.0
     submit_large(harness)
@@ -130,9 +129,9 @@
     assert harness.job(LARGE).visible_state is JobState.SUCCEEDED
 
 
+# Tasks of a divided job must be neither forgotten nor run again.
 @pytest.mark.parametrize("at_ms", range(100, 3_600, 350))
 def test_large_job_outlives_changes_of_owner(harness, at_ms):
-    """Guards against tasks that are forgotten or run again."""
     second = {**STEP, "after": (0,), "count": 40}
     harness.submit(LARGE, job_spec(STEP, second))
     harness.run(at_ms)
@@ -185,7 +184,7 @@
     assert harness.job(LARGE).steps[0].is_done
 
 
-# PROTOCOL.md bounds no length of what a run saves.
+# Nothing bounds the length of what a run saves.
 @pytest.mark.parametrize("characters", [20_000, 300_000])
 @pytest.mark.parametrize("count", [1, 40])
 def test_job_is_kept_whatever_its_tasks_save(make_harness, characters, count):
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_refused_records.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_refused_records.py
@@ -50,6 +50,7 @@
     assert states(harness, later) == {JobState.SUCCEEDED}
 
 
+# A caller waited for its deadline though its job could not be stored.
 def test_caller_of_a_refused_new_job_is_told_at_once(harness):
     harness.refuses_record = lambda key: key == f"j{BAD}"
     submit_all(harness, [*OTHERS, BAD])
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_failures.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_failures.py
@@ -217,6 +217,7 @@
     assert writer.store.appends[-1]["sequence"] == 2
 
 
+# A refusal out of turn must neither be lost nor blame the batches before it.
 def test_batch_refused_behind_another_is_sent_again_as_the_first(writer):
     answer(writer, calls_with_sequence(writer, 3)[0], AppendOutcome.REFUSED)
     assert not writer.refused
