Send a worker as many stops at a time as are due there in time

Cause: commands to a worker had three connections, shared by starts, paces and stops, for any number of stops.

Change: pending stops are kept in the cell (StopTracker), which sends each worker as many at a time as are due there: stops owed times the time of a stop there over the time left until half of cancel_ms has passed (StopWindow), four at least; no more for a worker that does not respond, and at most half of the process's sockets in all. The next one leaves as an answer comes, by priority. Stops neither wait for starts nor hold them up, are awaited for as long as they may take, and do not change how long starts are awaited. This works since the number follows from what is owed and by when; a larger fixed number would move the edge only.

Test changes: fakes take new arguments (max_sockets, stop_timeout_ms, is_limited); test_job_cancellation.py calls StopTracker in place of CommandTracker.

--- a/packages/thymefork-cells/src/thymefork_cells/cell.py
+++ b/packages/thymefork-cells/src/thymefork_cells/cell.py
@@ -28,6 +28,7 @@
 from .workers.pacing import PaceController
 from .workers.progress_monitor import ProgressMonitor
 from .workers.quorum import Quorum
+from .workers.stop_tracker import StopTracker
 from .workers.takeover_report import TakeoverReport
 from .workers.withheld_ends import WithheldEnds
 from .workers.worker_locations import WorkerLocations
@@ -148,6 +149,7 @@
             poller=self.poller,
             advice=self.advice,
         )
+        self.stops = StopTracker(context=self.context, poller=self.poller)
         self.placer = Placer(
             context=self.context,
             advice=self.advice,
@@ -216,7 +218,7 @@
         if self.context.needs_plan:
             self.placer.plan(now_ms)
         parts_ms = self.exchange.run_cycle(now_ms)
-        self.commands.send_stops(now_ms)
+        self.stops.send_due(now_ms)
         poll_ms = self.poller.schedule(now_ms)
         return min(poll_ms, parts_ms, held_ms, self._review_due_ms)
 
@@ -231,7 +233,7 @@
         self._withheld_ends.review(now_ms)
         self._worker_locations.review()
         self.commands.stop_unconfirmed_starts(now_ms)
-        self.commands.log_overdue_stops(now_ms)
+        self.stops.log_overdue(now_ms)
         self.speed_learner.review(now_ms)
         self.progress_monitor.check(now_ms)
         self.gang_monitor.check(now_ms)
@@ -285,7 +287,7 @@
         if answer.refusal is Refusal.OTHER_LIFE:
             self.on_other_incarnation(run.worker, now_ms=now_ms)
             return
-        self.commands.on_stop_answer(run, answer, now_ms=now_ms)
+        self.stops.on_answer(run, answer, now_ms=now_ms)
 
     def on_pace_answer(self, run, percent, answer, *, now_ms):
         """Handle the answer to a pace command."""
--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -25,7 +25,8 @@
     `removed_accounts` map names that the configuration lacks to the last policies,
     which jobs go on with; `pending_stops` holds, as ordered keys, the runs whose stop
     the worker has not acknowledged. `advice_slots` is the number of advice calls that
-    may be made now, None if unlimited.
+    may be made now, `stop_slots` that of the stops that may be in flight, None if
+    unlimited.
     `worker_list_as_of_ms` is the time up to which the worker list is known to be
     current. `has_quorum` is set once a quorum of workers has accepted this owner's
     fence, `defers_*` while the owner is overloaded. `short_lease_workers` holds, as
@@ -54,6 +55,7 @@
     is_store_unavailable: bool = False
     has_quorum: bool = False
     advice_slots: AdviceSlots | None = None
+    stop_slots: int | None = None
     worker_list_as_of_ms: float = float("inf")
     defers_idle_polls: bool = False
     defers_early_advice: bool = False
--- a/packages/thymefork-cells/src/thymefork_cells/tests/test_job_cancellation.py
+++ b/packages/thymefork-cells/src/thymefork_cells/tests/test_job_cancellation.py
@@ -198,7 +198,7 @@
 def stops_of(harness, now_ms):
     """Return the jobs of the stops that one cycle sends, in order."""
     harness.cell.take_effects()
-    harness.cell.commands.send_stops(now_ms)
+    harness.cell.stops.send_due(now_ms)
     effects = harness.cell.take_effects()
     stops = [effect.run for effect in effects if isinstance(effect, fx.StopRun)]
     return [run.task.step.job.job_id for run in stops]
--- a/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/commands.py
@@ -1,26 +1,16 @@
-"""Track start and stop commands to workers until their outcome is known."""
+"""Track start commands to workers until their outcome is known."""
 
 from enum import StrEnum
 
 from attrs import frozen
 
-from ..effects import StopRun
 from ..state import MAX_COMMAND_DELAY_MS, RunState
 from .run_reconciler import UNANSWERED_START_REASON
-from .stop_priority import sort_by_stop_priority
 
 __all__ = ["CommandAnswer", "CommandTracker", "Refusal"]
 
-# Delay before an unanswered stop is sent again. It is short, since the task can't start
-# elsewhere until the stop is acknowledged.
-STOP_RETRY_DELAY_MS = 60.0
-# A stop without any outcome, not even a missing answer, is sent again after this time:
-# commands are answered, or given up, within 0.3 s.
-STOP_OUTCOME_TIMEOUT_MS = 500.0
 # If no report confirms an unanswered start within this time, the run is stopped.
 START_CONFIRMATION_TIMEOUT_MS = 150.0
-# A run that still exists this long after its stop timeout is logged once.
-STOP_OVERDUE_MS = 1_000.0
 
 
 class Refusal(StrEnum):
@@ -48,7 +38,7 @@
 
 
 class CommandTracker:
-    """Track each start and stop command until its outcome is certain."""
+    """Track each start command until its outcome is certain."""
 
     def __init__(self, *, context, lifecycle, poller, advice):
         self._context = context
@@ -174,21 +164,6 @@
         )
         self._lifecycle.release_unstarted(run, now_ms=now_ms)
 
-    def on_stop_answer(self, run, answer, *, now_ms):
-        """Process the answer to a stop command."""
-        if run.state is RunState.GONE:
-            return
-        answered = answer.refusal in (Refusal.NONE, Refusal.REJECTED)
-        if answered and answer.clock_ms:
-            self._context.count("stops", "answered")
-            self._context.pending_stops.pop(run, None)
-            run.stop_clock_ms = answer.clock_ms
-            run.worker.stopped.add(run.key)
-            run.worker.stop_answered_ms = now_ms
-            self._poller.request_poll(run.worker, now_ms)
-        else:
-            run.stop_due_ms = now_ms + STOP_RETRY_DELAY_MS
-
     def stop_unconfirmed_starts(self, now_ms):
         """Stop the runs whose start was not confirmed in time."""
         for worker in self._context.workers.values():
@@ -199,59 +174,6 @@
                 ):
                     self._lifecycle.stop(run, UNANSWERED_START_REASON, now_ms=now_ms)
 
-    def send_stops(self, now_ms):
-        """Send the pending stops that are due to workers with a known address."""
-        due = [
-            run
-            for run in self._context.pending_stops
-            if run.worker.entry.host and now_ms >= run.stop_due_ms
-        ]
-        for run in sort_by_stop_priority(due, self._context.live_jobs.values()):
-            if run.stop_attempts:
-                self._context.count("retries", "stop_unanswered")
-            run.stop_attempts += 1
-            run.stop_due_ms = now_ms + STOP_OUTCOME_TIMEOUT_MS
-            self._context.emit(StopRun(run=run))
-
-    def log_overdue_stops(self, now_ms):
-        """Log once each run that still exists long after its stop was due."""
-        pending_before_ms = (
-            now_ms - STOP_OVERDUE_MS - self._context.bounds.stop_timeout_ms
-        )
-        for run in self._unresolved_stops():
-            if (
-                run.stop_pending_since_ms < pending_before_ms
-                and not run.stop_is_overdue
-            ):
-                run.stop_is_overdue = True
-                self._log_overdue(run, now_ms)
-
-    def _unresolved_stops(self):
-        """Return the runs whose stop is pending, or acknowledged and not finished."""
-        answered = [
-            worker.runs[key]
-            for worker in self._context.workers.values()
-            for key in worker.stopped
-            if key in worker.runs
-        ]
-        return [*self._context.pending_stops, *answered]
-
-    def _log_overdue(self, run, now_ms):
-        worker = run.worker
-        self._context.count("stops", "overdue")
-        self._context.note(
-            "stop_overdue",
-            level="WARNING",
-            task=run.task.name,
-            run=run.run_id,
-            worker=worker.worker_id,
-            reason=run.stop_reason,
-            for_ms=round(now_ms - run.stop_pending_since_ms),
-            answered=run.stop_clock_ms > 0,
-            worker_listed=worker.is_listed,
-            worker_heard_ms_ago=worker.heard_ms_ago(now_ms),
-        )
-
 
 def _unsent_members(run):
     """Return the starts that are sent together: those of a gang, or a single one."""
--- a/packages/thymefork-cells/src/thymefork_cells/workers/stop_priority.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/stop_priority.py
@@ -1,7 +1,5 @@
 """Order in which due stop commands are sent."""
 
-from functools import partial
-
 from ..state import JobState
 
 __all__ = ["sort_by_stop_priority"]
@@ -18,8 +16,10 @@
         return runs
     others = [run for run in runs if not _is_cancelled(run)]
     if len(cancelled) > 1:
-        freed = partial(_freed_fraction, _total_demand(live_jobs))
-        cancelled.sort(key=freed, reverse=True)
+        total_demand = _total_demand(live_jobs)
+        steps = {id(run.step): run.step for run in cancelled}
+        freed = {key: _freed_fraction(total_demand, steps[key]) for key in steps}
+        cancelled.sort(key=lambda run: freed[id(run.step)], reverse=True)
     return cancelled + others
 
 
@@ -43,7 +43,7 @@
     return spec.reserved_cpu_milli, spec.memory_mb, spec.accelerators
 
 
-def _freed_fraction(total_demand, run):
+def _freed_fraction(total_demand, step):
     """Return the sum, over resources, of the fraction of demand that a stop frees."""
-    rows = zip(_reserved_resources(run.step), total_demand, strict=True)
+    rows = zip(_reserved_resources(step), total_demand, strict=True)
     return sum(min(1.0, held / wanted) for held, wanted in rows if wanted)
--- a/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/daemon.py
@@ -114,6 +114,7 @@
             command_pool=self._pool(3),
             poll_pool=self._pool(2),
             on_unreadable=lambda kind: self.metrics.count("odd_answers", kind),
+            stop_timeout_ms=lambda: self.settings.bounds.stop_timeout_ms,
         )
         self.advice = AdviceClient(pool=self._pool(2), address=settings.advice)
 
--- a/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owned_cells.py
@@ -4,6 +4,10 @@
 
 __all__ = ["OwnedCells"]
 
+# Fraction of this process's sockets that stops may take; the others are for callers,
+# peers, the store and the polls.
+STOP_SOCKETS_FRACTION = 0.5
+
 
 class OwnedCells:
     """Manage one owner for each cell assigned to this instance, in `owners` by cell.
@@ -15,6 +19,12 @@
         self.owners = {}
         self._daemon = daemon
 
+    @property
+    def stop_slots(self):
+        """Return how many stops each cell may have in flight, a connection each."""
+        sockets = STOP_SOCKETS_FRACTION * self._daemon.settings.max_sockets
+        return max(1, int(sockets / max(1, len(self.owners))))
+
     def update(self):
         """Follow the assignment: end owners of lost cells and take over new ones."""
         if not self._daemon.layout.cells:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -231,6 +231,7 @@
             timers=self._daemon.timers,
             worker_list_as_of_ms=lambda: self._daemon.worker_list.as_of_ms,
             advice_slots=self._advice_dispatcher.current_slots,
+            stop_slots=lambda: self._daemon.owned_cells.stop_slots,
             load_monitor=self._daemon.owner_load,
         )
         cell.registry.update(self._daemon.worker_list.entries.values(), now_ms=now_ms)
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/command_sender.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/command_sender.py
@@ -73,6 +73,7 @@
             task_name=task_name,
             run_id=run_id,
             fence=worker.fence(self._owner.epoch),
+            is_limited=isinstance(run, fx.OrphanedRun),
             wanted=self._owner.may_renew_leases,
             done=lambda answer: self._on_stop(run, worker, answer),
         )
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/scheduling_loop.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/scheduling_loop.py
@@ -26,8 +26,9 @@
 
     Executing an effect may end the ownership and thereby the loop.
     `worker_list_as_of_ms()` is the time for which the worker list is known to be up to
-    date; `advice_slots()` is how many advice calls may be made now; `load_monitor`
-    records lag and duration of cycles and selects the work to shed.
+    date; `advice_slots()` is how many advice calls may be made now, `stop_slots()` how
+    many stops may be in flight; `load_monitor` records lag and duration of cycles and
+    selects the work to shed.
     """
 
     def __init__(
@@ -40,6 +41,7 @@
         timers,
         worker_list_as_of_ms,
         advice_slots=lambda: None,
+        stop_slots=lambda: None,
         load_monitor=None,
     ):
         self._cell = cell
@@ -49,6 +51,7 @@
         self._timers = timers
         self._worker_list_as_of_ms = worker_list_as_of_ms
         self._advice_slots = advice_slots
+        self._stop_slots = stop_slots
         self._load_monitor = load_monitor
         self._ended = False
         self._cycle_timer = 0
@@ -97,6 +100,7 @@
         self._cell.context.is_store_unavailable = not self._ownership.is_renewed()
         self._cell.context.worker_list_as_of_ms = self._worker_list_as_of_ms()
         self._cell.context.advice_slots = self._advice_slots()
+        self._cell.context.stop_slots = self._stop_slots()
         if self._load_monitor is not None:
             sheds = self._load_monitor.load_shedder.sheds
             self._cell.context.defers_idle_polls = sheds(SheddableWork.IDLE_LOOKS)
--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/metrics.py
@@ -54,6 +54,7 @@
     "queue_wait": "From a task's turn to its start.",
     "task_idle": "How long a task was ready without a run, by queue.",
     "start": "From a start's sending to its answer.",
+    "stop": "From a stop's sending to its outcome, by whether it was answered.",
 }
 GAUGES = {
     "owner_tier": "How well this instance can own cells: 1 least, 2 partial, 3 full.",
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_cell_owner.py
@@ -55,7 +55,10 @@
         ),
         given_up=given_up,
         settings=SimpleNamespace(
-            instance="edge-1", bounds=Bounds(), store=RecordLimits()
+            instance="edge-1",
+            bounds=Bounds(),
+            store=RecordLimits(),
+            max_sockets=800,
         ),
         configuration=Configuration(version=1),
         worker_list=SimpleNamespace(
--- a/packages/thymefork-net/src/thymefork_net/http/call.py
+++ b/packages/thymefork-net/src/thymefork_net/http/call.py
@@ -18,7 +18,8 @@
     byte is sent; if it returns false, the call fails unsent. `wants_new_connection` is
     for retries: the idle connections may be unresponsive too. `first_body` replaces
     `body` in the first call on a connection, since the peer may have restarted;
-    `is_first_on_connection` says which of the two was sent.
+    `is_first_on_connection` says which of the two was sent. Calls whose number is
+    bounded elsewhere are not `is_limited` by the pool.
     Units: `deadline_ms` and `max_deadline_ms` are on the steady clock.
     """
 
@@ -34,6 +35,7 @@
     headers: tuple[tuple[str, str], ...] = ()
     still_wanted: Callable | None = None
     wants_new_connection: bool = False
+    is_limited: bool = True
     began_ms: float = 0.0
     timer_id: int = 0
     connection: object = None
--- a/packages/thymefork-net/src/thymefork_net/http/pool.py
+++ b/packages/thymefork-net/src/thymefork_net/http/pool.py
@@ -1,6 +1,6 @@
 """A pool of outgoing HTTP connections that carry one call at a time each."""
 
-from collections import deque
+from collections import Counter, deque
 
 from loguru import logger
 
@@ -25,6 +25,9 @@
     `closes_idle_on_timeout`, a call that times out also closes the idle connections to
     its address that have received nothing since the call was made. Pools with only a
     few connections for each address do without this.
+
+    At most `max_per_address` calls to an address are open at a time, the others wait.
+    Calls that are not `is_limited` neither wait nor count.
     """
 
     def __init__(
@@ -35,7 +38,7 @@
         self._max_per_address = max_per_address
         self._closes_idle_on_timeout = closes_idle_on_timeout
         self._idle = {}
-        self._open_counts = {}
+        self._limited_counts = Counter()
         self._waiting = {}
         self.received_bytes = 0
         self.connect_count = 0
@@ -59,36 +62,48 @@
         if call.still_wanted is not None and not call.still_wanted():
             self._finish_unwanted(call)
             return False
+        if call.is_limited and not self._has_room(call.address):
+            self._waiting.setdefault(call.address, deque()).append(call)
+            return True
         idle = self._idle.get(call.address)
         if idle and call.wants_new_connection:
             self._close(idle[0])
             self._connect(call)
         elif idle:
-            idle.pop().start(call)
-        elif self._open_counts.get(call.address, 0) < self._max_per_address:
-            self._connect(call)
+            self._start(idle.pop(), call)
         else:
-            self._waiting.setdefault(call.address, deque()).append(call)
+            self._connect(call)
         return True
 
+    def _has_room(self, address):
+        return self._limited_counts[address] < self._max_per_address
+
     def _connect(self, call):
         connection = ClientConnection(
             sockets=self._sockets, address=call.address, pool=self
         )
         self.connect_count += 1
-        self._open_counts[call.address] = self._open_counts.get(call.address, 0) + 1
         try:
             connection.connect()
         except StreamBrokenError as failure:
-            self._open_counts[call.address] -= 1
             self._finish(call, HttpAnswer(status=0, sent=False, error=str(failure)))
             return
+        self._start(connection, call)
+
+    def _start(self, connection, call):
+        self._limited_counts[call.address] += call.is_limited
         connection.start(call)
 
+    def _take_call(self, connection):
+        """Detach the current call, if any, from its connection and return it."""
+        call, connection.call = connection.call, None
+        if call is not None and call.is_limited:
+            self._limited_counts[call.address] -= 1
+        return call
+
     def on_complete(self, connection, answer, keep_alive):
         """Deliver an answer and make the connection available again."""
-        call = connection.call
-        connection.call = None
+        call = self._take_call(connection)
         connection.idle_since_ms = steady_ms()
         if keep_alive:
             self._idle.setdefault(connection.address, []).append(connection)
@@ -104,16 +119,14 @@
 
     def on_unwanted(self, connection):
         """Drop a call that became unwanted while its connection was established."""
-        call = connection.call
-        connection.call = None
+        call = self._take_call(connection)
         self._close(connection)
         self._dispatch_next(connection.address)
         self._finish_unwanted(call)
 
     def on_broken(self, connection, reason, *, sent):
         """Fail the current call of a broken connection."""
-        call = connection.call
-        connection.call = None
+        call = self._take_call(connection)
         self._close(connection)
         self._dispatch_next(connection.address)
         if call is not None:
@@ -159,7 +172,7 @@
     def _dispatch_next(self, address):
         """Send the first queued call that is still wanted."""
         waiting = self._waiting.get(address)
-        while waiting:
+        while waiting and self._has_room(address):
             if self._dispatch(waiting.popleft()):
                 return
 
@@ -167,7 +180,6 @@
         idle = self._idle.get(connection.address, [])
         if connection in idle:
             idle.remove(connection)
-        self._open_counts[connection.address] -= 1
         connection.close()
 
     def _close_idle(self):
--- a/packages/thymefork-net/src/thymefork_net/tests/test_http.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/test_http.py
@@ -296,3 +296,25 @@
         loop.run_until(lambda number=number: len(answers) == number + 1)
     assert [request.body for request in requests] == [b"first", b"{}"]
     assert [one.is_first_on_connection for one in calls] == [True, False]
+
+
+def test_unlimited_calls_neither_wait_nor_keep_others_waiting(loop, address, served):
+    """Guards against urgent calls that wait until slow ones are answered."""
+    pool = HttpPool(sockets=loop.sockets, timers=loop.timers, max_per_address=1)
+    _, requests = served
+    unlimited, limited = [], []
+    for _ in range(3):
+        pool.send(call(address, unlimited, is_limited=False))
+    for _ in range(2):
+        pool.send(call(address, limited))
+    loop.run_until(lambda: len(requests) == 4)
+    pool.send(call(address, unlimited, is_limited=False))
+    loop.run_until(lambda: len(requests) == 5)
+    for request in requests[:3]:
+        request.answer(200, b"ok")
+    loop.run_until(lambda: len(unlimited) == 3)
+    assert not limited and len(requests) == 5
+    requests[3].answer(200, b"ok")
+    loop.run_until(lambda: len(requests) == 6)
+    assert len(limited) == 1
+    assert pool.connect_count == 5
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -15,6 +15,7 @@
 from .standstill_checker import StandstillChecker
 from .store import Store
 from .worker import Worker
+from .worker_run import Stopping
 
 __all__ = ["main"]
 
@@ -180,6 +181,17 @@
             HEARTBEAT_MS, lambda: self._published.pop(worker.name, None)
         )
 
+    def _stopping(self, body):
+        for worker in self._workers:
+            worker.stopping = Stopping(**body)
+
+    def _running(self, body):
+        """Return how many runs of a job are on all workers."""
+        tasks = self._checker.running.items()
+        return {
+            "runs": sum(len(on) for task, on in tasks if task.startswith(body["id"]))
+        }
+
     def _leave(self, body):
         self._workers[body["worker"]].leave(body["after_ms"])
 
--- a/soak/src/thymefork_soak/standin/worker.py
+++ b/soak/src/thymefork_soak/standin/worker.py
@@ -8,7 +8,7 @@
 from thymefork_net import steady_ms
 
 from .faulty_server import Faults, FaultyServer
-from .worker_run import Waiter, WorkerRun
+from .worker_run import Stopping, Waiter, WorkerRun
 
 __all__ = ["Worker"]
 
@@ -56,6 +56,7 @@
         self.cpu_milli = cpu_milli
         self.address = f"{host}:{port}"
         self.down_since_ms = 0.0
+        self.stopping = Stopping()
         self._downtimes = 0
         self._earlier_capacities = []
         self._loop = loop
@@ -212,7 +213,7 @@
         elif request.path == "/run-start":
             self._start(body, answer, clock_ms)
         elif request.path == "/run-stop":
-            self._stop(body, answer, clock_ms)
+            self._stop(body, answer)
         else:
             answer(200, {"clock_ms": clock_ms})
 
@@ -273,13 +274,28 @@
             return self._random.uniform(0.0, LONG_RUNNING_MAX_FAIL_MS), "failed"
         return float("inf"), "failed"
 
-    def _stop(self, body, answer, clock_ms):
+    def _stop(self, body, answer):
         key = (body["task"], body["run_id"])
         closed = self._closed.get(body["task"], 0)
         self._closed[body["task"]] = max(body["run_id"], closed)
+        if key not in self._running or not self.stopping.stop_ms:
+            self._finish_stop(key, answer)
+            return
+        incarnation, answers_late = self.incarnation, self.stopping.answers_late
+        if not answers_late:
+            answer(200, {"clock_ms": self._clock_ms()})
+
+        def finish():
+            if self.incarnation == incarnation:
+                self._finish_stop(key, answer if answers_late else None)
+
+        self._loop.timers.after(self.stopping.stop_ms, finish)
+
+    def _finish_stop(self, key, answer):
         if key in self._running:
             self._end(key, "stopped")
-        answer(200, {"clock_ms": clock_ms})
+        if answer is not None:
+            answer(200, {"clock_ms": self._clock_ms()})
 
     def _answer_poll(self, body, answer):
         now_ms = steady_ms()
--- a/soak/src/thymefork_soak/standin/worker_run.py
+++ b/soak/src/thymefork_soak/standin/worker_run.py
@@ -1,6 +1,6 @@
 """State of a simulated worker's runs and pending polls."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 __all__ = ["Waiter", "WorkerRun"]
 
@@ -31,6 +31,17 @@
         return min(99, int(100 * share))
 
 
+@frozen(kw_only=True)
+class Stopping:
+    """Say how long a worker takes to stop a run, and when it answers the command.
+
+    It answers at once, or, if it `answers_late`, when the run has stopped.
+    """
+
+    stop_ms: float = 0.0
+    answers_late: bool = True
+
+
 @define(kw_only=True, eq=False)
 class Waiter:
     """Hold a poll that waits for a run to end."""
