Read and write the records of others one by one

Cause: what one record holds decided whether all others are read or written. An answer of the store was decoded as a whole, and read from the same offset again where one key was no text. An owner stores its workers under their id and a letter; with 256 bytes the append raised an exception, each time it was offered.

Change: records are read one by one; one that can't be read is left out, counted and told of, and offsets count it. An id that can't stand in a header or a key, and a host that is no IPv4 address, name no worker: those were polled before, names looked up, line breaks sent on. A record that can't be sent is refused as if by the store, so that it is found by halves and set aside, whatever it was built from (a long account name has the same effect). This works since no record's content reaches beyond that record any more.

The soak's store holds keys that are no text, and the soak writes them.

--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pipeline.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_append_pipeline.py
@@ -1,12 +1,15 @@
 """Tests of ordered, exactly-once appends."""
 
+from types import SimpleNamespace
+
 import pytest
 
 from thymefork_cells.jobs.journal import Batch
 from thymefork_daemon.owner import append_pipeline
 from thymefork_daemon.owner.append_pipeline import AppendPipeline
 from thymefork_daemon.owner.cell_partition import CellPartition
-from thymefork_machines.store import AppendOutcome, AppendResult
+from thymefork_machines.store import AppendOutcome, AppendResult, StoreClient
+from thymefork_net import Address
 
 from .fakes import FakeMetrics, FakeStore
 
@@ -130,3 +133,22 @@
     assert not pipeline.is_store_unavailable
     timers.run(100)
     assert pipeline.is_store_unavailable
+
+
+def test_batch_that_can_not_be_sent_is_returned_as_refused(pipeline):
+    """Guards against a record whose key is too long that stops all later appends."""
+    calls, refused, stored = [], [], []
+    pool = SimpleNamespace(send=calls.append)
+    store = StoreClient(pool=pool, address=Address(host="10.0.0.1", port=9000))
+    pipeline._partition = CellPartition(store=store, cell=0, partition=7, epoch=5)
+    for key in ("k" * 256, "a"):
+        batch = Batch()
+        batch.add(key, b"v")
+        pipeline.send(
+            batch,
+            stored.append,
+            lambda batch: None,
+            lambda batch, to_blame: refused.append((batch.records, to_blame)),
+        )
+    assert refused == [([("k" * 256, b"v")], True)]
+    assert len(calls) == 1 and "seq=1" in calls[0].target
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -155,3 +155,19 @@
         ReadResult(records=(record, entry("c", "m-3")), next_offset=4)
     )
     assert set(harness.watch.entries) == {"a", "b", "c"}
+
+
+def test_unreadable_records_are_counted_and_passed(harness):
+    """Guards against a list that is not followed beyond an unreadable record."""
+    records = (entry("c", "m-3"),)
+    harness.reader.answer(ReadResult(records=records, next_offset=4, unreadable=2))
+    assert set(harness.watch.entries) == {"a", "b", "c"}
+    assert len(harness.unreadable) == 2
+
+
+def test_entry_under_overlong_id_names_no_worker(harness):
+    """Guards against a worker whose id is too long for the keys of its records."""
+    result = ReadResult(records=(entry("k" * 255, "m-3"),), next_offset=3)
+    harness.reader.answer(result)
+    assert set(harness.watch.entries) == {"a", "b"}
+    assert len(harness.unreadable) == 1
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -126,6 +126,7 @@
         self._record_answer(sent_ms)
         # Later pages may miss changes made since the first, so follow from its end.
         offset = result.end_offset if offset is None else offset
+        self._count_unreadable(result)
         for record in result.records:
             self._apply(found, record)
         if result.next_key:
@@ -153,11 +154,16 @@
             return
         self._record_answer(sent_ms)
         before = dict(self._listed)
+        self._count_unreadable(result)
         for record in result.records:
             self._apply(self._listed, record)
         self._schedule(lambda: self._follow(result.next_offset))
         self._update_entries(before)
 
+    def _count_unreadable(self, result):
+        for _ in range(result.unreadable):
+            self._on_unreadable()
+
     def _apply(self, entries, record):
         """Apply a record; an invalid one removes the entry until it is rewritten.
 
--- a/soak/src/thymefork_soak/entry_corruption.py
+++ b/soak/src/thymefork_soak/entry_corruption.py
@@ -4,6 +4,11 @@
 
 __all__ = ["EntryCorrupter"]
 
+# An entry like those of the workers.
+SOUND_VALUE = (
+    '{"service": "svc", "address": "127.0.0.1:9", "zone": "hall-1", "state": "ready",'
+    ' "capacity": {"cpu": 8000, "mem_mb": 64000}, "labels": ["a", "r1-1"]}'
+)
 # Written over a worker's entry or under a separate key.
 VALUES = (
     "\x00\x01",
@@ -14,6 +19,8 @@
     '{"service": "svc", "address": ":1", "zone": "z", "state": "resting",'
     ' "capacity": {"cpu": "many"}}',
 )
+# Keys under which no worker can be called: one of the longest, and one that is no text.
+UNUSABLE_KEYS = (b"agents." + b"k" * 248, b"agent-\xe9-17")
 
 
 class EntryCorrupter:
@@ -31,4 +38,9 @@
             notice = {"value": self._random.choice(VALUES)}
             if self._random.random() < 0.7:
                 notice["worker"] = self._random.randrange(self._workers)
+            elif self._random.random() < 0.5:
+                notice["key"] = "i-of-another"
+            else:
+                key = self._random.choice(UNUSABLE_KEYS)
+                notice = {"key": key.decode("latin-1"), "value": SOUND_VALUE}
             await self._fleet.control("spoil", notice)
--- a/soak/src/thymefork_soak/standin/process.py
+++ b/soak/src/thymefork_soak/standin/process.py
@@ -171,7 +171,8 @@
     def _spoil(self, body):
         """Write an invalid entry, which the worker overwrites within two heartbeats."""
         if "worker" not in body:
-            self.store.put_raw(WORKERS_TOPIC, "i-of-another", body["value"].encode())
+            key = body["key"].encode("latin-1").decode(errors="surrogateescape")
+            self.store.put_raw(WORKERS_TOPIC, key, body["value"].encode())
             return
         worker = self._workers[body["worker"]]
         if worker in self._unlisted or worker.down_since_ms:
--- a/soak/src/thymefork_soak/standin/store.py
+++ b/soak/src/thymefork_soak/standin/store.py
@@ -90,7 +90,7 @@
         names = sorted(key for key in partition.newest if key > query.get("after", ""))
         rows = [
             {
-                "tls_key": key,
+                "tls_key": _key_bytes(key).decode(errors="replace"),
                 "value": base64.b64encode(partition.newest[key][0]).decode(),
                 "offset": partition.newest[key][1],
             }
@@ -157,10 +157,15 @@
     return records
 
 
+def _key_bytes(key):
+    """Return a key's bytes; those that are no text stand in it as lone surrogates."""
+    return key.encode(errors="surrogateescape")
+
+
 def _encode(partition, offset):
     parts = [_OFFSETS.pack(len(partition.records), 0)]
     for key, value in partition.records[offset:]:
-        name = key.encode()
+        name = _key_bytes(key)
         content = bytes([len(name)]) + name + value
         parts.append(_LENGTH.pack(len(content)) + content)
     return b"".join(parts)
