Take no entry for a worker's whose service nobody has named

Cause: every whole entry was taken for a worker's. The agent was polled, stored and counted for the quorum, and its entry was the proof that another worker of its machine was over. The list of workers dropped a lapsed worker for the same reason after an outage.

Change: an entry names a worker if its service was named by a configuration that this owner has known or by the queue of an accepted job, or if runs of ours are on the worker. Others are counted and told of once, and looked at again with each configuration.

Not changed: an agent that names a service of ours can't be told from a worker, and the number of cells counts all entries.

--- a/packages/thymefork-cells/src/thymefork_cells/context.py
+++ b/packages/thymefork-cells/src/thymefork_cells/context.py
@@ -109,6 +109,13 @@
         queues = chain(self.configuration.queues, self.removed_queues.values())
         return any(queue.advice is not None for queue in queues)
 
+    @property
+    def service_names(self):
+        """Return the services that the configuration or a removed queue names."""
+        queues = chain(self.configuration.queues, self.removed_queues.values())
+        services = {service.name for service in self.configuration.services}
+        return services | {queue.service for queue in queues}
+
     def account_policy(self, name):
         """Return the present policy of an account, the last one if it was removed."""
         return self.configuration.account(name) or self.removed_accounts.get(name)
--- a/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/worker_registry.py
@@ -20,6 +20,8 @@
         self._losses = losses
         self._incarnations = incarnations
         self._ended_incarnations = set()  # those whose entries are still listed
+        self._services = set()  # all that a configuration or a job has named
+        self._foreign_ids = set()  # of entries that name no worker of these
 
     def get_or_add_placeholder(self, worker_id):
         """Return the worker with this id; add one without capacity if it is unknown."""
@@ -57,12 +59,7 @@
 
     def update(self, entries, *, now_ms):
         """Apply the platform's list of workers."""
-        own_entries = {
-            entry.worker_id: entry
-            for entry in entries
-            if cell_of(entry.machine_id or entry.worker_id, self._context.cell_count)
-            == self._context.cell
-        }
+        own_entries = self._own_entries(entries)
         for worker in list(self._context.workers.values()):
             if worker.worker_id not in own_entries and worker.is_listed:
                 worker.is_listed = False
@@ -79,6 +76,39 @@
         self._end_replaced_incarnations(own_entries, now_ms)
         self._context.needs_plan = True
 
+    def _own_entries(self, entries):
+        """Return the entries of the cell's workers by worker id."""
+        own_entries = {
+            entry.worker_id: entry
+            for entry in entries
+            if cell_of(entry.machine_id or entry.worker_id, self._context.cell_count)
+            == self._context.cell
+        }
+        self._services |= self._context.service_names
+        foreign = {
+            worker_id
+            for worker_id, entry in own_entries.items()
+            if self._is_foreign(entry)
+        }
+        for worker_id in foreign - self._foreign_ids:
+            self._context.count("odd_answers", "worker_service")
+            service = own_entries[worker_id].service
+            self._context.note(
+                "worker_of_unknown_service", worker=worker_id, service=service
+            )
+        self._foreign_ids = foreign
+        return {key: own_entries[key] for key in own_entries if key not in foreign}
+
+    def _is_foreign(self, entry):
+        """Return whether an entry names no worker of any service that was ever named.
+
+        A service may leave the configuration for a while: its workers' runs go on.
+        """
+        if entry.service in self._services:
+            return False
+        worker = self._context.workers.get(entry.worker_id)
+        return worker is None or not worker.runs
+
     def _apply_entry(self, entry, now_ms):
         worker = self._context.workers.get(entry.worker_id)
         if worker is None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/owner/cell_owner.py
@@ -265,9 +265,10 @@
             self.apply_effects()
 
     def on_configuration(self, configuration):
-        """Apply a new configuration."""
+        """Apply a new configuration, which may name further services."""
         if self.cell is not None:
             self.cell.on_configuration(configuration)
+            self.on_worker_list()
 
     def on_links_changed(self):
         """Apply a change in the open links to other instances."""
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_worker_list_watch.py
@@ -171,3 +171,14 @@
     harness.reader.answer(result)
     assert set(harness.watch.entries) == {"a", "b"}
     assert len(harness.unreadable) == 1
+
+
+def test_entry_of_another_service_does_not_replace_lapsed_worker(harness):
+    """Guards against a worker dropped for an agent of another writer on its machine."""
+    lapse(harness, "a", outage_ms=4_800)
+    harness.timers.run(400)
+    agent = entry("agent-1", "m-1")
+    document = orjson.loads(agent.value) | {"service": "agents"}
+    agent = StoreRecord(key=agent.key, value=orjson.dumps(document))
+    harness.reader.answer(ReadResult(records=(agent,), next_offset=10))
+    assert set(harness.watch.entries) == {"a", "b", "agent-1"}
--- a/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/worker_list_watch.py
@@ -85,11 +85,14 @@
             self._lapsed_entries.update(
                 {key: _mark_lapsed(before[key]) for key in gone}
             )
-        machines = {entry.machine_id for entry in self._listed.values()}
+        machines = {
+            (entry.machine_id, entry.service) for entry in self._listed.values()
+        }
         self._lapsed_entries = {
             worker_id: entry
             for worker_id, entry in self._lapsed_entries.items()
-            if worker_id not in self._listed and entry.machine_id not in machines
+            if worker_id not in self._listed
+            and (entry.machine_id, entry.service) not in machines
         }
         self._publish()
 
