Fail a call that can't be connected or encoded, in place of losing it

What callers saw: nothing yet; found on the path of an odd entry of another writer, whose address or id went into a call.

Cause: the pool expected one kind of failure as it connects and none as it encodes. An exception there left the call without an outcome, so that its sender waited for good, and its connection counted as in use. A line break in a worker's id added a header to the request.

Change: whatever keeps a call from being connected or encoded fails it unsent; a header or target that is not printable is not sent. This works since each call gets an outcome on every path out of the pool. Running out of descriptors is handled in the same place, without a test.

--- a/packages/thymefork-net/src/thymefork_net/http/call.py
+++ b/packages/thymefork-net/src/thymefork_net/http/call.py
@@ -41,13 +41,18 @@
     connection: object = None
 
     def encode(self):
-        """Return the request as bytes."""
+        """Return the request as bytes.
+
+        Raises: ValueError if a header has characters that may not stand there.
+        """
         lines = [f"{self.method} {self.target} HTTP/1.1", f"Host: {self.address.host}"]
         lines += [f"{name}: {value}" for name, value in self.headers]
         body = self._body_to_send()
         if body:
             lines.append("Content-Type: application/json")
         lines.append(f"Content-Length: {len(body)}")
+        if not all(line.isprintable() for line in lines):
+            raise ValueError("a header or the target is not printable")
         return "\r\n".join(lines).encode("ascii") + b"\r\n\r\n" + body
 
     def _body_to_send(self):
--- a/packages/thymefork-net/src/thymefork_net/http/pool.py
+++ b/packages/thymefork-net/src/thymefork_net/http/pool.py
@@ -92,7 +92,10 @@
 
     def _start(self, connection, call):
         self._limited_counts[call.address] += call.is_limited
-        connection.start(call)
+        try:
+            connection.start(call)
+        except ValueError as failure:
+            connection.on_broken(f"the request can't be encoded: {failure}")
 
     def _take_call(self, connection):
         """Detach the current call, if any, from its connection and return it."""
--- a/packages/thymefork-net/src/thymefork_net/streams.py
+++ b/packages/thymefork-net/src/thymefork_net/streams.py
@@ -62,9 +62,16 @@
 
     Raises: StreamBrokenError if connecting fails at once.
     """
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    except OSError as failure:  # no descriptor is left
+        raise _stream_error(failure) from failure
     _prepare(sock)
-    code = sock.connect_ex((address.host, address.port))
+    try:
+        code = sock.connect_ex((address.host, address.port))
+    except (OSError, OverflowError, TypeError, ValueError) as failure:
+        sock.close()
+        raise StreamBrokenError(f"invalid address: {failure}") from failure
     if code in _CONNECTING_CODES:
         return sock
     sock.close()
