Keep log lines with a field that can't be encoded

What operators saw: "Logging error in Loguru Handler" in place of the line that would have told of a job with a number beyond 64 bits.

Cause: a line was encoded as a whole, so one field that JSON can't hold (a number beyond 64 bits, a text with lone surrogates) lost the line.

Evidence: the 4 cases added to test_telemetry.py fail on the code before.

Change: such a field becomes a text, the others stay as they are. This works since each field is tried by itself once the line as a whole has failed.

--- a/packages/thymefork-daemon/src/thymefork_daemon/telemetry/logs.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/telemetry/logs.py
@@ -47,7 +47,7 @@
         if record["exception"] is not None:
             line["error"] = repr(record["exception"].value)
             line["trace"] = _trace(record["exception"])
-        self._write(orjson.dumps(line, default=str) + b"\n")
+        self._write(_encode(line) + b"\n")
 
     def _write(self, data):
         self._buffer.append(data)
@@ -95,6 +95,26 @@
     return writer
 
 
+def _encode(line):
+    """Encode a line; fields that JSON can't hold become texts.
+
+    Such are numbers beyond 64 bits and texts with lone surrogates.
+    """
+    try:
+        return orjson.dumps(line, default=str)
+    except TypeError:
+        fields = {name: _encodable(value) for name, value in line.items()}
+        return orjson.dumps(fields, default=str)
+
+
+def _encodable(value):
+    try:
+        orjson.dumps(value, default=str)
+    except TypeError:
+        return ascii(value)
+    return value
+
+
 def _trace(exception):
     frames, trace = [], exception.traceback
     while trace is not None:
--- a/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telemetry.py
+++ b/packages/thymefork-daemon/src/thymefork_daemon/tests/test_telemetry.py
@@ -53,6 +53,16 @@
     assert "why" in line["error"] and line["trace"]
 
 
+# Guards against lines that are lost for one field, and with them what they would tell.
+@pytest.mark.parametrize("odd", [10**300, -(10**30), "agent-\udce9", [10**300]])
+def test_line_with_odd_field_keeps_its_other_fields(writer, pipe, odd):
+    os.set_blocking(pipe[0], False)
+    logger.bind(event="job_ended", odd=odd, counts={"a": 1}).info("done")
+    (line,) = read(pipe)
+    assert line["event"] == "job_ended" and line["text"] == "done"
+    assert line["counts"] == {"a": 1} and line["odd"] == ascii(odd)
+
+
 def test_stalled_reader_does_not_block(writer, pipe):
     for number in range(20_000):
         writer._write(b"x" * 100 + b"%d\n" % number)
