--- a/packages/thymefork-net/src/thymefork_net/tests/conftest.py
+++ b/packages/thymefork-net/src/thymefork_net/tests/conftest.py
@@ -6,6 +6,7 @@
 from circuits import BaseComponent
 
 from thymefork_net import Address, Sockets, SteadyTimers, steady_ms
+from thymefork_net.http import HttpServer
 
 HOST = "127.0.0.1"
 
@@ -44,3 +45,15 @@
 @pytest.fixture
 def address():
     return Address(host=HOST, port=free_port())
+
+
+@pytest.fixture
+def served(loop, address):
+    requests = []
+    server = HttpServer(
+        sockets=loop.sockets,
+        timers=loop.timers,
+        address=address,
+        on_request=requests.append,
+    )
+    return server, requests
