Leave two thirds of the time of stops for what goes wrong

Change: stops are to be done in a third of cancel_ms in place of half, so that a stop without an answer, or an owner that is taken out meanwhile, leaves more time.

--- a/packages/thymefork-cells/src/thymefork_cells/workers/stop_tracker.py
+++ b/packages/thymefork-cells/src/thymefork_cells/workers/stop_tracker.py
@@ -19,9 +19,9 @@
 OUTCOME_TIMEOUT_MS = 500.0
 # A run that still exists this long after its stop timeout is logged once.
 OVERDUE_MS = 1_000.0
-# Stops are sent so that they are in time by this fraction of the time they have; the
-# rest is for a change of owner.
-TARGET_FRACTION = 0.5
+# Stops are sent so as to be done in this fraction of the time they have; the rest is
+# for stops without an answer and for a change of owner.
+TARGET_FRACTION = 1 / 3
 
 
 class StopTracker:
