Review: one entry of another writer has a task run on two workers at once

Shown by a script (review/11) with three daemons and eight workers: an entry of an unnamed service stands for up to 1.5 s under the id of a worker at work and gives another worker's address. The task begins on another worker 0.8 s later, and both run it for 2.3 s. The stand-ins' heartbeat is 1.5 s now for all cases, as in DEPLOY.md.

--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -18,7 +18,7 @@
 ROOT = Path(__file__).resolve().parents[1]
 PARTS = 8
 APPEND_S = 0.004
-HEARTBEAT_S = 0.5
+HEARTBEAT_S = 1.5
 STORE_PORT, ADVICE_PORT, WORKER_PORT = 8169, 8170, 8080
 FRONT, READY, CONTROL, PEERS = 8161, 8167, 8166, 7720
 MAX_HOLD_MS = 10_000
