--- a/review/standin_3.py
+++ b/review/standin_3.py
@@ -373,7 +373,8 @@
     """Run tasks under a lease by its own clock.
 
     `work_ms(task)` returns how long a task works. A crash loses everything; the next
-    life of the machine has another id, at the same address.
+    life of the machine has another id, at the same address. `beats` counts the
+    heartbeats of a life.
     """
 
     def __init__(self, store, record, host, machine, *, zone, labels, cpu, work_ms):
@@ -395,7 +396,7 @@
         self.is_up = True
         self.running, self.ended, self._closed = {}, [], {}
         self._next_end, self._fence, self._lease_ms = 1, 0, 0.0
-        self._born_ms, self._seq = now_ms(), 0
+        self._born_ms, self.beats = now_ms(), 0
         self._changed = asyncio.Event()
         await self.service.start()
         self._tasks = [
@@ -430,7 +431,7 @@
 
     async def _beat(self, worker_id):
         while True:
-            self._seq += 1
+            self.beats += 1
             entry = {
                 "service": "svc",
                 "machine_id": self.machine,
@@ -442,7 +443,7 @@
                 "cold_left_ms": 0,
                 "capacity": {"cpu": self._cpu, "mem_mb": 32_768, "gpus": 0},
                 "labels": self._labels,
-                "seq": self._seq,
+                "seq": self.beats,
             }
             self._store.write("keyed.servers", worker_id, entry)
             await asyncio.sleep(HEARTBEAT_S)
